--- /dev/null
+++ b/Libraries/LibCore/EventLoop.cpp
@@ -0,0 +1,86 @@
+#include "EventLoop.h"
+#include "Verify.h"
+#include <algorithm>
+
+namespace Hornbeam {
+
+/// The longest wait of an idle loop.
+static constexpr Duration kIdleWait = 1s;
+
+EventLoop::EventLoop(Clock& aClock)
+  : clock(aClock)
+  , io(kj::setupAsyncIo())
+{
+  VERIFY(uv_loop_init(&this->embedded) == 0);
+  this->observer = kj::heap<kj::UnixEventPort::FdObserver>(
+    this->io.unixEventPort, uv_backend_fd(&this->embedded), kj::UnixEventPort::FdObserver::OBSERVE_READ);
+}
+
+EventLoop::~EventLoop()
+{
+  this->observer = nullptr;
+  uv_loop_close(&this->embedded);
+}
+
+void
+EventLoop::Run()
+{
+  this->RunUntil([] { return false; });
+}
+
+void
+EventLoop::RunUntil(std::function<bool()> const& aCondition)
+{
+  auto& timer = this->io.provider->getTimer();
+  while (!this->stopped) {
+    this->clock.RunDue();
+    this->RunEmbedded();
+    if (aCondition())
+      return;
+    auto ready = kj::newPromiseAndFulfiller<void>();
+    this->wake = kj::mv(ready.fulfiller);
+    auto const wait = this->NextWait();
+    auto event = this->observer->whenBecomesReadable()
+                   .exclusiveJoin(kj::mv(ready.promise))
+                   .exclusiveJoin(timer.afterDelay(wait.count() * kj::MICROSECONDS));
+    event.wait(this->io.waitScope);
+    this->wake = nullptr;
+  }
+}
+
+void
+EventLoop::RunEmbedded()
+{
+  // KJ watches edge-triggered: a timeout of zero means that work is left, which would raise no further edge.
+  do {
+    uv_run(&this->embedded, UV_RUN_NOWAIT);
+    this->clock.RunDue();
+  } while (uv_backend_timeout(&this->embedded) == 0 && !this->stopped);
+}
+
+Duration
+EventLoop::NextWait() const
+{
+  Duration wait = kIdleWait;
+  if (int const timeout = uv_backend_timeout(&this->embedded); timeout >= 0)
+    wait = std::min<Duration>(wait, std::chrono::milliseconds(timeout));
+  if (auto const next = this->clock.NextTimer())
+    wait = std::min(wait, std::max(Duration::zero(), *next - this->clock.Now()));
+  return this->stopped ? Duration::zero() : wait;
+}
+
+void
+EventLoop::Stop()
+{
+  this->stopped = true;
+  this->Wake();
+}
+
+void
+EventLoop::Wake()
+{
+  KJ_IF_MAYBE (fulfiller, this->wake)
+    (*fulfiller)->fulfill();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFront/GrantService.cpp
@@ -0,0 +1,571 @@
+#include "GrantService.h"
+#include <algorithm>
+#include <utility>
+
+namespace Hornbeam {
+
+static constexpr Duration kSweepInterval = 50ms;
+static constexpr Duration kReportInterval = 500ms;
+/// How long a front waits before it asks again for a key whose owner has nothing to give.
+static constexpr Duration kLackingInterval = 100ms;
+static constexpr std::string_view kEndpointPrefix = "endpoint/";
+static constexpr std::string_view kAccountPrefix = "account/";
+
+static std::string
+EndpointKey(std::string const& aEndpoint)
+{
+  return std::string(kEndpointPrefix) + aEndpoint;
+}
+
+static std::string
+AccountKey(std::string const& aAccount)
+{
+  return std::string(kAccountPrefix) + aAccount;
+}
+
+static bool
+IsAccountKey(std::string_view aKey)
+{
+  return aKey.starts_with(kAccountPrefix);
+}
+
+static std::string
+NameIn(std::string const& aKey)
+{
+  return aKey.substr(aKey.find('/') + 1);
+}
+
+GrantService::GrantService(Kernel& aKernel)
+  : clock(aKernel.Find<Clock>(ServiceName::kClock))
+  , membership(aKernel.Find<MembershipService>(ServiceName::kMembership))
+  , configuration(aKernel.Find<ConfigurationService>(ServiceName::kConfiguration))
+  , peers(aKernel.Find<PeerPort>(ServiceName::kPeerPort))
+  , endpoints(aKernel.Find<EndpointPort>(ServiceName::kEndpointPort))
+  , settings(aKernel.Find<FrontSettings const>(ServiceName::kSettings))
+{
+}
+
+void
+GrantService::Start()
+{
+  this->membership.OnEpochActivated([this](EpochRecord const& aRecord) { this->HandleEpoch(aRecord); });
+  this->Sweep();
+  this->PollReports();
+}
+
+void
+GrantService::OnSlotsChanged(std::function<void()> aAction)
+{
+  this->slotActions.push_back(std::move(aAction));
+}
+
+// The holder's side.
+
+int
+GrantService::FreeEndpointSlots(std::string const& aEndpoint) const
+{
+  auto const* const holding = this->EndpointHolding(aEndpoint);
+  return holding == nullptr ? 0 : FreeSlots(*holding, this->clock.Now());
+}
+
+Holding const*
+GrantService::EndpointHolding(std::string const& aEndpoint) const
+{
+  auto const found = this->holdings.find(EndpointKey(aEndpoint));
+  return found == this->holdings.end() ? nullptr : &found->second;
+}
+
+EndpointKnowledge&
+GrantService::Knowledge(EndpointRow const& aEndpoint)
+{
+  auto const [entry, isNew] = this->knowledge.try_emplace(aEndpoint.name);
+  if (isNew) {
+    auto const& pools = this->configuration.Current().pools;
+    auto const pool = pools.find(aEndpoint.pool);
+    if (pool != pools.end())
+      entry->second.latency.mean = pool->second.expectedService;
+  }
+  return entry->second;
+}
+
+bool
+GrantService::TakeEndpointSlot(std::string const& aEndpoint)
+{
+  auto const found = this->holdings.find(EndpointKey(aEndpoint));
+  if (found == this->holdings.end() || !TakeSlot(found->second, this->clock.Now()))
+    return false;
+  if (FreeSlots(found->second, this->clock.Now()) == 0)
+    this->FlushSoon();
+  return true;
+}
+
+bool
+GrantService::IsEndpointGrantValid(std::string const& aEndpoint) const
+{
+  auto const* const holding = this->EndpointHolding(aEndpoint);
+  return holding != nullptr && holding->used <= holding->total && this->clock.Now() < holding->expiresAt;
+}
+
+void
+GrantService::ReturnEndpointSlot(EndpointRow const& aEndpoint, CallVerdict aVerdict, Duration aLatency)
+{
+  auto const found = this->holdings.find(EndpointKey(aEndpoint.name));
+  VERIFY(found != this->holdings.end());
+  auto& holding = found->second;
+  ReturnSlot(holding);
+  auto& known = this->Knowledge(aEndpoint);
+  if (aVerdict == CallVerdict::Succeeded) {
+    ObserveService(known.latency, aLatency);
+    OnCallSucceeded(known.outlier);
+    ++known.unreported.succeeded;
+    known.unreported.totalLatency += aLatency;
+  }
+  if (aVerdict == CallVerdict::Failed) {
+    ++known.unreported.failed;
+    SuspendHolding(holding);
+  }
+  this->FlushSoon();
+}
+
+void
+GrantService::SetEndpointWaiting(std::string const& aEndpoint, int aWaiting)
+{
+  auto const key = EndpointKey(aEndpoint);
+  if (aWaiting == 0 && !this->holdings.contains(key))
+    return;
+  this->holdings[key].waiting = aWaiting;
+  if (aWaiting > 0)
+    this->FlushSoon();
+}
+
+bool
+GrantService::TakeAccountSlot(std::string const& aAccount)
+{
+  auto const key = AccountKey(aAccount);
+  auto& holding = this->holdings[key];
+  if (TakeSlot(holding, this->clock.Now()))
+    return true;
+  if (!this->ownerSilent.contains(key))
+    return false;
+  // While the owner does not answer, each front works within an equal share: a limit that is kept less exactly harms
+  // less than an account that is refused everywhere.
+  auto const account = this->configuration.Current().accounts.find(aAccount);
+  auto const* const record = this->membership.ActiveRecord();
+  if (account == this->configuration.Current().accounts.end() || record == nullptr)
+    return false;
+  int const members = static_cast<int>(record->members.size());
+  if (holding.used >= std::max(1, account->second.limit / members))
+    return false;
+  ++holding.used;
+  return true;
+}
+
+void
+GrantService::ReturnAccountSlot(std::string const& aAccount)
+{
+  ReturnSlot(this->holdings[AccountKey(aAccount)]);
+}
+
+void
+GrantService::SetAccountWaiting(std::string const& aAccount, int aWaiting)
+{
+  this->holdings[AccountKey(aAccount)].waiting = aWaiting;
+  if (aWaiting > 0)
+    this->FlushSoon();
+}
+
+void
+GrantService::FlushSoon()
+{
+  if (this->flushScheduled)
+    return;
+  this->flushScheduled = true;
+  this->clock.Schedule(Duration::zero(), [this] {
+    this->flushScheduled = false;
+    this->Flush();
+  });
+}
+
+HoldingPolicy
+GrantService::PolicyOf(std::string const& aKey) const
+{
+  HoldingPolicy policy;
+  if (IsAccountKey(aKey))
+    return policy;
+  auto const known = this->knowledge.find(NameIn(aKey));
+  if (known == this->knowledge.end() || known->second.cold)
+    policy.sparePercent = 0;
+  return policy;
+}
+
+std::string
+GrantService::DataCenterOf(std::string const& aKey) const
+{
+  if (IsAccountKey(aKey))
+    return {};
+  auto const& rows = this->configuration.Current().endpoints;
+  auto const row = rows.find(NameIn(aKey));
+  return row == rows.end() ? std::string() : row->second.dataCenter;
+}
+
+GrantItem
+GrantService::MakeItem(std::string const& aKey, Holding& aHolding, std::string const& aHolder)
+{
+  GrantItem item{ aKey, BeginRequest(aHolding, aHolder, this->PolicyOf(aKey), this->clock.Now()), {}, {} };
+  if (IsAccountKey(aKey))
+    return item;
+  auto const known = this->knowledge.find(NameIn(aKey));
+  if (known == this->knowledge.end())
+    return item;
+  item.observed = std::exchange(known->second.unreported, {});
+  item.hint = { known->second.incarnation, known->second.cold ? 0 : known->second.limit };
+  return item;
+}
+
+/// What is due to one owner: everything after a change of epoch, otherwise the keys that want something.
+GrantBatch
+GrantService::MakeBatch(EpochRecord const& aRecord, Member const& aOwner)
+{
+  GrantBatch batch;
+  batch.holder = this->settings.name + "." + std::to_string(this->membership.Self().incarnation);
+  batch.epoch = aRecord.epoch;
+  batch.complete = this->reportsDue.contains(aOwner.name);
+  batch.residual = batch.complete ? this->Residual() : Duration::zero();
+  auto const now = this->clock.Now();
+  for (auto& [key, holding] : this->holdings) {
+    if (holding.requestSentAt)
+      continue;
+    bool const due = IsRequestDue(holding, this->PolicyOf(key), this->settings.grants, now);
+    bool const report = batch.complete && (holding.used > 0 || FreeSlots(holding, now) > 0);
+    if (!due && !report)
+      continue;
+    if (OwnerOf(aRecord, key, this->DataCenterOf(key)) == aOwner)
+      batch.items.push_back(this->MakeItem(key, holding, batch.holder));
+  }
+  return batch;
+}
+
+void
+GrantService::Flush()
+{
+  auto const* const active = this->membership.ActiveRecord();
+  if (active == nullptr)
+    return;
+  // Sending may answer at once and change the record.
+  auto const record = *active;
+  for (auto const& owner : record.members) {
+    auto batch = this->MakeBatch(record, owner);
+    if (batch.complete)
+      this->reportsDue.erase(owner.name);
+    if (batch.complete || !batch.items.empty())
+      this->SendBatch(owner, std::move(batch));
+  }
+}
+
+void
+GrantService::SendBatch(Member const& aOwner, GrantBatch aBatch)
+{
+  auto const take = [this, aBatch, name = aOwner.name](std::optional<GrantBatchAnswer> const& aAnswer) {
+    bool const current = this->lastActiveEpoch == aBatch.epoch;
+    if (aBatch.complete && current && (!aAnswer || !aAnswer->reportTaken))
+      this->reportsDue.insert(name);
+    if (aAnswer)
+      this->TakeResults(aAnswer->results);
+    else
+      this->FailBatch(aBatch);
+  };
+  if (aOwner == this->membership.Self())
+    take(this->AnswerBatch(aBatch));
+  else
+    this->peers.requestGrants(aOwner, aBatch, take);
+}
+
+void
+GrantService::FailBatch(GrantBatch const& aBatch)
+{
+  for (auto const& item : aBatch.items) {
+    auto const found = this->holdings.find(item.key);
+    if (found == this->holdings.end() || found->second.sequence != item.request.sequence)
+      continue;
+    FailRequest(found->second, this->PolicyOf(item.key), this->clock.Now());
+    this->ownerSilent.insert(item.key);
+    if (item.observed.failed > 0)
+      this->knowledge[NameIn(item.key)].unreported.failed += item.observed.failed;
+  }
+  for (auto const& action : this->slotActions)
+    action();
+}
+
+void
+GrantService::TakeResults(std::vector<GrantResult> const& aResults)
+{
+  for (auto const& result : aResults) {
+    auto const found = this->holdings.find(result.key);
+    if (found == this->holdings.end())
+      continue;
+    auto& holding = found->second;
+    if (!result.grant) {
+      FailRequest(holding, this->PolicyOf(result.key), this->clock.Now());
+      this->ownerSilent.insert(result.key);
+      continue;
+    }
+    this->ownerSilent.erase(result.key);
+    FinishRequest(holding, *result.grant, this->settings.grants);
+    bool const lacking = holding.waiting > 0 && holding.total <= holding.used;
+    auto const interval = lacking ? kLackingInterval : this->PolicyOf(result.key).requestInterval;
+    holding.nextRequestAt = this->clock.Now() + interval;
+    if (IsAccountKey(result.key))
+      continue;
+    auto& known = this->knowledge[NameIn(result.key)];
+    known.cold = result.cold;
+    known.limit = result.limit;
+    known.incarnation = result.incarnation;
+  }
+  for (auto const& action : this->slotActions)
+    action();
+}
+
+void
+GrantService::Sweep()
+{
+  auto const now = this->clock.Now();
+  std::erase_if(this->holdings, [&](auto const& aEntry) {
+    auto const& holding = aEntry.second;
+    bool const unused = holding.used == 0 && holding.waiting == 0 && !holding.requestSentAt && !holding.urgent;
+    return unused && now - holding.expiresAt > this->settings.grants.grantDuration;
+  });
+  for (auto& [key, ledger] : this->ledgers)
+    PruneLedger(ledger, now);
+  std::erase_if(this->ledgers, [&](auto const& aEntry) {
+    return aEntry.second.entries.empty() && now >= aEntry.second.takenOverUntil;
+  });
+  this->Flush();
+  this->clock.Schedule(kSweepInterval, [this] { this->Sweep(); });
+}
+
+// The owner's side.
+
+bool
+GrantService::Transition::IsComplete() const
+{
+  return std::ranges::all_of(this->previous,
+                             [&](Member const& aMember) { return this->reported.contains(aMember.name); });
+}
+
+void
+GrantService::HandleEpoch(EpochRecord const& aRecord)
+{
+  auto const now = this->clock.Now();
+  auto const& grants = this->settings.grants;
+  auto const memory = grants.grantDuration + grants.longestWork + grants.driftAllowance;
+  bool const continuous = this->lastActiveEpoch + 1 == aRecord.epoch;
+  this->lastActiveEpoch = aRecord.epoch;
+  std::erase_if(this->transitions, [&](Transition const& aEach) {
+    return now - aEach.activatedAt > memory && now >= aEach.residualUntil;
+  });
+  Transition transition{ aRecord.previous, now, continuous, {}, {} };
+  transition.reported.insert(aRecord.drained.begin(), aRecord.drained.end());
+  this->transitions.push_back(std::move(transition));
+  std::erase_if(this->ledgers, [&](auto const& aEntry) {
+    auto const& owner = OwnerOf(aRecord, aEntry.first, this->DataCenterOf(aEntry.first));
+    return !continuous || owner != this->membership.Self();
+  });
+  std::erase_if(this->phases, [&](auto const& aEntry) {
+    auto const key = EndpointKey(aEntry.first);
+    return OwnerOf(aRecord, key, this->DataCenterOf(key)) != this->membership.Self();
+  });
+  // A grant of the epoch before that arrives from now on would be missing in the report to the new owner.
+  for (auto& [key, holding] : this->holdings) {
+    if (holding.requestSentAt)
+      CancelRequest(holding);
+  }
+  this->reportsDue.clear();
+  for (auto const& member : aRecord.members)
+    this->reportsDue.insert(member.name);
+  this->FlushSoon();
+}
+
+/// How long work may still be running that no member of the present epoch will report: work granted by owners whose
+/// books were lost, and work of holders that are no longer members.
+Duration
+GrantService::Residual() const
+{
+  auto const now = this->clock.Now();
+  auto until = now;
+  for (auto const& transition : this->transitions) {
+    auto const lost = TakenOverLedger(this->settings.grants, transition.activatedAt).takenOverUntil;
+    bool const isPresent = &transition == &this->transitions.back();
+    if (transition.IsComplete())
+      until = std::max(until, transition.residualUntil);
+    else if (!isPresent && !transition.previous.empty())
+      until = std::max(until, lost);
+  }
+  for (auto const& [key, ledger] : this->ledgers) {
+    for (auto const& [holder, entry] : ledger.entries) {
+      if (!this->membership.IsMemberHolder(holder))
+        until = std::max(until, entry.clearAt);
+    }
+  }
+  return until - now;
+}
+
+void
+GrantService::TakeReport(GrantBatch const& aBatch)
+{
+  auto& transition = this->transitions.back();
+  auto const name = aBatch.holder.substr(0, aBatch.holder.rfind('.'));
+  auto const* const reporter = FindMember(transition.previous, name);
+  bool const sameProcess = reporter != nullptr && aBatch.holder == name + "." + std::to_string(reporter->incarnation);
+  if (!sameProcess)
+    return;
+  transition.reported.insert(name);
+  transition.residualUntil = std::max(transition.residualUntil, this->clock.Now() + aBatch.residual);
+  if (!transition.IsComplete())
+    return;
+  PART_LOG("grants") << "every member of the epoch before has reported what it holds.";
+  for (auto& [key, ledger] : this->ledgers)
+    ledger.takenOverUntil = std::min(ledger.takenOverUntil, this->TakenOverUntil(key));
+}
+
+MonotonicTime
+GrantService::TakenOverUntil(std::string const& aKey) const
+{
+  auto const dataCenter = this->DataCenterOf(aKey);
+  auto const& grants = this->settings.grants;
+  MonotonicTime until{};
+  for (auto const& transition : this->transitions) {
+    if (transition.previous.empty())
+      continue;
+    EpochRecord const before{ 0, transition.previous, {} };
+    bool const kept = transition.continuous && OwnerOf(before, aKey, dataCenter) == this->membership.Self();
+    if (kept)
+      continue;
+    auto const unreported = TakenOverLedger(grants, transition.activatedAt).takenOverUntil;
+    until = std::max(until, transition.IsComplete() ? transition.residualUntil : unreported);
+  }
+  return until;
+}
+
+Ledger&
+GrantService::LedgerOf(std::string const& aKey)
+{
+  auto const [entry, isNew] = this->ledgers.try_emplace(aKey);
+  if (isNew)
+    entry->second.takenOverUntil = this->TakenOverUntil(aKey);
+  return entry->second;
+}
+
+EndpointPhase&
+GrantService::PhaseOf(std::string const& aEndpoint, PoolRow const& aPool)
+{
+  auto const [entry, isNew] = this->phases.try_emplace(aEndpoint);
+  if (isNew)
+    MakeCold(entry->second, aPool, this->clock.Now());
+  return entry->second;
+}
+
+GrantBatchAnswer
+GrantService::AnswerBatch(GrantBatch const& aBatch)
+{
+  GrantBatchAnswer answer;
+  auto const* const record = this->membership.ActiveRecord();
+  bool const mayAnswer = record != nullptr && record->epoch == aBatch.epoch && this->lastActiveEpoch == aBatch.epoch;
+  for (auto const& item : aBatch.items) {
+    bool const owns = mayAnswer && OwnerOf(*record, item.key, this->DataCenterOf(item.key)) == this->membership.Self();
+    if (owns)
+      answer.results.push_back(this->AnswerItem(item, record->members.size()));
+    else
+      answer.results.push_back({ item.key, std::nullopt, 0, false, 0 });
+  }
+  if (mayAnswer && aBatch.complete) {
+    this->TakeReport(aBatch);
+    answer.reportTaken = true;
+  }
+  return answer;
+}
+
+GrantResult
+GrantService::AnswerItem(GrantItem const& aItem, std::size_t aHolders)
+{
+  auto const& table = this->configuration.Current();
+  auto const name = NameIn(aItem.key);
+  auto const now = this->clock.Now();
+  GrantResult result;
+  result.key = aItem.key;
+  auto& ledger = this->LedgerOf(aItem.key);
+  auto rule = TakeoverRule::EqualShares;
+  if (IsAccountKey(aItem.key)) {
+    auto const account = table.accounts.find(name);
+    ledger.limit = account == table.accounts.end() ? 0 : account->second.limit;
+    result.limit = ledger.limit;
+  } else if (auto const endpoint = table.endpoints.find(name); endpoint != table.endpoints.end()) {
+    this->AnswerEndpointItem(aItem, endpoint->second, ledger, result);
+    rule = result.cold ? TakeoverRule::Withhold : TakeoverRule::EqualShares;
+  } else {
+    ledger.limit = 0;
+  }
+  result.grant = AnswerRequest(ledger, aItem.request, this->settings.grants, rule, aHolders, now);
+  return result;
+}
+
+void
+GrantService::AnswerEndpointItem(GrantItem const& aItem,
+                                 EndpointRow const& aEndpoint,
+                                 Ledger& aLedger,
+                                 GrantResult& aResult)
+{
+  auto const& table = this->configuration.Current();
+  auto const& pool = table.pools.at(aEndpoint.pool);
+  auto const now = this->clock.Now();
+  auto& phase = this->PhaseOf(aEndpoint.name, pool);
+  auto const before = phase.phase;
+  if (now < aLedger.takenOverUntil)
+    OnHint(phase, aItem.hint, pool, now);
+  OnWorkObserved(phase, aItem.observed, pool, this->phaseSettings, now);
+  this->LogPhaseChange(aEndpoint.name, before, phase, "work that the fronts observed");
+  bool const closed = IsTakenOut(table, aEndpoint) || this->membership.IsLeavingAddress(aEndpoint.address);
+  aLedger.limit = closed ? 0 : LimitOf(phase, pool);
+  aResult.limit = aLedger.limit;
+  aResult.cold = phase.phase == Phase::Cold;
+  aResult.incarnation = phase.incarnation;
+}
+
+void
+GrantService::LogPhaseChange(std::string const& aEndpoint,
+                             Phase aBefore,
+                             EndpointPhase const& aAfter,
+                             char const* aWhy) const
+{
+  if (aBefore == aAfter.phase)
+    return;
+  char const* const name = aAfter.phase == Phase::Cold ? "cold" : aAfter.phase == Phase::Warm ? "warm" : "ramping";
+  PART_LOG("grants") << "endpoint " << aEndpoint << " is " << name << " with limit " << aAfter.limit << ": " << aWhy
+                     << ".";
+}
+
+void
+GrantService::PollReports()
+{
+  auto const* const record = this->membership.ActiveRecord();
+  auto const& table = this->configuration.Current();
+  if (record != nullptr) {
+    for (auto const& [name, endpoint] : table.endpoints) {
+      if (OwnerOf(*record, EndpointKey(name), endpoint.dataCenter) != this->membership.Self())
+        continue;
+      this->endpoints.report(endpoint.address, [this, name = name](std::optional<EndpointReport> aReport) {
+        auto const& rows = this->configuration.Current().endpoints;
+        auto const row = rows.find(name);
+        if (!aReport || row == rows.end())
+          return;
+        auto const& pool = this->configuration.Current().pools.at(row->second.pool);
+        auto& phase = this->PhaseOf(name, pool);
+        auto const before = phase.phase;
+        OnReport(phase, *aReport, pool, this->clock.Now());
+        this->LogPhaseChange(name, before, phase, "its report names another incarnation");
+      });
+    }
+  }
+  this->clock.Schedule(kReportInterval, [this] { this->PollReports(); });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFront/MetricsService.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "RequestService.h"
+#include <LibPeer/LibPeer.h>
+
+namespace Hornbeam {
+
+/// Renders the counters of the services as a Prometheus page.
+class MetricsService
+{
+public:
+  explicit MetricsService(Kernel& aKernel);
+
+  /// Counts of the ports, which a test with fakes leaves out.
+  void Observe(StoreUsage const& aStore, PeerUsage const& aPeers);
+
+  std::string Render() const;
+
+private:
+  MembershipService& membership;
+  ConfigurationService& configuration;
+  GrantService& grants;
+  RequestService& requests;
+  StoreUsage const* store{ nullptr };
+  PeerUsage const* peers{ nullptr };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibFront/RequestService.cpp
@@ -0,0 +1,681 @@
+#include "RequestService.h"
+#include <algorithm>
+#include <utility>
+
+namespace Hornbeam {
+
+/// How long a new request waits for the lease, so that a change of epoch refuses nobody.
+static constexpr Duration kLeaseWait = 1500ms;
+/// How long a new request waits for a slot of its account.
+static constexpr Duration kAccountWait = 200ms;
+static constexpr Duration kForgetInterval = 1s;
+/// How much longer than its deadline a forwarded request is waited for.
+static constexpr Duration kForwardAllowance = 100ms;
+/// How much wall clocks of fronts may differ when one issues a key prefix for another.
+static constexpr Duration kClockSkew = 300s;
+/// An attempt of a repeatable stage is given up after this many times its expected duration, if time is left to retry.
+static constexpr int kPatience = 4;
+
+/// The attempt that a request has at an endpoint now.
+struct Attempt
+{
+  std::string endpoint;
+  StageResponse response;
+  MonotonicTime startedAt{};
+  Duration timeout{ 0 };
+  std::function<void()> abandon;
+};
+
+/// A request that this front works on.
+struct RequestService::ActiveRequest
+{
+  RequestProgress progress;
+  int weight{ 1 };
+  std::string prefix;
+  std::string key;
+  std::vector<AnswerSink> sinks;
+  MonotonicTime receivedAt{};
+  TimerId deadlineTimer{ 0 };
+  bool admitted{ false };
+  bool holdsAccountSlot{ false };
+  std::optional<Attempt> attempt;
+  bool finished{ false };
+};
+
+RequestService::RequestService(Kernel& aKernel)
+  : clock(aKernel.Find<Clock>(ServiceName::kClock))
+  , membership(aKernel.Find<MembershipService>(ServiceName::kMembership))
+  , configuration(aKernel.Find<ConfigurationService>(ServiceName::kConfiguration))
+  , grants(aKernel.Find<GrantService>(ServiceName::kGrants))
+  , peers(aKernel.Find<PeerPort>(ServiceName::kPeerPort))
+  , endpoints(aKernel.Find<EndpointPort>(ServiceName::kEndpointPort))
+  , settings(aKernel.Find<FrontSettings const>(ServiceName::kSettings))
+{
+}
+
+void
+RequestService::Start()
+{
+  auto const review = [this] {
+    if (this->dispatchScheduled)
+      return;
+    this->dispatchScheduled = true;
+    this->clock.Schedule(Duration::zero(), [this] {
+      this->dispatchScheduled = false;
+      this->ReviewWaiting();
+      this->DispatchAll();
+    });
+  };
+  this->grants.OnSlotsChanged(review);
+  this->membership.OnLeaseChange([review](bool) { review(); });
+  this->configuration.OnTableChange(review);
+  this->SweepKeys();
+}
+
+void
+RequestService::SweepKeys()
+{
+  ForgetKeys(this->keys, this->clock.WallNow());
+  this->clock.Schedule(kForgetInterval, [this] { this->SweepKeys(); });
+}
+
+RequestId
+RequestService::Refuse(CallerRequest const& aRequest, AnswerSink const& aSink, Refusal aRefusal)
+{
+  PART_LOG("requests") << "refused a request for " << aRequest.pipeline << " (" << ToString(aRefusal.reason) << ", "
+                       << ToString(aRefusal.run) << "): " << aRefusal.detail << ".";
+  ++this->usage.refused[aRefusal.reason];
+  Answer answer;
+  answer.refusal = std::move(aRefusal);
+  aSink.onAnswer(answer);
+  return 0;
+}
+
+std::optional<Refusal>
+RequestService::Check(CallerRequest const& aRequest) const
+{
+  auto const& table = this->configuration.Current();
+  auto const refuse = [](RefusalReason aReason, std::string aDetail) {
+    return Refusal{ aReason, RunState::NotRun, std::move(aDetail), 0s };
+  };
+  if (table.revision == 0)
+    return refuse(RefusalReason::NoLease, "this front has no configuration yet");
+  auto const pipeline = table.pipelines.find(aRequest.pipeline);
+  if (pipeline == table.pipelines.end())
+    return refuse(RefusalReason::UnknownPipeline, "there is no pipeline " + aRequest.pipeline);
+  if (!table.accounts.contains(aRequest.account))
+    return refuse(RefusalReason::UnknownAccount, "there is no account " + aRequest.account);
+  if (aRequest.deadline && (*aRequest.deadline <= 0ms || *aRequest.deadline > pipeline->second.deadline)) {
+    auto const most = std::to_string(Milliseconds(pipeline->second.deadline));
+    return refuse(RefusalReason::BadRequest, "deadline_ms must be from 1 to " + most);
+  }
+  bool const repeatable = pipeline->second.repeatability == Repeatability::Repeatable;
+  if (!repeatable && aRequest.key.empty())
+    return refuse(RefusalReason::BadRequest, "pipeline " + aRequest.pipeline + " is not repeatable: a key is required");
+  if (repeatable && !aRequest.key.empty())
+    return refuse(RefusalReason::BadRequest, "pipeline " + aRequest.pipeline + " is repeatable: it takes no key");
+  return std::nullopt;
+}
+
+RequestId
+RequestService::Submit(CallerRequest const& aRequest, AnswerSink aSink)
+{
+  ++this->usage.received;
+  if (auto refusal = this->Check(aRequest)) {
+    // A request with a key may be running or have run at the front that the key names.
+    if (!aRequest.key.empty())
+      refusal->run = RunState::MayHaveRun;
+    return this->Refuse(aRequest, aSink, std::move(*refusal));
+  }
+  auto const& pipeline = this->configuration.Current().pipelines.at(aRequest.pipeline);
+  if (!aRequest.key.empty())
+    return this->SubmitWithKey(aRequest, std::move(aSink), pipeline);
+  return this->Begin(aRequest, std::move(aSink), pipeline);
+}
+
+RequestId
+RequestService::SubmitWithKey(CallerRequest const& aRequest, AnswerSink aSink, PipelineRow const& aPipeline)
+{
+  LastReason reason;
+  auto const key = ParseIdempotencyKey(aRequest.key, reason);
+  if (!key)
+    return this->Refuse(aRequest, aSink, { RefusalReason::BadRequest, RunState::NotRun, reason.detail, 0s });
+  auto const& self = this->membership.Self();
+  if (key->front != self.name || key->incarnation != self.incarnation)
+    return this->Forward(aRequest, std::move(aSink), *key);
+  auto const now = this->clock.WallNow();
+  if (key->expiresAt > now + this->settings.callers.keyValidity + kClockSkew) {
+    Refusal refusal{ RefusalReason::BadRequest, RunState::NotRun, "the key's prefix was not issued by a front", 0s };
+    return this->Refuse(aRequest, aSink, std::move(refusal));
+  }
+  auto const lookup = ClaimKey(this->keys, aRequest.key, *key, aRequest.fingerprint, this->lastRequest + 1, now);
+  switch (lookup.verdict) {
+    case KeyVerdict::Run:
+      return this->Begin(aRequest, std::move(aSink), aPipeline);
+    case KeyVerdict::Join:
+      this->active.at(lookup.request)->sinks.push_back(std::move(aSink));
+      return lookup.request;
+    case KeyVerdict::Replay:
+      aSink.onAnswer(*lookup.answer);
+      return 0;
+    case KeyVerdict::Expired:
+      return this->Refuse(
+        aRequest, aSink, { RefusalReason::KeyExpired, RunState::MayHaveRun, "the key has expired", 0s });
+    case KeyVerdict::Reused: {
+      Refusal refusal{
+        RefusalReason::KeyReused, RunState::MayHaveRun, "the key was used for a request with other contents", 0s
+      };
+      return this->Refuse(aRequest, aSink, std::move(refusal));
+    }
+  }
+  VerifyNotReached();
+}
+
+RequestId
+RequestService::Forward(CallerRequest const& aRequest, AnswerSink aSink, IdempotencyKey const& aKey)
+{
+  auto const* const holder = this->membership.FindKnownMember(aKey.front, aKey.incarnation);
+  Refusal const gone{ RefusalReason::KeyHolderGone,
+                      RunState::MayHaveRun,
+                      "the front that the key names, " + aKey.front + ", does not answer",
+                      0s };
+  if (holder == nullptr || aRequest.forwarded)
+    return this->Refuse(aRequest, aSink, gone);
+  auto const& pipeline = this->configuration.Current().pipelines.at(aRequest.pipeline);
+  auto const timeout = aRequest.deadline.value_or(pipeline.deadline) + kForwardAllowance;
+  PART_LOG("requests") << "forwards a non-repeatable request to " << holder->name << ", which its key names.";
+  this->peers.forward(*holder,
+                      { aRequest.pipeline, aRequest.body },
+                      timeout,
+                      [this, aRequest, gone, sink = std::move(aSink)](std::optional<std::string> aAnswer) {
+                        LastReason reason;
+                        auto const answer = aAnswer ? DecodeAnswer(*aAnswer, reason) : std::optional<Answer>();
+                        if (answer)
+                          sink.onAnswer(*answer);
+                        else
+                          this->Refuse(aRequest, sink, gone);
+                      });
+  return 0;
+}
+
+RequestId
+RequestService::Begin(CallerRequest const& aRequest, AnswerSink aSink, PipelineRow const& aPipeline)
+{
+  auto const request = std::make_shared<ActiveRequest>();
+  auto& progress = request->progress;
+  auto const now = this->clock.Now();
+  auto const deadline = aRequest.deadline.value_or(aPipeline.deadline);
+  progress.id = ++this->lastRequest;
+  progress.account = aRequest.account;
+  progress.pipeline = aPipeline;
+  progress.deadline = now + deadline;
+  progress.input = aRequest.input;
+  request->weight = this->configuration.Current().accounts.at(aRequest.account).weight;
+  request->prefix = aRequest.prefix;
+  request->key = aRequest.key;
+  request->receivedAt = now;
+  request->sinks.push_back(std::move(aSink));
+  auto const id = progress.id;
+  this->active.emplace(id, request);
+  request->deadlineTimer = this->clock.Schedule(deadline, [this, id] { this->OnDeadline(id); });
+  OnFreshRequest(this->retryBudget);
+  this->Admit(request);
+  if (!request->admitted && !request->finished)
+    this->waiting.push_back(request);
+  return request->finished ? 0 : id;
+}
+
+Duration
+RequestService::TimeNeeded(RequestPointer const& aRequest)
+{
+  std::vector<StageOutlook> outlook;
+  auto const& progress = aRequest->progress;
+  auto const& table = this->configuration.Current();
+  for (std::size_t stage = progress.stage; stage < progress.pipeline.stages.size(); ++stage) {
+    auto const& pool = progress.pipeline.stages[stage];
+    auto const row = table.pools.find(pool);
+    auto const [estimate, isNew] = this->estimates.try_emplace(pool);
+    if (isNew && row != table.pools.end())
+      estimate->second.mean = row->second.expectedService;
+    StageOutlook each{ estimate->second, static_cast<int>(this->queues[pool].entries.size()), 0 };
+    for (auto const& [name, endpoint] : table.endpoints) {
+      auto const* const holding = endpoint.pool == pool ? this->grants.EndpointHolding(name) : nullptr;
+      each.slots += holding != nullptr ? holding->total : 0;
+    }
+    outlook.push_back(each);
+  }
+  return PredictRemaining(outlook);
+}
+
+/// Takes a new request in, if the lease, the deadline and the account's limit allow it now. Otherwise it stays waiting
+/// or is refused.
+void
+RequestService::Admit(RequestPointer const& aRequest)
+{
+  auto const now = this->clock.Now();
+  auto const& progress = aRequest->progress;
+  auto const waited = now - aRequest->receivedAt;
+  if (!this->membership.HoldsLeaseNow()) {
+    if (waited >= kLeaseWait)
+      this->FinishRefused(
+        aRequest,
+        RefuseProgress(progress, RefusalReason::NoLease, "this front takes no new work: try another one", 1s));
+    return;
+  }
+  if (this->settings.policy != RoutingPolicy::Adaptive) {
+    aRequest->admitted = true;
+    this->QueueStage(aRequest);
+    return;
+  }
+  if (now + this->TimeNeeded(aRequest) > progress.deadline) {
+    auto const detail = "the stages are expected to take longer than the deadline allows";
+    this->FinishRefused(aRequest, RefuseProgress(progress, RefusalReason::DeadlineUnreachable, detail, 500ms));
+    return;
+  }
+  if (!this->AdmitAccount(aRequest)) {
+    if (waited < kAccountWait)
+      return;
+    auto const detail = "account " + progress.account + " has no concurrent request left";
+    this->FinishRefused(aRequest, RefuseProgress(progress, RefusalReason::AccountLimit, detail, 200ms));
+    return;
+  }
+  aRequest->admitted = true;
+  this->QueueStage(aRequest);
+}
+
+bool
+RequestService::AdmitAccount(RequestPointer const& aRequest)
+{
+  if (this->grants.TakeAccountSlot(aRequest->progress.account)) {
+    aRequest->holdsAccountSlot = true;
+    return true;
+  }
+  int const others = static_cast<int>(std::ranges::count_if(this->waiting, [&](RequestPointer const& aOther) {
+    return aOther != aRequest && aOther->progress.account == aRequest->progress.account;
+  }));
+  this->grants.SetAccountWaiting(aRequest->progress.account, others + 1);
+  return false;
+}
+
+void
+RequestService::ReviewWaiting()
+{
+  auto const reviewed = std::exchange(this->waiting, {});
+  std::set<std::string> accounts;
+  for (auto const& request : reviewed) {
+    accounts.insert(request->progress.account);
+    if (!request->finished)
+      this->Admit(request);
+    if (!request->finished && !request->admitted)
+      this->waiting.push_back(request);
+  }
+  for (auto const& account : accounts) {
+    bool const waits = std::ranges::any_of(
+      this->waiting, [&](RequestPointer const& aRequest) { return aRequest->progress.account == account; });
+    if (!waits)
+      this->grants.SetAccountWaiting(account, 0);
+  }
+  if (!this->waiting.empty())
+    this->clock.Schedule(20ms, [this] { this->ReviewWaiting(); });
+}
+
+void
+RequestService::QueueStage(RequestPointer const& aRequest)
+{
+  auto const& progress = aRequest->progress;
+  auto const& pool = progress.pipeline.stages[progress.stage];
+  Enqueue(this->queues[pool], { progress.id, progress.account, aRequest->weight, progress.stage, progress.deadline });
+  this->DispatchPool(pool);
+}
+
+void
+RequestService::DispatchAll()
+{
+  std::vector<std::string> pools;
+  for (auto const& [pool, queue] : this->queues) {
+    if (!queue.entries.empty())
+      pools.push_back(pool);
+  }
+  for (auto const& pool : pools)
+    this->DispatchPool(pool);
+}
+
+void
+RequestService::DispatchPool(std::string const& aPool)
+{
+  while (this->DispatchNext(aPool)) {
+  }
+  this->TellWaiting(aPool);
+}
+
+/// Sends the entry that is next in the pool's queue; false when none can be sent now.
+bool
+RequestService::DispatchNext(std::string const& aPool)
+{
+  auto& queue = this->queues[aPool];
+  auto const next = PeekNext(queue);
+  if (!next)
+    return false;
+  auto const request = this->active.at(next->request);
+  auto const candidates = this->CandidatesOf(aPool, request);
+  ChoiceContext context;
+  context.policy = this->settings.policy;
+  context.affinityKey = request->prefix;
+  context.slack = request->progress.deadline - this->clock.Now();
+  context.turn = this->turns[aPool]++;
+  auto const choice = ChooseEndpoint(candidates, context);
+  if (!choice)
+    return false;
+  auto const& endpoint = this->configuration.Current().endpoints.at(candidates[choice->index].name);
+  if (context.policy == RoutingPolicy::Adaptive && !this->grants.TakeEndpointSlot(endpoint.name))
+    return false;
+  ServeEntry(queue, next->request);
+  this->StartAttempt(request, EndpointRow(endpoint), *choice);
+  return true;
+}
+
+/// Spreads the waiting requests over the pool's endpoints, so that their owners hear what is needed.
+void
+RequestService::TellWaiting(std::string const& aPool)
+{
+  if (this->settings.policy != RoutingPolicy::Adaptive)
+    return;
+  std::vector<std::string> open;
+  auto const& table = this->configuration.Current();
+  for (auto const& [name, endpoint] : table.endpoints) {
+    if (endpoint.pool != aPool)
+      continue;
+    bool const closed = IsTakenOut(table, endpoint) || this->membership.IsLeavingAddress(endpoint.address);
+    if (closed)
+      this->grants.SetEndpointWaiting(name, 0);
+    else
+      open.push_back(name);
+  }
+  auto const waitingHere = this->queues[aPool].entries.size();
+  auto const share = open.empty() ? 0 : (waitingHere + open.size() - 1) / open.size();
+  for (auto const& name : open)
+    this->grants.SetEndpointWaiting(name, static_cast<int>(share));
+}
+
+std::vector<Candidate>
+RequestService::CandidatesOf(std::string const& aPool, RequestPointer const& aRequest)
+{
+  std::vector<Candidate> candidates;
+  auto const& table = this->configuration.Current();
+  auto const now = this->clock.Now();
+  for (auto const& [name, endpoint] : table.endpoints) {
+    if (endpoint.pool != aPool || IsTakenOut(table, endpoint) || this->membership.IsLeavingAddress(endpoint.address))
+      continue;
+    auto const& known = this->grants.Knowledge(endpoint);
+    auto const* const holding = this->grants.EndpointHolding(name);
+    Candidate candidate;
+    candidate.name = name;
+    candidate.sameDataCenter = endpoint.dataCenter == this->settings.dataCenter;
+    candidate.weight = endpoint.weight;
+    candidate.freeSlots = this->grants.FreeEndpointSlots(name);
+    candidate.used = holding != nullptr ? holding->used : 0;
+    candidate.total = holding != nullptr ? holding->total : 0;
+    candidate.cold = known.cold;
+    candidate.ejected = IsEjected(known.outlier, now);
+    candidate.tried = aRequest->progress.tried.contains(name);
+    candidate.expectedLatency = known.latency.mean;
+    if (this->settings.policy != RoutingPolicy::Adaptive)
+      candidate.used = this->outstanding[name];
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+Duration
+RequestService::AttemptTimeout(RequestPointer const& aRequest, EndpointRow const& aEndpoint)
+{
+  auto const left = aRequest->progress.deadline - this->clock.Now();
+  bool const repeatable = aRequest->progress.pipeline.repeatability == Repeatability::Repeatable;
+  if (!repeatable || this->settings.policy != RoutingPolicy::Adaptive)
+    return left;
+  auto const expected = this->grants.Knowledge(aEndpoint).latency;
+  auto const patience = kPatience * (expected.mean + expected.deviation);
+  return std::min<Duration>(left, std::max<Duration>(patience, left / 2));
+}
+
+void
+RequestService::StartAttempt(RequestPointer const& aRequest, EndpointRow const& aEndpoint, Choice const& aChoice)
+{
+  auto& progress = aRequest->progress;
+  OnAttemptStarted(progress, aEndpoint.name);
+  auto const& self = this->membership.Self();
+  ++this->usage.attempts;
+  this->usage.retries += progress.attempt > 1 ? 1 : 0;
+  ++this->outstanding[aEndpoint.name];
+  auto& attempt = aRequest->attempt.emplace();
+  attempt.endpoint = aEndpoint.name;
+  attempt.startedAt = this->clock.Now();
+  attempt.timeout = this->AttemptTimeout(aRequest, aEndpoint);
+  attempt.response.attempt = AttemptName(progress, self.name, self.incarnation);
+  attempt.response.nextToken = progress.tokens.size();
+  PART_LOG("routing") << "sent " << attempt.response.attempt << " (" << aEndpoint.pool << ") to " << aEndpoint.name
+                      << ": " << aChoice.why << ".";
+  StageCall call{ attempt.response.attempt,
+                  aEndpoint.pool,
+                  progress.input,
+                  progress.deadline - attempt.startedAt,
+                  progress.tokens.size() };
+  auto const abandon =
+    this->endpoints.run({ aEndpoint.address, std::move(call), attempt.timeout }, this->EventsOf(aRequest, aEndpoint));
+  if (aRequest->attempt)
+    aRequest->attempt->abandon = abandon;
+}
+
+EndpointEvents
+RequestService::EventsOf(RequestPointer const& aRequest, EndpointRow const& aEndpoint)
+{
+  EndpointEvents events;
+  events.mayStillSend = [this, aRequest, aEndpoint] { return this->MayStillSend(aRequest, aEndpoint); };
+  events.onPiece = [this, aRequest](std::string_view aPiece) { this->OnPiece(aRequest, aPiece); };
+  events.onEnd = [this, aRequest, aEndpoint](EndpointCallEnd aEnd) { this->OnCallEnd(aRequest, aEndpoint, aEnd); };
+  return events;
+}
+
+/// A front that was paused between the decision and the send must not act on what has changed meanwhile.
+bool
+RequestService::MayStillSend(RequestPointer const& aRequest, EndpointRow const& aEndpoint) const
+{
+  if (aRequest->finished || this->clock.Now() >= aRequest->progress.deadline)
+    return false;
+  auto const& table = this->configuration.Current();
+  auto const row = table.endpoints.find(aEndpoint.name);
+  bool const open = row != table.endpoints.end() && !IsTakenOut(table, row->second) &&
+                    !this->membership.IsLeavingAddress(aEndpoint.address);
+  if (!open || !this->membership.HoldsLeaseNow())
+    return false;
+  bool const granted =
+    this->settings.policy != RoutingPolicy::Adaptive || this->grants.IsEndpointGrantValid(aEndpoint.name);
+  if (granted)
+    aRequest->progress.sent = true;
+  return granted;
+}
+
+void
+RequestService::OnPiece(RequestPointer const& aRequest, std::string_view aPiece)
+{
+  if (aRequest->finished || !aRequest->attempt)
+    return;
+  auto& progress = aRequest->progress;
+  for (auto& token : FeedResponse(aRequest->attempt->response, aPiece)) {
+    for (auto const& sink : aRequest->sinks) {
+      if (sink.onToken)
+        sink.onToken(token);
+    }
+    progress.tokens.push_back(std::move(token));
+  }
+}
+
+void
+RequestService::OnCallEnd(RequestPointer const& aRequest, EndpointRow const& aEndpoint, EndpointCallEnd const& aEnd)
+{
+  if (aRequest->finished || !aRequest->attempt)
+    return;
+  auto const& response = aRequest->attempt->response;
+  AttemptResult result;
+  if (aEnd.end == HttpCallEnd::NotSent)
+    result = { AttemptEnd::NotSent, "", aEnd.detail };
+  else if (aEnd.end == HttpCallEnd::Complete || response.finished || response.fault)
+    result = ResultOf(response);
+  else
+    result = { AttemptEnd::Lost, "", aEnd.detail };
+  this->EndAttempt(aRequest, aEndpoint, result);
+}
+
+static CallVerdict
+VerdictOf(AttemptResult const& aResult)
+{
+  switch (aResult.end) {
+    case AttemptEnd::Succeeded:
+      return CallVerdict::Succeeded;
+    case AttemptEnd::Declined:
+    case AttemptEnd::Lost:
+      return CallVerdict::Failed;
+    case AttemptEnd::NotSent:
+      return CallVerdict::NoVerdict;
+  }
+  VerifyNotReached();
+}
+
+void
+RequestService::EndAttempt(RequestPointer const& aRequest, EndpointRow const& aEndpoint, AttemptResult const& aResult)
+{
+  auto const took = this->clock.Now() - aRequest->attempt->startedAt;
+  auto const pool = aEndpoint.pool;
+  aRequest->attempt.reset();
+  --this->outstanding[aEndpoint.name];
+  this->usage.endpointTime[pool] += took;
+  bool const succeeded = aResult.end == AttemptEnd::Succeeded;
+  if (!succeeded) {
+    ++this->usage.wastedAttempts;
+    this->usage.wastedTime += took;
+    PART_LOG("routing") << "attempt at " << aEndpoint.name << " for request " << aRequest->progress.id
+                        << " failed: " << aResult.detail << ".";
+  }
+  if (this->settings.policy == RoutingPolicy::Adaptive)
+    this->grants.ReturnEndpointSlot(aEndpoint, VerdictOf(aResult), took);
+  if (!succeeded)
+    this->CountOutlier(aEndpoint);
+  else
+    ObserveService(this->estimates[pool], took);
+  auto const step =
+    OnAttemptEnded(aRequest->progress, aEndpoint.name, aResult, took, this->retryBudget, this->clock.Now());
+  switch (step.kind) {
+    case StepKind::RunStage:
+      this->QueueStage(aRequest);
+      break;
+    case StepKind::Refuse:
+      this->FinishRefused(aRequest, step.refusal);
+      break;
+    case StepKind::Complete: {
+      Answer answer;
+      answer.output = aRequest->progress.input;
+      answer.tokens = aRequest->progress.tokens.size();
+      answer.stages = aRequest->progress.stages;
+      this->Finish(aRequest, answer);
+      break;
+    }
+  }
+  this->DispatchPool(pool);
+}
+
+void
+RequestService::CountOutlier(EndpointRow const& aEndpoint)
+{
+  std::vector<OutlierState const*> pool;
+  for (auto const& [name, endpoint] : this->configuration.Current().endpoints) {
+    if (endpoint.pool == aEndpoint.pool)
+      pool.push_back(&this->grants.Knowledge(endpoint).outlier);
+  }
+  auto& own = this->grants.Knowledge(aEndpoint).outlier;
+  if (OnCallFailed(own, pool, this->outlierSettings, this->clock.Now()))
+    PART_LOG("routing") << "ejected " << aEndpoint.name << " for a while: " << this->outlierSettings.failuresToEject
+                        << " failures in a row.";
+}
+
+void
+RequestService::AbandonAttempt(RequestPointer const& aRequest)
+{
+  if (!aRequest->attempt)
+    return;
+  auto const attempt = std::move(*aRequest->attempt);
+  aRequest->attempt.reset();
+  if (attempt.abandon)
+    attempt.abandon();
+  auto const took = this->clock.Now() - attempt.startedAt;
+  ++this->usage.wastedAttempts;
+  this->usage.wastedTime += took;
+  --this->outstanding[attempt.endpoint];
+  auto const& rows = this->configuration.Current().endpoints;
+  auto row = rows.find(attempt.endpoint);
+  EndpointRow removed;
+  removed.name = attempt.endpoint;
+  if (this->settings.policy == RoutingPolicy::Adaptive)
+    this->grants.ReturnEndpointSlot(row != rows.end() ? row->second : removed, CallVerdict::NoVerdict, took);
+}
+
+void
+RequestService::OnDeadline(RequestId aRequest)
+{
+  auto const found = this->active.find(aRequest);
+  if (found == this->active.end())
+    return;
+  auto const request = found->second;
+  auto const& progress = request->progress;
+  bool const answerLost = progress.sent && progress.pipeline.repeatability == Repeatability::NotRepeatable;
+  auto const reason = answerLost ? RefusalReason::AnswerLost : RefusalReason::DeadlinePassed;
+  auto const place = request->attempt ? "at " + request->attempt->endpoint : std::string("while it waited");
+  this->FinishRefused(request, RefuseProgress(progress, reason, "the deadline passed " + place, 500ms));
+}
+
+void
+RequestService::Withdraw(RequestId aRequest)
+{
+  auto const found = this->active.find(aRequest);
+  if (found == this->active.end() || !found->second->key.empty())
+    return;
+  this->FinishRefused(
+    found->second, RefuseProgress(found->second->progress, RefusalReason::AttemptsFailed, "the caller has gone", 0s));
+}
+
+void
+RequestService::FinishRefused(RequestPointer const& aRequest, Refusal const& aRefusal)
+{
+  ++this->usage.refused[aRefusal.reason];
+  PART_LOG("requests") << "refused request " << aRequest->progress.id << " for " << aRequest->progress.pipeline.name
+                       << " (" << ToString(aRefusal.reason) << ", " << ToString(aRefusal.run)
+                       << "): " << aRefusal.detail << ".";
+  Answer answer;
+  answer.refusal = aRefusal;
+  this->Finish(aRequest, answer);
+}
+
+void
+RequestService::Finish(RequestPointer const& aRequest, Answer const& aAnswer)
+{
+  VERIFY(!aRequest->finished);
+  aRequest->finished = true;
+  this->usage.completed += aAnswer.refusal ? 0 : 1;
+  this->AbandonAttempt(aRequest);
+  auto const& progress = aRequest->progress;
+  this->clock.Cancel(aRequest->deadlineTimer);
+  if (progress.stage < progress.pipeline.stages.size()) {
+    auto const& pool = progress.pipeline.stages[progress.stage];
+    RemoveEntry(this->queues[pool], progress.id);
+    this->TellWaiting(pool);
+  }
+  if (aRequest->holdsAccountSlot)
+    this->grants.ReturnAccountSlot(progress.account);
+  if (!aRequest->key.empty())
+    SettleKey(this->keys, aRequest->key, aAnswer);
+  this->active.erase(progress.id);
+  auto const sinks = std::move(aRequest->sinks);
+  for (auto const& sink : sinks)
+    sink.onAnswer(aAnswer);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGrants/EndpointPhase.cpp
@@ -0,0 +1,122 @@
+#include "EndpointPhase.h"
+#include <algorithm>
+#include <cmath>
+
+namespace Hornbeam {
+
+/// The share of a new latency in the baseline.
+static constexpr double kBaselineWeight = 0.05;
+
+void
+MakeCold(EndpointPhase& aPhase, PoolRow const& aPool, MonotonicTime aNow)
+{
+  aPhase.phase = Phase::Cold;
+  aPhase.limit = aPool.coldLimit;
+  aPhase.evidence = 0;
+  aPhase.judged = 0;
+  aPhase.judgedLatency = Duration::zero();
+  aPhase.steppedAt = aNow;
+}
+
+int
+LimitOf(EndpointPhase const& aPhase, PoolRow const& aPool)
+{
+  if (aPhase.phase == Phase::Cold)
+    return aPool.coldLimit;
+  int const limit = static_cast<int>(std::floor(aPhase.limit));
+  return std::clamp(limit, aPool.coldLimit, aPool.warmLimit);
+}
+
+/// The latency against which calls are judged: the operators' expectation until the endpoint has shown its own.
+static Duration
+BaselineOf(EndpointPhase const& aPhase, PoolRow const& aPool)
+{
+  return std::max(aPhase.baseline, aPool.expectedService);
+}
+
+static void
+StepUpWhenProven(EndpointPhase& aPhase, PoolRow const& aPool, PhaseSettings const& aSettings, MonotonicTime aNow)
+{
+  int const needed = std::max(aSettings.leastEvidence, LimitOf(aPhase, aPool));
+  if (aPhase.evidence < needed || aNow - aPhase.steppedAt < aSettings.leastStepTime)
+    return;
+  aPhase.limit = std::max(aPhase.limit * aSettings.rampFactor, aPhase.limit + 1);
+  aPhase.evidence = 0;
+  aPhase.steppedAt = aNow;
+  aPhase.phase = aPhase.limit >= aPool.warmLimit ? Phase::Warm : Phase::Ramping;
+  aPhase.limit = std::min<double>(aPhase.limit, aPool.warmLimit);
+}
+
+static void
+Judge(EndpointPhase& aPhase,
+      Duration aMean,
+      int aCalls,
+      PoolRow const& aPool,
+      PhaseSettings const& aSettings,
+      MonotonicTime aNow)
+{
+  auto const baseline = BaselineOf(aPhase, aPool);
+  double const ratio = static_cast<double>(aMean.count()) / static_cast<double>(baseline.count());
+  if (ratio > aSettings.coldLatencyRatio) {
+    if (aPhase.phase != Phase::Cold)
+      MakeCold(aPhase, aPool, aNow);
+    aPhase.evidence = 0;
+    return;
+  }
+  // Hysteresis: between the two ratios the limit neither rises nor falls.
+  if (ratio > aSettings.healthyLatencyRatio)
+    return;
+  aPhase.evidence += aCalls;
+  if (aPhase.phase == Phase::Warm) {
+    auto const mean = static_cast<double>(aMean.count());
+    auto const old = static_cast<double>(baseline.count());
+    aPhase.baseline = Duration(std::llround(old + kBaselineWeight * (mean - old)));
+    return;
+  }
+  StepUpWhenProven(aPhase, aPool, aSettings, aNow);
+}
+
+void
+OnWorkObserved(EndpointPhase& aPhase,
+               WorkObservation const& aObservation,
+               PoolRow const& aPool,
+               PhaseSettings const& aSettings,
+               MonotonicTime aNow)
+{
+  if (aObservation.failed > 0) {
+    MakeCold(aPhase, aPool, aNow);
+    return;
+  }
+  aPhase.judged += aObservation.succeeded;
+  aPhase.judgedLatency += aObservation.totalLatency;
+  if (aPhase.judged < aSettings.judgedCalls)
+    return;
+  int const calls = aPhase.judged;
+  auto const mean = aPhase.judgedLatency / calls;
+  aPhase.judged = 0;
+  aPhase.judgedLatency = Duration::zero();
+  Judge(aPhase, mean, calls, aPool, aSettings, aNow);
+}
+
+void
+OnReport(EndpointPhase& aPhase, EndpointReport const& aReport, PoolRow const& aPool, MonotonicTime aNow)
+{
+  bool const restarted = aPhase.incarnation != 0 && aReport.incarnation != aPhase.incarnation;
+  aPhase.incarnation = aReport.incarnation;
+  if (restarted)
+    MakeCold(aPhase, aPool, aNow);
+}
+
+void
+OnHint(EndpointPhase& aPhase, PhaseHint const& aHint, PoolRow const& aPool, MonotonicTime aNow)
+{
+  bool const seenOtherwise = aPhase.incarnation != 0 && aPhase.incarnation != aHint.incarnation;
+  if (aHint.incarnation == 0 || seenOtherwise || aHint.limit <= LimitOf(aPhase, aPool))
+    return;
+  aPhase.incarnation = aHint.incarnation;
+  aPhase.limit = std::min(aHint.limit, aPool.warmLimit);
+  aPhase.phase = aPhase.limit >= aPool.warmLimit ? Phase::Warm : Phase::Ramping;
+  aPhase.steppedAt = aNow;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGrants/Holding.cpp
@@ -0,0 +1,108 @@
+#include "Holding.h"
+#include <algorithm>
+
+namespace Hornbeam {
+
+int
+FreeSlots(Holding const& aHolding, MonotonicTime aNow)
+{
+  if (aNow >= aHolding.expiresAt)
+    return 0;
+  return std::max(0, aHolding.total - aHolding.used);
+}
+
+bool
+TakeSlot(Holding& aHolding, MonotonicTime aNow)
+{
+  if (FreeSlots(aHolding, aNow) == 0)
+    return false;
+  ++aHolding.used;
+  return true;
+}
+
+void
+ReturnSlot(Holding& aHolding)
+{
+  VERIFY(aHolding.used > 0);
+  --aHolding.used;
+  aHolding.changed = true;
+}
+
+void
+SuspendHolding(Holding& aHolding)
+{
+  aHolding.total = aHolding.used;
+  aHolding.urgent = true;
+  // An answer to the request in flight would be older than the failure.
+  CancelRequest(aHolding);
+}
+
+void
+CancelRequest(Holding& aHolding)
+{
+  ++aHolding.sequence;
+  aHolding.requestSentAt.reset();
+}
+
+int
+WantedSlots(Holding const& aHolding, HoldingPolicy const& aPolicy)
+{
+  int const needed = aHolding.used + aHolding.waiting;
+  int const spare = (needed * aPolicy.sparePercent + 99) / 100;
+  return needed + spare;
+}
+
+bool
+IsRequestDue(Holding const& aHolding, HoldingPolicy const& aPolicy, GrantSettings const& aSettings, MonotonicTime aNow)
+{
+  if (aHolding.requestSentAt || aNow < aHolding.nextRequestAt)
+    return false;
+  if (aHolding.urgent)
+    return true;
+  int const wanted = WantedSlots(aHolding, aPolicy);
+  int const held = aNow < aHolding.expiresAt ? aHolding.total : aHolding.used;
+  bool const lacking = aHolding.waiting > 0 && held <= aHolding.used;
+  if (lacking)
+    return true;
+  bool const renewalDue = aHolding.total > 0 && aHolding.expiresAt - aNow < aSettings.grantDuration / 2;
+  if (renewalDue)
+    return true;
+  // Spares are given back at the renewal; without spares a slot goes back as soon as its work has ended.
+  bool const givesBack = aHolding.changed && aPolicy.sparePercent == 0 && held > wanted;
+  return givesBack;
+}
+
+GrantRequest
+BeginRequest(Holding& aHolding, std::string const& aHolder, HoldingPolicy const& aPolicy, MonotonicTime aNow)
+{
+  aHolding.requestSentAt = aNow;
+  // The clock keeps the sequence growing when a holding has been forgotten and made anew.
+  auto const clockSequence = static_cast<std::uint64_t>(aNow.time_since_epoch().count());
+  aHolding.sequence = std::max(aHolding.sequence + 1, clockSequence);
+  aHolding.changed = false;
+  aHolding.urgent = false;
+  int const wanted = WantedSlots(aHolding, aPolicy);
+  // What is given back is not used from now on, so that the owner can hand it out as soon as it hears of it.
+  aHolding.total = std::min(aHolding.total, wanted);
+  int const held = aNow < aHolding.expiresAt ? std::max(aHolding.total, aHolding.used) : aHolding.used;
+  return { aHolder, aHolding.sequence, held, aHolding.used, wanted };
+}
+
+void
+FinishRequest(Holding& aHolding, Grant const& aGrant, GrantSettings const& aSettings)
+{
+  if (!aHolding.requestSentAt || aGrant.sequence != aHolding.sequence)
+    return;
+  aHolding.total = aGrant.total;
+  aHolding.expiresAt = *aHolding.requestSentAt + aSettings.grantDuration;
+  aHolding.requestSentAt.reset();
+}
+
+void
+FailRequest(Holding& aHolding, HoldingPolicy const& aPolicy, MonotonicTime aNow)
+{
+  aHolding.requestSentAt.reset();
+  aHolding.nextRequestAt = aNow + 5 * aPolicy.requestInterval;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/HttpContext.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "HttpMessages.h"
+#include <libwebsockets.h>
+#include <memory>
+
+namespace Hornbeam {
+
+class HttpServer;
+class HttpClient;
+
+/// The libwebsockets context of the process. Servers and the client share it.
+class HttpContext
+{
+public:
+  explicit HttpContext(EventLoop& aLoop);
+  HttpContext(HttpContext const&) = delete;
+  HttpContext& operator=(HttpContext const&) = delete;
+  ~HttpContext();
+
+  lws_context* Handle() { return this->context; }
+  lws_vhost* ClientHost() { return this->clientHost; }
+  EventLoop& Loop() { return this->loop; }
+
+private:
+  EventLoop& loop;
+  void* foreignLoops[1];
+  lws_context* context{ nullptr };
+  lws_vhost* clientHost{ nullptr };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -0,0 +1,381 @@
+#include "HttpServer.h"
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <deque>
+#include <sys/socket.h>
+#include <utility>
+
+namespace Hornbeam {
+
+/// One request on one connection.
+struct HttpSession
+{
+  lws* connection{ nullptr };
+  HttpRequest request;
+  bool oversized{ false };
+  bool dispatched{ false };
+  bool responded{ false };
+  bool streaming{ false };
+  bool headersSent{ false };
+  bool streamEnded{ false };
+  bool readingOff{ false };
+  HttpResponse response;
+  std::deque<std::string> pieces;
+  std::function<void()> onGone;
+};
+
+/// libwebsockets keeps this for each connection; the session is replaced at each request.
+struct ConnectionSlot
+{
+  std::shared_ptr<HttpSession>* session;
+};
+
+static constexpr std::size_t kHeaderBufferSize = 2048;
+static constexpr Duration kReviewInterval = 200ms;
+
+HttpResponder::HttpResponder(std::shared_ptr<HttpSession> aSession)
+  : session(std::move(aSession))
+{
+}
+
+/// Asks for the callback that writes, and reads the connection again.
+static void
+StartResponse(HttpSession& aSession)
+{
+  if (std::exchange(aSession.readingOff, false))
+    lws_rx_flow_control(aSession.connection, 1);
+  lws_callback_on_writable(aSession.connection);
+}
+
+void
+HttpResponder::Respond(HttpResponse aResponse) const
+{
+  auto& session = *this->session;
+  if (session.connection == nullptr || session.responded)
+    return;
+  session.responded = true;
+  session.response = std::move(aResponse);
+  StartResponse(session);
+}
+
+void
+HttpResponder::BeginStream(std::string aContentType) const
+{
+  auto& session = *this->session;
+  if (session.connection == nullptr || session.responded)
+    return;
+  session.responded = true;
+  session.streaming = true;
+  session.response.contentType = std::move(aContentType);
+  StartResponse(session);
+}
+
+void
+HttpResponder::SendPiece(std::string aPiece) const
+{
+  auto& session = *this->session;
+  if (session.connection == nullptr || !session.streaming)
+    return;
+  session.pieces.push_back(std::move(aPiece));
+  lws_callback_on_writable(session.connection);
+}
+
+void
+HttpResponder::EndStream() const
+{
+  auto& session = *this->session;
+  if (session.connection == nullptr)
+    return;
+  session.streamEnded = true;
+  lws_callback_on_writable(session.connection);
+}
+
+void
+HttpResponder::OnCallerGone(std::function<void()> aAction) const
+{
+  this->session->onGone = std::move(aAction);
+}
+
+std::optional<HostAndPort>
+SplitAddress(std::string const& aAddress)
+{
+  auto const colon = aAddress.rfind(':');
+  if (colon == std::string::npos || colon == 0)
+    return std::nullopt;
+  HostAndPort parts{ aAddress.substr(0, colon), 0 };
+  auto const* const begin = aAddress.data() + colon + 1;
+  auto const* const end = aAddress.data() + aAddress.size();
+  auto const [stop, error] = std::from_chars(begin, end, parts.port);
+  if (error != std::errc() || stop != end || parts.port < 1 || parts.port > 65535)
+    return std::nullopt;
+  return parts;
+}
+
+HttpServer::HttpServer(HttpContext& aContext, std::string aAddress, HttpHandler aHandler, std::size_t aBodyLimit)
+  : vhostName("server-" + aAddress)
+  , protocols{ { "http", HandleEvent, sizeof(ConnectionSlot), 0, 0, this, 0 },
+               { nullptr, nullptr, 0, 0, 0, nullptr, 0 } }
+  , handler(std::move(aHandler))
+  , bodyLimit(aBodyLimit)
+  , clock(aContext.Loop().RuntimeClock())
+{
+  auto const parts = SplitAddress(aAddress);
+  if (!parts)
+    return;
+  this->interfaceName = parts->host;
+  lws_context_creation_info info{};
+  info.port = parts->port;
+  info.iface = this->interfaceName.c_str();
+  info.protocols = this->protocols;
+  info.vhost_name = this->vhostName.c_str();
+  info.keepalive_timeout = 60;
+  this->host = lws_create_vhost(aContext.Handle(), &info);
+  this->ReviewPending();
+}
+
+static bool
+HasPeerClosed(lws* aConnection)
+{
+  char byte = 0;
+  auto const received = recv(lws_get_socket_fd(aConnection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+void
+HttpServer::AwaitResponse(std::shared_ptr<HttpSession> const& aSession)
+{
+  if (aSession->connection == nullptr || aSession->responded)
+    return;
+  aSession->readingOff = true;
+  lws_rx_flow_control(aSession->connection, 0);
+  this->pending.push_back(aSession);
+}
+
+/// Closes the connections of callers that have gone. libwebsockets does not read a connection whose response has not
+/// begun, and its loop would turn at full speed over the unread end of the stream; so reading is switched off
+/// meanwhile, and the end of the stream is looked for here.
+void
+HttpServer::ReviewPending()
+{
+  auto const reviewed = std::exchange(this->pending, {});
+  for (auto const& weak : reviewed) {
+    auto const session = weak.lock();
+    if (!session || session->connection == nullptr || session->responded)
+      continue;
+    if (HasPeerClosed(session->connection))
+      lws_set_timeout(session->connection, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    else
+      this->pending.push_back(weak);
+  }
+  this->clock.Schedule(kReviewInterval, [this] { this->ReviewPending(); });
+}
+
+static std::string
+CopyHeader(lws* aConnection, lws_token_indexes aToken)
+{
+  int const length = lws_hdr_total_length(aConnection, aToken);
+  if (length <= 0)
+    return {};
+  std::string value(static_cast<std::size_t>(length) + 1, '\0');
+  int const copied = lws_hdr_copy(aConnection, value.data(), length + 1, aToken);
+  value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
+  return value;
+}
+
+static std::map<std::string, std::string>
+CopyQuery(lws* aConnection)
+{
+  std::map<std::string, std::string> query;
+  std::array<char, 256> buffer{};
+  for (int index = 0;; ++index) {
+    int const length = lws_hdr_copy_fragment(aConnection, buffer.data(), buffer.size(), WSI_TOKEN_HTTP_URI_ARGS, index);
+    if (length <= 0)
+      return query;
+    std::string_view const fragment(buffer.data(), static_cast<std::size_t>(length));
+    auto const equals = fragment.find('=');
+    if (equals != std::string_view::npos)
+      query.emplace(fragment.substr(0, equals), fragment.substr(equals + 1));
+  }
+}
+
+static std::optional<HttpMethod>
+MethodOf(lws* aConnection)
+{
+  if (lws_hdr_total_length(aConnection, WSI_TOKEN_GET_URI) > 0)
+    return HttpMethod::Get;
+  if (lws_hdr_total_length(aConnection, WSI_TOKEN_POST_URI) > 0)
+    return HttpMethod::Post;
+  if (lws_hdr_total_length(aConnection, WSI_TOKEN_PUT_URI) > 0)
+    return HttpMethod::Put;
+  if (lws_hdr_total_length(aConnection, WSI_TOKEN_DELETE_URI) > 0)
+    return HttpMethod::Delete;
+  return std::nullopt;
+}
+
+static int
+WriteHeaders(lws* aConnection, HttpSession const& aSession)
+{
+  std::array<unsigned char, LWS_PRE + kHeaderBufferSize> buffer{};
+  unsigned char* const start = buffer.data() + LWS_PRE;
+  unsigned char* position = start;
+  unsigned char* const end = buffer.data() + buffer.size() - 1;
+  auto const& response = aSession.response;
+  auto const length = aSession.streaming ? LWS_ILLEGAL_HTTP_CONTENT_LEN : response.body.size();
+  if (lws_add_http_common_headers(
+        aConnection, static_cast<unsigned>(response.status), response.contentType.c_str(), length, &position, end) != 0)
+    return -1;
+  if (!response.entityTag.empty()) {
+    auto const* const value = reinterpret_cast<unsigned char const*>(response.entityTag.data());
+    auto const size = static_cast<int>(response.entityTag.size());
+    if (lws_add_http_header_by_token(aConnection, WSI_TOKEN_HTTP_ETAG, value, size, &position, end) != 0)
+      return -1;
+  }
+  return lws_finalize_write_http_header(aConnection, start, &position, end);
+}
+
+static int
+WriteBody(lws* aConnection, std::string const& aBody, lws_write_protocol aKind)
+{
+  std::string buffer(LWS_PRE, '\0');
+  buffer += aBody;
+  auto* const start = reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE;
+  return lws_write(aConnection, start, aBody.size(), aKind) < 0 ? -1 : 0;
+}
+
+/// Writes what is ready; a negative result closes the connection.
+static int
+WriteReady(lws* aConnection, HttpSession& aSession)
+{
+  if (!aSession.responded)
+    return 0;
+  if (!aSession.headersSent) {
+    aSession.headersSent = true;
+    if (WriteHeaders(aConnection, aSession) != 0)
+      return -1;
+    lws_callback_on_writable(aConnection);
+    return 0;
+  }
+  if (!aSession.streaming) {
+    if (WriteBody(aConnection, aSession.response.body, LWS_WRITE_HTTP_FINAL) != 0)
+      return -1;
+    aSession.connection = nullptr;
+    return lws_http_transaction_completed(aConnection) != 0 ? -1 : 0;
+  }
+  if (!aSession.pieces.empty()) {
+    std::string joined;
+    for (auto const& piece : aSession.pieces)
+      joined += piece;
+    aSession.pieces.clear();
+    if (WriteBody(aConnection, joined, LWS_WRITE_HTTP) != 0)
+      return -1;
+    lws_callback_on_writable(aConnection);
+    return 0;
+  }
+  if (!aSession.streamEnded)
+    return 0;
+  aSession.connection = nullptr;
+  return -1;
+}
+
+static void
+EndSession(ConnectionSlot* aSlot)
+{
+  if (aSlot == nullptr || aSlot->session == nullptr)
+    return;
+  auto const session = *aSlot->session;
+  delete aSlot->session;
+  aSlot->session = nullptr;
+  bool const gone = session->connection != nullptr;
+  session->connection = nullptr;
+  if (gone && session->onGone)
+    session->onGone();
+}
+
+int
+HttpServer::HandleEvent(lws* aConnection, lws_callback_reasons aReason, void* aUser, void* aInput, size_t aLength)
+{
+  auto const* const protocol = lws_get_protocol(aConnection);
+  auto* const server = protocol != nullptr ? static_cast<HttpServer*>(protocol->user) : nullptr;
+  auto* const slot = static_cast<ConnectionSlot*>(aUser);
+  switch (aReason) {
+    case LWS_CALLBACK_HTTP:
+      return server->OnRequest(aConnection, aUser, std::string(static_cast<char*>(aInput), aLength));
+    case LWS_CALLBACK_HTTP_BODY:
+      if (slot == nullptr || slot->session == nullptr)
+        return -1;
+      return server->OnBody(**slot->session, std::string_view(static_cast<char*>(aInput), aLength));
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+      if (slot == nullptr || slot->session == nullptr)
+        return -1;
+      server->Dispatch(*slot->session);
+      return 0;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+      if (slot == nullptr || slot->session == nullptr)
+        return 0;
+      return WriteReady(aConnection, **slot->session);
+    case LWS_CALLBACK_CLOSED_HTTP:
+    case LWS_CALLBACK_HTTP_DROP_PROTOCOL:
+      EndSession(slot);
+      return 0;
+    default:
+      return lws_callback_http_dummy(aConnection, aReason, aUser, aInput, aLength);
+  }
+}
+
+int
+HttpServer::OnRequest(lws* aConnection, void* aUser, std::string aPath)
+{
+  auto* const slot = static_cast<ConnectionSlot*>(aUser);
+  EndSession(slot);
+  auto session = std::make_shared<HttpSession>();
+  session->connection = aConnection;
+  slot->session = new std::shared_ptr<HttpSession>(session);
+  auto const method = MethodOf(aConnection);
+  if (!method)
+    return -1;
+  session->request.method = *method;
+  session->request.path = std::move(aPath);
+  session->request.query = CopyQuery(aConnection);
+  session->request.headers.accept = CopyHeader(aConnection, WSI_TOKEN_HTTP_ACCEPT);
+  session->request.headers.authorization = CopyHeader(aConnection, WSI_TOKEN_HTTP_AUTHORIZATION);
+  session->request.headers.ifMatch = CopyHeader(aConnection, WSI_TOKEN_HTTP_IF_MATCH);
+  auto const length = CopyHeader(aConnection, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+  bool const hasBody = *method != HttpMethod::Get && !length.empty() && length != "0";
+  if (!hasBody)
+    this->Dispatch(session);
+  return 0;
+}
+
+int
+HttpServer::OnBody(HttpSession& aSession, std::string_view aPiece) const
+{
+  if (aSession.request.body.size() + aPiece.size() > this->bodyLimit)
+    aSession.oversized = true;
+  else
+    aSession.request.body += aPiece;
+  return 0;
+}
+
+void
+HttpServer::Dispatch(std::shared_ptr<HttpSession> const& aSession)
+{
+  if (aSession->dispatched)
+    return;
+  aSession->dispatched = true;
+  lws_set_timeout(aSession->connection, NO_PENDING_TIMEOUT, 0);
+  HttpResponder const responder(aSession);
+  if (!aSession->oversized) {
+    this->handler(aSession->request, responder);
+    this->AwaitResponse(aSession);
+    return;
+  }
+  auto const detail = "the request body is larger than " + std::to_string(this->bodyLimit) + " bytes";
+  responder.Respond(
+    { 413,
+      "application/problem+json",
+      R"({"type":"about:blank","title":"request too large","status":413,"run":"not-run","detail":")" + detail + "\"}",
+      "" });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/Membership.cpp
@@ -0,0 +1,562 @@
+#include "Membership.h"
+#include <algorithm>
+
+namespace Hornbeam {
+
+static bool
+IsSelf(MembershipState const& aState, Member const& aMember)
+{
+  return aMember.name == aState.self.name && aMember.incarnation == aState.self.incarnation;
+}
+
+static bool
+IsMember(MembershipState const& aState)
+{
+  return aState.record &&
+         std::ranges::any_of(aState.record->members, [&](Member const& aMember) { return IsSelf(aState, aMember); });
+}
+
+static PeerView const*
+ViewOf(MembershipState const& aState, Member const& aMember)
+{
+  auto const found = aState.peers.find(aMember.name);
+  if (found == aState.peers.end() || found->second.incarnation != aMember.incarnation)
+    return nullptr;
+  return &found->second;
+}
+
+bool
+IsKnownEpochActive(MembershipState const& aState)
+{
+  return aState.record && aState.activeEpoch >= aState.record->epoch;
+}
+
+bool
+IsKnownGone(MembershipState const& aState, Member const& aMember)
+{
+  if (IsSelf(aState, aMember))
+    return false;
+  if (aMember.name == aState.self.name)
+    return aMember.incarnation < aState.self.incarnation;
+  if (aState.goneAddresses.contains(aMember.peerAddress))
+    return true;
+  auto const found = aState.peers.find(aMember.name);
+  return found != aState.peers.end() && found->second.incarnation > aMember.incarnation;
+}
+
+/// The send time that a majority of the members has witnessed. The front witnesses itself at aNow.
+static std::optional<MonotonicTime>
+MajorityWitnessedSentAt(MembershipState const& aState, MonotonicTime aNow)
+{
+  std::vector<MonotonicTime> witnessed;
+  for (auto const& member : aState.record->members) {
+    if (IsSelf(aState, member)) {
+      witnessed.push_back(aNow);
+      continue;
+    }
+    auto const* const view = ViewOf(aState, member);
+    if (view != nullptr && view->witnessedSentAt)
+      witnessed.push_back(*view->witnessedSentAt);
+  }
+  auto const majority = MajorityOf(aState.record->members.size());
+  if (witnessed.size() < majority)
+    return std::nullopt;
+  std::ranges::sort(witnessed, std::greater());
+  return witnessed[majority - 1];
+}
+
+std::optional<MonotonicTime>
+LeaseExpiry(MembershipState const& aState, MonotonicTime aNow)
+{
+  if (!IsKnownEpochActive(aState) || !IsMember(aState))
+    return std::nullopt;
+  auto sentAt = MajorityWitnessedSentAt(aState, aNow);
+  if (aState.storeWitnessedSentAt)
+    sentAt = sentAt ? std::max(*sentAt, *aState.storeWitnessedSentAt) : *aState.storeWitnessedSentAt;
+  if (!sentAt)
+    return std::nullopt;
+  return *sentAt + aState.settings.leaseDuration;
+}
+
+EpochRecord const*
+RecordInForce(MembershipState const& aState, MonotonicTime aNow)
+{
+  auto const expiry = LeaseExpiry(aState, aNow);
+  if (expiry && aNow < *expiry)
+    return &*aState.record;
+  bool const outgoing = !IsKnownEpochActive(aState) && aState.outgoing && aNow < aState.outgoing->expiry;
+  return outgoing ? &aState.outgoing->record : nullptr;
+}
+
+bool
+HoldsLease(MembershipState const& aState, MonotonicTime aNow)
+{
+  return RecordInForce(aState, aNow) != nullptr;
+}
+
+std::vector<Member>
+PeersToContact(MembershipState const& aState)
+{
+  std::vector<Member> peers;
+  if (!aState.record)
+    return peers;
+  auto const add = [&](Member const& aMember) {
+    bool const known = FindMember(peers, aMember.name) != nullptr;
+    if (aMember.name != aState.self.name && !known)
+      peers.push_back(aMember);
+  };
+  std::ranges::for_each(aState.record->members, add);
+  if (!IsKnownEpochActive(aState))
+    std::ranges::for_each(aState.record->previous, add);
+  return peers;
+}
+
+Heartbeat
+MakeHeartbeat(MembershipState const& aState, EpochNumber aKnownByPeer)
+{
+  Heartbeat heartbeat;
+  heartbeat.name = aState.self.name;
+  heartbeat.incarnation = aState.self.incarnation;
+  heartbeat.knownEpoch = aState.record ? aState.record->epoch : 0;
+  heartbeat.activeEpoch = aState.activeEpoch;
+  heartbeat.table = aState.table;
+  heartbeat.mode = aState.mode;
+  if (aState.record && aKnownByPeer < aState.record->epoch)
+    heartbeat.record = aState.record;
+  return heartbeat;
+}
+
+/// How many previous members are known to know the record or to be gone, and what the living ones know of the table.
+struct Handover
+{
+  std::size_t knowing{ 0 };
+  std::size_t gone{ 0 };
+  Revision newestTable{ 0 };
+};
+
+static Handover
+CountHandover(MembershipState const& aState)
+{
+  Handover handover;
+  for (auto const& member : aState.record->previous) {
+    if (IsSelf(aState, member)) {
+      ++handover.knowing;
+      continue;
+    }
+    auto const* const view = ViewOf(aState, member);
+    if (view != nullptr && view->knownEpoch >= aState.record->epoch) {
+      ++handover.knowing;
+      handover.newestTable = std::max(handover.newestTable, view->table);
+      continue;
+    }
+    if (IsKnownGone(aState, member))
+      ++handover.gone;
+  }
+  return handover;
+}
+
+/// True when this front's table is at least as new as any that was accepted in the previous epoch. Either a majority
+/// of its members says so, or the store was read after a majority knew the record: from then on nothing can be
+/// accepted in the previous epoch.
+static bool
+IsTableConfirmed(MembershipState const& aState, Handover const& aHandover)
+{
+  if (aState.storeWitnessedSentAt && *aState.storeWitnessedSentAt >= *aState.majorityKnewAt)
+    return true;
+  auto const& previous = aState.record->previous;
+  return !previous.empty() && aHandover.knowing >= MajorityOf(previous.size()) && aHandover.newestTable <= aState.table;
+}
+
+static void
+Activate(MembershipState& aState, std::string aWhy, MembershipDecisions& aDecisions)
+{
+  aState.activeEpoch = aState.record->epoch;
+  aDecisions.push_back({ MembershipAction::EpochActivated, *aState.record, "", std::move(aWhy) });
+  aDecisions.push_back({ MembershipAction::SendHeartbeats, {}, "", "the epoch is active" });
+}
+
+static void
+ActivateWhenDue(MembershipState& aState, MonotonicTime aNow, MembershipDecisions& aDecisions)
+{
+  if (!aState.record || IsKnownEpochActive(aState))
+    return;
+  for (auto const& [name, view] : aState.peers) {
+    if (view.activeEpoch >= aState.record->epoch && view.table <= aState.table) {
+      Activate(aState, name + " knows it to be active", aDecisions);
+      return;
+    }
+  }
+  auto const handover = CountHandover(aState);
+  if (aState.record->previous.empty()) {
+    if (aState.storeWitnessedSentAt)
+      Activate(aState, "no epoch came before it", aDecisions);
+    return;
+  }
+  bool const majorityKnows = handover.knowing + handover.gone >= MajorityOf(aState.record->previous.size());
+  if (!majorityKnows)
+    return;
+  if (!aState.majorityKnewAt)
+    aState.majorityKnewAt = aNow;
+  auto const wait = aState.settings.leaseDuration + aState.settings.driftAllowance;
+  if (aNow < *aState.majorityKnewAt + wait || !IsTableConfirmed(aState, handover))
+    return;
+  Activate(aState, "every lease of the epoch before has ended", aDecisions);
+}
+
+/// Takes over a newer record. Witnesses of the older epoch no longer count.
+static bool
+AdoptRecord(MembershipState& aState, EpochRecord const& aRecord, StoreVersion aVersion, MonotonicTime aNow)
+{
+  auto const known = aState.record ? aState.record->epoch : 0;
+  if (aRecord.epoch < known)
+    return false;
+  if (aVersion != 0)
+    aState.recordVersion = aVersion;
+  if (aRecord.epoch == known)
+    return false;
+  if (auto const expiry = LeaseExpiry(aState, aNow))
+    aState.outgoing = OutgoingLease{ *aState.record, *expiry };
+  aState.record = aRecord;
+  if (aVersion == 0)
+    aState.recordVersion = 0;
+  aState.majorityKnewAt.reset();
+  aState.storeWitnessedSentAt.reset();
+  aState.storeWitnessAskedAt.reset();
+  for (auto& [name, view] : aState.peers) {
+    view.witnessedSentAt.reset();
+    auto const* const member = FindMember(aRecord.members, name);
+    if (member == nullptr || member->incarnation != view.incarnation)
+      view.watchedSince.reset();
+  }
+  return true;
+}
+
+static MembershipDecisions
+AfterRecordChange(MembershipState& aState, MonotonicTime aNow)
+{
+  MembershipDecisions decisions;
+  decisions.push_back({ MembershipAction::SendHeartbeats, {}, "", "a newer record is known" });
+  ActivateWhenDue(aState, aNow, decisions);
+  return decisions;
+}
+
+/// The next record: the present members without those known to be gone and without aRemoved, with aAdded.
+static EpochRecord
+NextRecord(MembershipState const& aState, std::set<std::string> const& aRemoved, std::optional<Member> const& aAdded)
+{
+  EpochRecord next;
+  next.epoch = aState.record->epoch + 1;
+  next.previous = aState.record->members;
+  for (auto const& member : aState.record->members) {
+    bool const replaced = aAdded && aAdded->name == member.name;
+    if (!replaced && !aRemoved.contains(member.name) && !IsKnownGone(aState, member))
+      next.members.push_back(member);
+  }
+  if (aAdded)
+    next.members.push_back(*aAdded);
+  return next;
+}
+
+static bool
+IsAnswering(MembershipState const& aState, Member const& aMember, MonotonicTime aNow)
+{
+  auto const* const view = ViewOf(aState, aMember);
+  if (view == nullptr || !view->answeredSentAt)
+    return false;
+  return aNow - *view->answeredSentAt < 3 * aState.settings.heartbeatInterval;
+}
+
+static bool
+IsSilent(MembershipState const& aState, Member const& aMember, MonotonicTime aNow)
+{
+  auto const found = aState.peers.find(aMember.name);
+  if (found == aState.peers.end())
+    return false;
+  auto const& view = found->second;
+  auto since = view.watchedSince;
+  if (view.incarnation == aMember.incarnation && view.answeredSentAt)
+    since = since ? std::max(*since, *view.answeredSentAt) : view.answeredSentAt;
+  return since && aNow - *since >= aState.settings.removalDelay;
+}
+
+/// The members to remove. A front removes silent members only while a majority answers it: a front that is cut off
+/// must not remove the others.
+static std::set<std::string>
+MembersToRemove(MembershipState const& aState, MonotonicTime aNow)
+{
+  std::set<std::string> removed;
+  std::size_t answering = 1;
+  for (auto const& member : aState.record->members) {
+    if (IsSelf(aState, member))
+      continue;
+    if (IsKnownGone(aState, member))
+      removed.insert(member.name);
+    else if (IsAnswering(aState, member, aNow))
+      ++answering;
+  }
+  if (answering < MajorityOf(aState.record->members.size()))
+    return removed;
+  for (auto const& member : aState.record->members) {
+    if (!IsSelf(aState, member) && IsSilent(aState, member, aNow))
+      removed.insert(member.name);
+  }
+  return removed;
+}
+
+/// Only the first answering member removes others; the rest would merely race it.
+static bool
+IsFirstAnswering(MembershipState const& aState, MonotonicTime aNow)
+{
+  for (auto const& member : aState.record->members) {
+    if (IsSelf(aState, member))
+      return true;
+    if (IsAnswering(aState, member, aNow))
+      return false;
+  }
+  return false;
+}
+
+static void
+Propose(MembershipState& aState,
+        EpochRecord aRecord,
+        std::string aWhy,
+        MonotonicTime aNow,
+        MembershipDecisions& aDecisions)
+{
+  if (aState.recordVersion == 0) {
+    aState.noWriteBefore = aNow + aState.settings.writeBackoff;
+    aDecisions.push_back({ MembershipAction::ReadRecord, {}, "", "the record's version is not known" });
+    return;
+  }
+  aState.writing = true;
+  aDecisions.push_back({ MembershipAction::WriteRecord, std::move(aRecord), "", std::move(aWhy) });
+}
+
+static void
+ProposeWhenDue(MembershipState& aState, MonotonicTime aNow, MembershipDecisions& aDecisions)
+{
+  if (aState.writing || (aState.noWriteBefore && aNow < *aState.noWriteBefore))
+    return;
+  if (!aState.record) {
+    aState.noWriteBefore = aNow + aState.settings.writeBackoff;
+    aDecisions.push_back({ MembershipAction::ReadRecord, {}, "", "no record is known" });
+    return;
+  }
+  if (!IsKnownEpochActive(aState))
+    return;
+  bool const member = IsMember(aState);
+  // NOTE: Two processes under one name are a mistake of the settings; the later one keeps the name.
+  auto const* const namesake = FindMember(aState.record->members, aState.self.name);
+  if (namesake != nullptr && namesake->incarnation > aState.self.incarnation)
+    return;
+  if (!member && aState.mode == ServingMode::Serving) {
+    Propose(aState, NextRecord(aState, {}, aState.self), "this front joins", aNow, aDecisions);
+    return;
+  }
+  if (member && aState.leaving && aState.record->members.size() > 1) {
+    auto next = NextRecord(aState, { aState.self.name }, std::nullopt);
+    next.drained.push_back(aState.self.name);
+    Propose(aState, std::move(next), "this front leaves", aNow, aDecisions);
+    return;
+  }
+  if (!member || !HoldsLease(aState, aNow) || !IsFirstAnswering(aState, aNow))
+    return;
+  auto const removed = MembersToRemove(aState, aNow);
+  if (removed.empty())
+    return;
+  std::string names;
+  for (auto const& name : removed)
+    names += (names.empty() ? "" : ", ") + name;
+  Propose(aState, NextRecord(aState, removed, std::nullopt), "no longer answering: " + names, aNow, aDecisions);
+}
+
+/// Asks the store for a witness when the peers do not extend the lease, or when an epoch waits for a confirmed table.
+static void
+WitnessWhenDue(MembershipState& aState, MonotonicTime aNow, MembershipDecisions& aDecisions)
+{
+  if (!aState.record)
+    return;
+  auto const& asked = aState.storeWitnessAskedAt;
+  if (asked && aNow - *asked < aState.settings.heartbeatInterval)
+    return;
+  if (IsKnownEpochActive(aState)) {
+    auto const expiry = LeaseExpiry(aState, aNow);
+    bool const lasting = expiry && *expiry - aNow > aState.settings.leaseDuration / 2;
+    if (lasting || !IsMember(aState))
+      return;
+  }
+  aState.storeWitnessAskedAt = aNow;
+  aDecisions.push_back({ MembershipAction::WitnessThroughStore, {}, "", "peers do not extend the lease" });
+}
+
+MembershipDecisions
+OnTick(MembershipState& aState, MonotonicTime aNow)
+{
+  MembershipDecisions decisions;
+  auto const& sentAt = aState.heartbeatSentAt;
+  if (!sentAt || aNow - *sentAt >= aState.settings.heartbeatInterval) {
+    aState.heartbeatSentAt = aNow;
+    for (auto const& peer : PeersToContact(aState)) {
+      auto& view = aState.peers[peer.name];
+      if (!view.watchedSince)
+        view.watchedSince = aNow;
+    }
+    decisions.push_back({ MembershipAction::SendHeartbeats, {}, "", "" });
+  }
+  ActivateWhenDue(aState, aNow, decisions);
+  WitnessWhenDue(aState, aNow, decisions);
+  ProposeWhenDue(aState, aNow, decisions);
+  return decisions;
+}
+
+/// What a heartbeat and its answer have in common: the sender's record and table.
+static void
+LearnFrom(MembershipState& aState, Heartbeat const& aHeartbeat, MonotonicTime aNow, MembershipDecisions& aDecisions)
+{
+  if (aHeartbeat.record && AdoptRecord(aState, *aHeartbeat.record, 0, aNow)) {
+    for (auto& decision : AfterRecordChange(aState, aNow))
+      aDecisions.push_back(std::move(decision));
+  }
+  if (aHeartbeat.table > aState.table)
+    aDecisions.push_back({ MembershipAction::FetchTable, {}, aHeartbeat.name, "it has a newer table" });
+}
+
+MembershipDecisions
+OnHeartbeat(MembershipState& aState, Heartbeat const& aHeartbeat, MonotonicTime aNow)
+{
+  MembershipDecisions decisions;
+  LearnFrom(aState, aHeartbeat, aNow, decisions);
+  return decisions;
+}
+
+MembershipDecisions
+OnHeartbeatAnswer(MembershipState& aState, Heartbeat const& aAnswer, MonotonicTime aSentAt, MonotonicTime aNow)
+{
+  MembershipDecisions decisions;
+  auto& view = aState.peers[aAnswer.name];
+  if (aAnswer.incarnation < view.incarnation)
+    return decisions;
+  if (aAnswer.incarnation > view.incarnation) {
+    auto const watchedSince = view.watchedSince;
+    view = PeerView();
+    view.watchedSince = watchedSince;
+    view.incarnation = aAnswer.incarnation;
+  }
+  LearnFrom(aState, aAnswer, aNow, decisions);
+  view.knownEpoch = std::max(view.knownEpoch, aAnswer.knownEpoch);
+  view.activeEpoch = std::max(view.activeEpoch, aAnswer.activeEpoch);
+  view.table = std::max(view.table, aAnswer.table);
+  view.mode = aAnswer.mode;
+  view.answeredSentAt = view.answeredSentAt ? std::max(*view.answeredSentAt, aSentAt) : aSentAt;
+  auto const known = aState.record ? aState.record->epoch : 0;
+  bool const witnesses = aAnswer.knownEpoch <= known && aAnswer.table <= aState.table;
+  if (witnesses)
+    view.witnessedSentAt = view.witnessedSentAt ? std::max(*view.witnessedSentAt, aSentAt) : aSentAt;
+  ActivateWhenDue(aState, aNow, decisions);
+  return decisions;
+}
+
+MembershipDecisions
+OnRecordRead(MembershipState& aState, EpochRecord const& aRecord, StoreVersion aVersion, MonotonicTime aNow)
+{
+  if (!AdoptRecord(aState, aRecord, aVersion, aNow))
+    return {};
+  return AfterRecordChange(aState, aNow);
+}
+
+MembershipDecisions
+OnRecordAbsent(MembershipState& aState, MonotonicTime aNow)
+{
+  MembershipDecisions decisions;
+  if (aState.record || aState.writing || aState.mode != ServingMode::Serving)
+    return decisions;
+  aState.writing = true;
+  aState.noWriteBefore = aNow + aState.settings.writeBackoff;
+  EpochRecord first{ 1, { aState.self }, {}, {} };
+  decisions.push_back({ MembershipAction::WriteRecord, std::move(first), "", "the store holds no record" });
+  return decisions;
+}
+
+MembershipDecisions
+OnRecordWritten(MembershipState& aState,
+                EpochRecord const& aRecord,
+                StoreStatus aStatus,
+                StoreVersion aVersion,
+                MonotonicTime aNow)
+{
+  aState.writing = false;
+  if (aStatus == StoreStatus::Ok)
+    return OnRecordRead(aState, aRecord, aVersion, aNow);
+  // The write may have taken effect, or another front's has: only the record itself tells.
+  aState.recordVersion = 0;
+  aState.noWriteBefore = aNow + aState.settings.writeBackoff;
+  MembershipDecisions decisions;
+  decisions.push_back({ MembershipAction::ReadRecord, {}, "", "the write of the record is not confirmed" });
+  return decisions;
+}
+
+MembershipDecisions
+OnStoreWitness(MembershipState& aState, EpochNumber aEpoch, Revision aTable, MonotonicTime aSentAt, MonotonicTime aNow)
+{
+  MembershipDecisions decisions;
+  bool const matches = aState.record && aState.record->epoch == aEpoch && aTable <= aState.table;
+  if (!matches)
+    return decisions;
+  auto& witnessed = aState.storeWitnessedSentAt;
+  witnessed = witnessed ? std::max(*witnessed, aSentAt) : aSentAt;
+  ActivateWhenDue(aState, aNow, decisions);
+  return decisions;
+}
+
+MembershipDecisions
+OnTableKnown(MembershipState& aState, Revision aTable, MonotonicTime aNow)
+{
+  MembershipDecisions decisions;
+  if (aTable <= aState.table)
+    return decisions;
+  aState.table = aTable;
+  decisions.push_back({ MembershipAction::SendHeartbeats, {}, "", "a newer table is in force here" });
+  ActivateWhenDue(aState, aNow, decisions);
+  return decisions;
+}
+
+void
+OnVmList(MembershipState& aState, std::vector<VmEntry> const& aVms)
+{
+  aState.goneAddresses.clear();
+  if (!aState.record)
+    return;
+  auto const note = [&](Member const& aMember) {
+    if (std::ranges::find(aVms, aMember.peerAddress, &VmEntry::address) == aVms.end())
+      aState.goneAddresses.insert(aMember.peerAddress);
+  };
+  std::ranges::for_each(aState.record->members, note);
+  std::ranges::for_each(aState.record->previous, note);
+}
+
+RevisionReach
+ReachOf(MembershipState const& aState, Revision aRevision, std::optional<MonotonicTime> aAcceptedAt, MonotonicTime aNow)
+{
+  if (!IsKnownEpochActive(aState))
+    return RevisionReach::Pending;
+  std::size_t having = 0;
+  for (auto const& member : aState.record->members) {
+    if (IsSelf(aState, member)) {
+      having += aState.table >= aRevision ? 1 : 0;
+      continue;
+    }
+    auto const* const view = ViewOf(aState, member);
+    bool const has = view != nullptr && view->table >= aRevision && view->knownEpoch <= aState.record->epoch;
+    having += has ? 1 : 0;
+  }
+  if (having == aState.record->members.size())
+    return RevisionReach::InForceEverywhere;
+  // Once accepted, the leases under an older table end by themselves within one lease duration.
+  auto const lapse = aState.settings.leaseDuration + aState.settings.driftAllowance;
+  if (aAcceptedAt && aNow - *aAcceptedAt >= lapse)
+    return RevisionReach::InForceEverywhere;
+  bool const accepted = aAcceptedAt || having >= MajorityOf(aState.record->members.size());
+  return accepted ? RevisionReach::Accepted : RevisionReach::Pending;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRequests/IdempotencyKey.cpp
@@ -0,0 +1,106 @@
+#include "IdempotencyKey.h"
+#include <charconv>
+
+namespace Hornbeam {
+
+static constexpr char kSeparator = '~';
+static constexpr std::size_t kLongestCallerPart = 128;
+/// How long an entry outlives its key, so that a late resend still gets its answer.
+static constexpr Duration kRetention = 30s;
+
+std::string
+EncodeKeyPrefix(std::string const& aFront, Incarnation aIncarnation, WallTime aExpiresAt)
+{
+  auto const expires = Milliseconds(aExpiresAt.time_since_epoch());
+  return aFront + kSeparator + std::to_string(aIncarnation) + kSeparator + std::to_string(expires);
+}
+
+static std::optional<std::uint64_t>
+ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  auto const [stop, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  if (error != std::errc() || stop != aText.data() + aText.size())
+    return std::nullopt;
+  return number;
+}
+
+std::optional<IdempotencyKey>
+ParseIdempotencyKey(std::string const& aText, LastReason& aReason)
+{
+  aReason = { ReasonCode::InvalidInput,
+              "key '" + aText.substr(0, kLongestCallerPart) +
+                "' must be the key prefix of GET /v1/entry, then '~', then 1 to 128 characters of your own" };
+  std::string_view const text(aText);
+  auto const first = text.find(kSeparator);
+  auto const second = first == text.npos ? first : text.find(kSeparator, first + 1);
+  auto const third = second == text.npos ? second : text.find(kSeparator, second + 1);
+  if (third == text.npos || first == 0)
+    return std::nullopt;
+  auto const incarnation = ParseNumber(text.substr(first + 1, second - first - 1));
+  auto const expires = ParseNumber(text.substr(second + 1, third - second - 1));
+  auto const callerPart = text.substr(third + 1);
+  constexpr std::uint64_t kLatest = std::uint64_t(1) << 48;
+  if (!incarnation || !expires || *expires > kLatest)
+    return std::nullopt;
+  if (callerPart.empty() || callerPart.size() > kLongestCallerPart)
+    return std::nullopt;
+  return IdempotencyKey{ std::string(text.substr(0, first)),
+                         *incarnation,
+                         WallTime(std::chrono::milliseconds(*expires)),
+                         std::string(callerPart) };
+}
+
+KeyLookup
+ClaimKey(KeyLedger& aLedger,
+         std::string const& aText,
+         IdempotencyKey const& aKey,
+         std::uint64_t aFingerprint,
+         RequestId aRequest,
+         WallTime aNow)
+{
+  if (auto const found = aLedger.entries.find(aText); found != aLedger.entries.end()) {
+    auto const& entry = found->second;
+    if (entry.fingerprint != aFingerprint)
+      return { KeyVerdict::Reused, 0, std::nullopt };
+    if (entry.answer)
+      return { KeyVerdict::Replay, 0, entry.answer };
+    return { KeyVerdict::Join, entry.request, std::nullopt };
+  }
+  if (aNow >= aKey.expiresAt)
+    return { KeyVerdict::Expired, 0, std::nullopt };
+  auto const forgetAt = aKey.expiresAt + kRetention;
+  aLedger.entries.emplace(aText, KeyEntry{ aFingerprint, aRequest, std::nullopt, forgetAt });
+  aLedger.forgetOrder[forgetAt].push_back(aText);
+  return { KeyVerdict::Run, aRequest, std::nullopt };
+}
+
+void
+SettleKey(KeyLedger& aLedger, std::string const& aText, Answer const& aAnswer)
+{
+  auto const found = aLedger.entries.find(aText);
+  if (found == aLedger.entries.end())
+    return;
+  bool const certainlyNotRun = aAnswer.refusal && aAnswer.refusal->run == RunState::NotRun;
+  if (certainlyNotRun)
+    aLedger.entries.erase(found);
+  else
+    found->second.answer = aAnswer;
+}
+
+void
+ForgetKeys(KeyLedger& aLedger, WallTime aNow)
+{
+  while (!aLedger.forgetOrder.empty() && aLedger.forgetOrder.begin()->first <= aNow) {
+    for (auto const& key : aLedger.forgetOrder.begin()->second) {
+      auto const found = aLedger.entries.find(key);
+      // A request that still runs keeps its entry until it is settled and the next sweep.
+      bool const running = found != aLedger.entries.end() && !found->second.answer;
+      if (!running)
+        aLedger.entries.erase(key);
+    }
+    aLedger.forgetOrder.erase(aLedger.forgetOrder.begin());
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -0,0 +1,21 @@
+#include "RetryBudget.h"
+#include <algorithm>
+
+namespace Hornbeam {
+
+void
+OnFreshRequest(RetryBudget& aBudget)
+{
+  aBudget.tokens = std::min(aBudget.most, aBudget.tokens + aBudget.perRequest);
+}
+
+bool
+TakeRetry(RetryBudget& aBudget)
+{
+  if (aBudget.tokens < 1)
+    return false;
+  aBudget.tokens -= 1;
+  return true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/LibSettings.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/// LibSettings: the checked settings of a front, from YAML.
+
+#include "FrontSettings.h"
--- /dev/null
+++ b/Meta/hornbeamfront.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Set-up, build, tests, formatter, linter and the example, each as one command.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy curl
+  libwebsockets-dev libwebsockets-evlib-uv libuv1-dev libcapnp-dev capnproto libgoogle-glog-dev libcli11-dev
+  libyaml-cpp-dev prometheus-cpp-dev nlohmann-json3-dev librapidcheck-dev libgtest-dev libssl-dev spin)
+
+install_packages() {
+  if dpkg -s "${packages[@]}" >/dev/null 2>&1; then return; fi
+  local as_root=()
+  if [ "$(id -u)" -ne 0 ]; then as_root=(sudo); fi
+  "${as_root[@]}" apt-get update -q
+  "${as_root[@]}" env DEBIAN_FRONTEND=noninteractive apt-get install -y -q "${packages[@]}"
+}
+
+build() {
+  install_packages >&2
+  cmake -G Ninja -S . -B Build >/dev/null
+  cmake --build Build >&2
+}
+
+sources() {
+  git ls-files '*.cpp' '*.h' | grep -v '\.capnp\.'
+}
+
+check_format() {
+  sources | xargs clang-format --dry-run --Werror
+}
+
+check_lint() {
+  git ls-files 'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp' |
+    xargs -P "$(nproc)" -n 4 clang-tidy -p Build --quiet 2>/dev/null
+}
+
+run_example() { build; Meta/run-example.sh; }
+
+case "${1:-}" in
+  build) build ;;
+  run) run_example ;;
+  test) build; ctest --test-dir Build --output-on-failure "${@:2}" ;;
+  check-model) install_packages >&2; Meta/check-model.sh ;;
+  format) sources | xargs clang-format -i ;;
+  check-format) install_packages >&2; check_format ;;
+  lint) build; check_lint ;;
+  *)
+    echo "usage: Meta/hornbeamfront.sh build|run|test|check-model|format|check-format|lint" >&2
+    exit 2
+    ;;
+esac
--- /dev/null
+++ b/Utilities/hornbeamctl/Output.cpp
@@ -0,0 +1,79 @@
+#include "Output.h"
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+
+namespace Hornbeam {
+
+using nlohmann::json;
+
+static constexpr int kIndent = 2;
+
+void
+PrintColumns(std::vector<std::string> const& aHeading, std::vector<std::vector<std::string>> const& aRows)
+{
+  std::vector<std::size_t> widths;
+  for (auto const& title : aHeading)
+    widths.push_back(title.size());
+  for (auto const& row : aRows) {
+    for (std::size_t column = 0; column < row.size(); ++column)
+      widths[column] = std::max(widths[column], row[column].size());
+  }
+  auto const print = [&](std::vector<std::string> const& aCells) {
+    for (std::size_t column = 0; column < aCells.size(); ++column) {
+      bool const last = column + 1 == aCells.size();
+      std::cout << std::left << std::setw(last ? 0 : static_cast<int>(widths[column] + 2)) << aCells[column];
+    }
+    std::cout << "\n";
+  };
+  print(aHeading);
+  std::ranges::for_each(aRows, print);
+}
+
+static std::string
+CellText(json const& aCells)
+{
+  std::string text;
+  for (auto const& [name, value] : aCells.items())
+    text += (text.empty() ? "" : " ") + name + "=" + value.get<std::string>();
+  return text;
+}
+
+void
+PrintRows(json const& aRows, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::Json) {
+    std::cout << aRows.dump(kIndent) << "\n";
+    return;
+  }
+  std::vector<std::vector<std::string>> rows;
+  for (auto const& row : aRows)
+    rows.push_back({ row.value("row", ""), std::to_string(row.value("revision", 0)), CellText(row["cells"]) });
+  PrintColumns({ "ROW", "REVISION", "CELLS" }, rows);
+}
+
+void
+PrintStatus(json const& aStatus, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::Json) {
+    std::cout << aStatus.dump(kIndent) << "\n";
+    return;
+  }
+  std::cout << "front " << aStatus.value("front", "") << ", epoch " << aStatus.value("epoch", 0) << ", lease "
+            << aStatus.value("lease", "") << ", revision " << aStatus.value("table_revision", 0) << " in force "
+            << aStatus.value("in_force", "") << "\n\n";
+  std::vector<std::vector<std::string>> members;
+  for (auto const& member : aStatus["members"]) {
+    auto const revision = member.contains("table_revision") ? member["table_revision"].dump() : "-";
+    members.push_back(
+      { member.value("name", ""), member.value("data_center", ""), member.value("state", ""), revision });
+  }
+  PrintColumns({ "FRONT", "DATA CENTRE", "STATE", "REVISION" }, members);
+  std::cout << "\n";
+  std::vector<std::vector<std::string>> endpoints;
+  for (auto const& endpoint : aStatus["owned_endpoints"])
+    endpoints.push_back({ endpoint.value("name", ""), endpoint.value("phase", ""), endpoint["limit"].dump() });
+  PrintColumns({ "ENDPOINT OWNED HERE", "PHASE", "LIMIT" }, endpoints);
+}
+
+}
--- /dev/null
+++ b/Utilities/hornbeamctl/main.cpp
@@ -0,0 +1,129 @@
+/// hornbeamctl: the operators' command line.
+
+#include "Commands.h"
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+using namespace Hornbeam;
+
+namespace {
+
+/// The options of all commands.
+struct Options
+{
+  ClientSettings client{ "127.0.0.1:8080", "127.0.0.1:8090", "", 10s };
+  std::string format{ "table" };
+  bool noWait{ false };
+  std::string row;
+  std::string kind;
+  std::string ifMatch;
+  std::string file;
+  std::string dataCenter;
+  std::vector<std::string> cells;
+  bool create{ false };
+  RequestOptions request;
+};
+
+using Command = std::function<ExitCode(CommandContext const&)>;
+
+void
+AddTableCommands(CLI::App& aApplication, Options& aOptions, Command& aCommand)
+{
+  auto* const table = aApplication.add_subcommand("table", "Read and change the table of weights and limits");
+  table->require_subcommand(1);
+  auto* const list = table->add_subcommand("list", "List the rows");
+  list->add_option("--kind", aOptions.kind, "Only pipeline, pool, endpoint, account or data-center rows");
+  list->callback([&] { aCommand = [&](auto const& aContext) { return ListRows(aContext, aOptions.kind); }; });
+  auto* const get = table->add_subcommand("get", "Show one row and its revision");
+  get->add_option("row", aOptions.row, "The row, such as pool/generate")->required();
+  get->callback([&] { aCommand = [&](auto const& aContext) { return GetRow(aContext, aOptions.row); }; });
+  auto* const set = table->add_subcommand("set", "Change cells: table set pool/generate warm_limit=16");
+  set->add_option("row", aOptions.row, "The row")->required();
+  set->add_option("cells", aOptions.cells, "CELL=VALUE, one or more")->required();
+  set->add_option("--if-revision", aOptions.ifMatch, "Only if the row still has this revision (0: does not exist)");
+  set->add_flag("--create", aOptions.create, "Make the row, or replace all of its cells");
+  set->callback([&] {
+    aCommand = [&](auto const& aContext) {
+      return SetCells(aContext, aOptions.row, aOptions.cells, aOptions.ifMatch, aOptions.create);
+    };
+  });
+  auto* const remove = table->add_subcommand("remove", "Remove a row");
+  remove->add_option("row", aOptions.row, "The row")->required();
+  remove->add_option("--if-revision", aOptions.ifMatch, "Only if the row still has this revision");
+  remove->callback(
+    [&] { aCommand = [&](auto const& aContext) { return RemoveRow(aContext, aOptions.row, aOptions.ifMatch); }; });
+  auto* const load = table->add_subcommand("load", "Load rows from a YAML file, all or none");
+  load->add_option("file", aOptions.file, "The file, with a map of rows under 'rows'")->required();
+  load->callback([&] { aCommand = [&](auto const& aContext) { return LoadRows(aContext, aOptions.file); }; });
+}
+
+void
+AddDataCenterCommands(CLI::App& aApplication, Options& aOptions, Command& aCommand)
+{
+  auto* const dataCenter = aApplication.add_subcommand("data-center", "Take a data centre out, or bring it back");
+  dataCenter->require_subcommand(1);
+  for (std::string const state : { "out", "in" }) {
+    auto* const command =
+      dataCenter->add_subcommand(state, state == "out" ? "No new work to its endpoints" : "Work returns by a ramp");
+    command->add_option("name", aOptions.dataCenter, "The data centre")->required();
+    command->callback([&, state] {
+      aCommand = [&, state](auto const& aContext) { return MoveDataCenter(aContext, aOptions.dataCenter, state); };
+    });
+  }
+}
+
+void
+AddRequestCommand(CLI::App& aApplication, Options& aOptions, Command& aCommand)
+{
+  auto* const request = aApplication.add_subcommand("request", "Send one request through a pipeline");
+  request->add_option("pipeline", aOptions.request.pipeline, "The pipeline")->required();
+  request->add_option("--account", aOptions.request.account, "The client account")->required();
+  request->add_option("--input", aOptions.request.input, "The input")->required();
+  request->add_option("--deadline-ms", aOptions.request.deadlineMs, "The deadline; the pipeline's own otherwise");
+  auto* const key =
+    request->add_option("--key", aOptions.request.key, "Your part of the key of a non-repeatable request");
+  request->callback([&, key] {
+    aOptions.request.withKey = key->count() > 0;
+    aCommand = [&](auto const& aContext) { return SendRequest(aContext, aOptions.request); };
+  });
+}
+
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App application{ "hornbeamctl: steers hornbeamfront.\n\n"
+                        "Exit codes: 0 done; 2 invalid use or input; 3 conflict with another edit; 4 no front or "
+                        "store answers; 5 stored but not in force everywhere in time; 6 the request was refused." };
+  Options options;
+  Command command;
+  application.require_subcommand(1);
+  application.add_option("--caller-address", options.client.callerAddress, "A front's address for callers")
+    ->envname("HORNBEAM_CALLER_ADDRESS");
+  application.add_option("--address", options.client.administrationAddress, "A front's address for operators")
+    ->envname("HORNBEAM_ADDRESS");
+  application.add_option("--token", options.client.token, "The operators' token")->envname("HORNBEAM_TOKEN");
+  application.add_option("--output", options.format, "table or json")->check(CLI::IsMember({ "table", "json" }));
+  application.add_flag("--no-wait", options.noWait, "Do not wait until a change is in force everywhere");
+  application.add_subcommand("entry", "Ask which front to use")->callback([&] { command = ShowEntry; });
+  application.add_subcommand("status", "Show the fronts, the revision in force and endpoint phases")->callback([&] {
+    command = ShowStatus;
+  });
+  AddTableCommands(application, options, command);
+  AddDataCenterCommands(application, options, command);
+  AddRequestCommand(application, options, command);
+  try {
+    application.parse(aCount, aArguments);
+  } catch (CLI::ParseError const& error) {
+    bool const helped = application.exit(error) == 0;
+    return static_cast<int>(helped ? ExitCode::Success : ExitCode::InvalidUse);
+  }
+  google::InitGoogleLogging(aArguments[0]);
+  FLAGS_logtostderr = true;
+  FLAGS_minloglevel = google::GLOG_ERROR;
+  AdministrationClient client(options.client);
+  auto const format = options.format == "json" ? OutputFormat::Json : OutputFormat::Table;
+  auto const wait = options.noWait ? WaitPolicy::ReturnAtOnce : WaitPolicy::WaitForForce;
+  return static_cast<int>(command({ client, format, wait }));
+}
