--- a/Libraries/LibCore/Clock.cpp
+++ b/Libraries/LibCore/Clock.cpp
@@ -4,6 +4,11 @@
 
 namespace Hornbeam {
 
+/// A loop that has not turned for this long was paused; the services' own timers turn it much more often.
+static constexpr Duration kPauseThreshold = 300ms;
+/// How long after a pause messages that came during it may still be read.
+static constexpr Duration kBacklogTime = 200ms;
+
 static MonotonicTime
 TimeSinceBoot()
 {
@@ -17,6 +22,7 @@
   : mode(aMode)
 {
   this->startedAt = this->Now();
+  this->turnedAt = this->startedAt;
   bool const running = aMode == ClockMode::Running;
   this->wallAtStart = running ? std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now())
                               : WallTime(std::chrono::hours(24 * 365 * 50));
@@ -64,10 +70,32 @@
   return this->timers.begin()->first.first;
 }
 
+void
+Clock::NoteTurn(MonotonicTime aNow)
+{
+  if (aNow - this->turnedAt > kPauseThreshold) {
+    this->pauseBegan = this->turnedAt;
+    this->pauseEnded = aNow;
+  }
+  this->turnedAt = aNow;
+}
+
+MonotonicTime
+Clock::ArrivalBound() const
+{
+  auto const now = this->Now();
+  if (now - this->turnedAt > kPauseThreshold)
+    return this->turnedAt;
+  bool const backlog = this->pauseEnded != MonotonicTime() && now - this->pauseEnded < kBacklogTime;
+  return backlog ? this->pauseBegan : now;
+}
+
 void
 Clock::RunDue()
 {
-  this->RunUntil(this->Now());
+  auto const now = this->Now();
+  this->NoteTurn(now);
+  this->RunUntil(now);
 }
 
 void
@@ -77,6 +105,16 @@
   auto const target = this->pausedAt + aStep;
   this->RunUntil(target);
   this->pausedAt = target;
+  this->turnedAt = target;
+}
+
+void
+Clock::Jump(Duration aStep)
+{
+  VERIFY(this->mode == ClockMode::Paused);
+  this->pausedAt += aStep;
+  this->NoteTurn(this->pausedAt);
+  this->RunUntil(this->pausedAt);
 }
 
 void
--- a/Libraries/LibCore/Clock.h
+++ b/Libraries/LibCore/Clock.h
@@ -33,6 +33,10 @@
 
   MonotonicTime Now() const;
 
+  /// The earliest time at which a message that is read now can have arrived. After the process was paused, messages
+  /// that came meanwhile are read late: for a short while the bound is the beginning of the pause.
+  MonotonicTime ArrivalBound() const;
+
   /// The calendar time at the start of the process plus the time since.
   WallTime WallNow() const;
 
@@ -50,13 +54,20 @@
   /// Moves a paused clock.
   void Advance(Duration aStep);
 
+  /// Moves a paused clock as a process sees it that was frozen meanwhile: first the time passes, then the timers run.
+  void Jump(Duration aStep);
+
 private:
   void RunUntil(MonotonicTime aLimit);
+  void NoteTurn(MonotonicTime aNow);
 
   ClockMode mode;
   MonotonicTime pausedAt{ 1h };
   MonotonicTime startedAt{};
   WallTime wallAtStart{};
+  MonotonicTime turnedAt{};
+  MonotonicTime pauseBegan{};
+  MonotonicTime pauseEnded{};
   TimerId lastTimer{ 0 };
   std::map<std::pair<MonotonicTime, TimerId>, std::function<void()>> timers;
   std::map<TimerId, MonotonicTime> dueTimes;
--- a/Libraries/LibFront/GrantService.cpp
+++ b/Libraries/LibFront/GrantService.cpp
@@ -6,6 +6,8 @@
 
 static constexpr Duration kSweepInterval = 50ms;
 static constexpr Duration kReportInterval = 500ms;
+/// An owner that has not answered for this long is taken as silent.
+static constexpr Duration kSilenceTime = 50ms;
 /// How long a front waits before it asks again for a key whose owner has nothing to give.
 static constexpr Duration kLackingInterval = 100ms;
 static constexpr std::string_view kEndpointPrefix = "endpoint/";
@@ -145,7 +147,7 @@
   auto& holding = this->holdings[key];
   if (TakeSlot(holding, this->clock.Now()))
     return true;
-  if (!this->ownerSilent.contains(key))
+  if (!this->IsOwnerSilent(key, holding))
     return false;
   // While the owner does not answer, each front works within an equal share: a limit that is kept less exactly harms
   // less than an account that is refused everywhere.
@@ -160,6 +162,13 @@
   return true;
 }
 
+bool
+GrantService::IsOwnerSilent(std::string const& aKey, Holding const& aHolding) const
+{
+  bool const unanswered = aHolding.requestSentAt && this->clock.Now() - *aHolding.requestSentAt >= kSilenceTime;
+  return unanswered || this->ownerSilent.contains(aKey);
+}
+
 void
 GrantService::ReturnAccountSlot(std::string const& aAccount)
 {
--- a/Libraries/LibFront/GrantService.h
+++ b/Libraries/LibFront/GrantService.h
@@ -79,6 +79,7 @@
     bool IsComplete() const;
   };
 
+  bool IsOwnerSilent(std::string const& aKey, Holding const& aHolding) const;
   void HandleEpoch(EpochRecord const& aRecord);
   void FlushSoon();
   void Flush();
--- a/Libraries/LibFront/MembershipService.cpp
+++ b/Libraries/LibFront/MembershipService.cpp
@@ -85,6 +85,9 @@
     auto const found = this->state.peers.find(member.name);
     if (found == this->state.peers.end() || !found->second.answeredSentAt)
       continue;
+    // A later process at the member's address serves only once it is a member itself.
+    if (found->second.incarnation != member.incarnation)
+      continue;
     bool const fresh = now - *found->second.answeredSentAt < this->state.settings.leaseDuration;
     if (fresh && found->second.mode == ServingMode::Serving)
       members.push_back(member);
--- a/Libraries/LibFront/RequestService.cpp
+++ b/Libraries/LibFront/RequestService.cpp
@@ -35,6 +35,8 @@
   std::string key;
   std::vector<AnswerSink> sinks;
   MonotonicTime receivedAt{};
+  /// Since when it waits for a slot of its account.
+  std::optional<MonotonicTime> accountAskedAt;
   TimerId deadlineTimer{ 0 };
   bool admitted{ false };
   bool holdsAccountSlot{ false };
@@ -128,6 +130,11 @@
     return this->Refuse(aRequest, aSink, std::move(*refusal));
   }
   auto const& pipeline = this->configuration.Current().pipelines.at(aRequest.pipeline);
+  // After a pause of this process, requests are read whose callers have given up long ago.
+  if (this->clock.ArrivalBound() + aRequest.deadline.value_or(pipeline.deadline) <= this->clock.Now()) {
+    auto const run = aRequest.key.empty() ? RunState::NotRun : RunState::MayHaveRun;
+    return this->Refuse(aRequest, aSink, { RefusalReason::DeadlinePassed, run, "this front was paused", 0s });
+  }
   if (!aRequest.key.empty())
     return this->SubmitWithKey(aRequest, std::move(aSink), pipeline);
   return this->Begin(aRequest, std::move(aSink), pipeline);
@@ -203,21 +210,23 @@
 {
   auto const request = std::make_shared<ActiveRequest>();
   auto& progress = request->progress;
-  auto const now = this->clock.Now();
+  // A caller's time runs from the arrival, also while this process was paused.
+  auto const arrivedAt = this->clock.ArrivalBound();
   auto const deadline = aRequest.deadline.value_or(aPipeline.deadline);
   progress.id = ++this->lastRequest;
   progress.account = aRequest.account;
   progress.pipeline = aPipeline;
-  progress.deadline = now + deadline;
+  progress.deadline = arrivedAt + deadline;
   progress.input = aRequest.input;
   request->weight = this->configuration.Current().accounts.at(aRequest.account).weight;
   request->prefix = aRequest.prefix;
   request->key = aRequest.key;
-  request->receivedAt = now;
+  request->receivedAt = this->clock.Now();
   request->sinks.push_back(std::move(aSink));
   auto const id = progress.id;
   this->active.emplace(id, request);
-  request->deadlineTimer = this->clock.Schedule(deadline, [this, id] { this->OnDeadline(id); });
+  auto const left = progress.deadline - this->clock.Now();
+  request->deadlineTimer = this->clock.Schedule(left, [this, id] { this->OnDeadline(id); });
   OnFreshRequest(this->retryBudget);
   this->Admit(request);
   if (!request->admitted && !request->finished)
@@ -273,7 +282,9 @@
     return;
   }
   if (!this->AdmitAccount(aRequest)) {
-    if (waited < kAccountWait)
+    if (!aRequest->accountAskedAt)
+      aRequest->accountAskedAt = now;
+    if (now - *aRequest->accountAskedAt < kAccountWait)
       return;
     auto const detail = "account " + progress.account + " has no concurrent request left";
     this->FinishRefused(aRequest, RefuseProgress(progress, RefusalReason::AccountLimit, detail, 200ms));
--- a/Libraries/LibFront/ShutdownService.cpp
+++ b/Libraries/LibFront/ShutdownService.cpp
@@ -4,7 +4,7 @@
 
 static constexpr Duration kReviewInterval = 50ms;
 /// How long the front tries to leave the membership; the others remove it otherwise.
-static constexpr Duration kLongestLeave = 5s;
+static constexpr Duration kLongestLeave = 8s;
 
 ShutdownService::ShutdownService(Kernel& aKernel, std::function<void()> aEnd)
   : clock(aKernel.Find<Clock>(ServiceName::kClock))
@@ -42,8 +42,10 @@
   auto const& state = this->membership.State();
   if (this->leftAt) {
     bool const alone = state.record && state.record->members.size() == 1;
+    // Until the record without this front is active, others may still ask it as an owner.
     bool const member = this->membership.FindKnownMember(state.self.name, state.self.incarnation) != nullptr;
-    if (!member || alone || now - *this->leftAt >= kLongestLeave) {
+    bool const hasLeft = !member && IsKnownEpochActive(state);
+    if (hasLeft || alone || now - *this->leftAt >= kLongestLeave) {
       PART_LOG("shutdown") << "ends.";
       this->end();
       return;
