LibFront: Recall grants when an endpoint turns cold

Cause: endpoint-cold-again saw one call too many, 125 ms after a restart. The trace: one front saw its two calls break and told the owner, which lowered the limit to 2; another front still held free slots of the warm time and used them until its renewal, up to a second later.

Change: the owner tells every holder to stop using free slots and to ask anew. Ruled out: shorter grants (a request per key every 100 ms is five times the control traffic).

Before: 1 call beyond the cold capacity.

--- a/Libraries/LibFront/Front.cpp
+++ b/Libraries/LibFront/Front.cpp
@@ -44,6 +44,7 @@
   handlers.onHeartbeat = [this](Heartbeat const& aHeartbeat) { return this->membership->HandleHeartbeat(aHeartbeat); };
   handlers.onGrantBatch = [this](GrantBatch const& aBatch) { return this->grants->AnswerBatch(aBatch); };
   handlers.onFetchTable = [this] { return this->configuration->StoredForm(); };
+  handlers.onRecallGrant = [this](std::string const& aKey) { this->grants->HandleRecall(aKey); };
   handlers.onForward = [this](ForwardedRequest const& aRequest, std::function<void(std::string)> aDone) {
     this->callers->HandleForwarded(aRequest, std::move(aDone));
   };
--- a/Libraries/LibFront/GrantService.cpp
+++ b/Libraries/LibFront/GrantService.cpp
@@ -531,7 +531,7 @@
   if (now < aLedger.takenOverUntil)
     OnHint(phase, aItem.hint, pool, now);
   OnWorkObserved(phase, aItem.observed, pool, this->phaseSettings, now);
-  this->LogPhaseChange(aEndpoint.name, before, phase, "work that the fronts observed");
+  this->NotePhaseChange(aEndpoint.name, before, phase, "work that the fronts observed");
   bool const closed = IsTakenOut(table, aEndpoint) || this->membership.IsLeavingAddress(aEndpoint.address);
   aLedger.limit = closed ? 0 : LimitOf(phase, pool);
   aResult.limit = aLedger.limit;
@@ -540,16 +540,48 @@
 }
 
 void
-GrantService::LogPhaseChange(std::string const& aEndpoint,
+GrantService::NotePhaseChange(std::string const& aEndpoint,
                              Phase aBefore,
                              EndpointPhase const& aAfter,
-                             char const* aWhy) const
+                             char const* aWhy)
 {
   if (aBefore == aAfter.phase)
     return;
   char const* const name = aAfter.phase == Phase::Cold ? "cold" : aAfter.phase == Phase::Warm ? "warm" : "ramping";
   PART_LOG("grants") << "endpoint " << aEndpoint << " is " << name << " with limit " << aAfter.limit << ": " << aWhy
                      << ".";
+  if (aAfter.phase == Phase::Cold)
+    this->RecallGrants(EndpointKey(aEndpoint));
+}
+
+/// Grants that were made while the endpoint was warm are more than it bears now.
+void
+GrantService::RecallGrants(std::string const& aKey)
+{
+  auto const* const record = this->membership.ActiveRecord();
+  auto const ledger = this->ledgers.find(aKey);
+  if (record == nullptr || ledger == this->ledgers.end())
+    return;
+  for (auto const& member : record->members) {
+    auto const holder = member.name + "." + std::to_string(member.incarnation);
+    if (!ledger->second.entries.contains(holder))
+      continue;
+    if (member == this->membership.Self())
+      this->clock.Schedule(Duration::zero(), [this, aKey] { this->HandleRecall(aKey); });
+    else
+      this->peers.recallGrant(member, aKey);
+  }
+}
+
+void
+GrantService::HandleRecall(std::string const& aKey)
+{
+  auto const found = this->holdings.find(aKey);
+  if (found == this->holdings.end())
+    return;
+  SuspendHolding(found->second);
+  this->knowledge[NameIn(aKey)].cold = true;
+  this->FlushSoon();
 }
 
 void
@@ -570,7 +602,7 @@
         auto& phase = this->PhaseOf(name, pool);
         auto const before = phase.phase;
         OnReport(phase, *aReport, pool, this->clock.Now());
-        this->LogPhaseChange(name, before, phase, "its report names another incarnation");
+        this->NotePhaseChange(name, before, phase, "its report names another incarnation");
       });
     }
   }
--- a/Libraries/LibFront/GrantService.h
+++ b/Libraries/LibFront/GrantService.h
@@ -56,6 +56,9 @@
   /// Answers another front's batch, or this front's own.
   GrantBatchAnswer AnswerBatch(GrantBatch const& aBatch);
 
+  /// The owner of a key has seen its endpoint turn cold: free slots are no longer used until the owner has answered.
+  void HandleRecall(std::string const& aKey);
+
   /// Is called when slots may have become free.
   void OnSlotsChanged(std::function<void()> aAction);
 
@@ -99,7 +102,8 @@
   EndpointPhase& PhaseOf(std::string const& aEndpoint, PoolRow const& aPool);
   GrantResult AnswerItem(GrantItem const& aItem, std::size_t aHolders);
   void AnswerEndpointItem(GrantItem const& aItem, EndpointRow const& aEndpoint, Ledger& aLedger, GrantResult& aResult);
-  void LogPhaseChange(std::string const& aEndpoint, Phase aBefore, EndpointPhase const& aAfter, char const* aWhy) const;
+  void NotePhaseChange(std::string const& aEndpoint, Phase aBefore, EndpointPhase const& aAfter, char const* aWhy);
+  void RecallGrants(std::string const& aKey);
 
   Clock& clock;
   MembershipService& membership;
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -79,4 +79,6 @@
   fetchTable @2 () -> (table :Text);
   # A non-repeatable request for the incarnation that its key names; the answer is the caller's.
   forward @3 (request :ForwardedRequest) -> (answer :Text);
+  # The owner of these keys asks the holder to stop using free slots and to ask anew: the endpoint has turned cold.
+  recallGrants @4 (keys :List(Text)) -> ();
 }
--- a/Libraries/LibPeer/Peer.capnp.c++
+++ b/Libraries/LibPeer/Peer.capnp.c++
@@ -847,7 +847,7 @@
   0, 2, i_bd641d7dd804be59, nullptr, nullptr, { &s_bd641d7dd804be59, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<61> b_f1161cde473f8389 = {
+static const ::capnp::_::AlignedData<72> b_f1161cde473f8389 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     137, 131,  63,  71, 222,  28,  22, 241,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -857,46 +857,54 @@
      21,   0,   0,   0, 138,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,   7,   1,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,  71,   1,   0,   0,
+    241,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  70, 114, 111, 110, 116,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     137,  11, 155, 108,  14, 152,  73, 161,
     132, 160, 197, 158, 178, 111, 119, 209,
-    113,   0,   0,   0,  82,   0,   0,   0,
+    145,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      64,  16, 187, 116,  84, 244,  54, 163,
     116, 245,  95,  72, 147,  19,  33, 197,
-     93,   0,   0,   0, 114,   0,   0,   0,
+    125,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     234, 228,   5, 203, 248, 124, 205, 203,
     238, 245, 110, 124, 217, 124,   6, 205,
-     73,   0,   0,   0,  90,   0,   0,   0,
+    105,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     220, 104,  57, 226,  51, 181, 192, 250,
     228, 143,  14,  80, 224,  17, 127, 158,
-     53,   0,   0,   0,  66,   0,   0,   0,
+     85,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,   7,   0,   0,   0,
+     73,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    162,  96, 169,  57, 108,   5, 236, 131,
+    211, 201, 168, 250, 154,  49, 254, 240,
+     61,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -908,11 +916,15 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     102, 111, 114, 119,  97, 114, 100,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101,  99,  97, 108, 108,  71, 114,
+     97, 110, 116, 115,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_f1161cde473f8389 = b_f1161cde473f8389.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_f1161cde473f8389[] = {
+  &s_83ec056c39a960a2,
   &s_9e7f11e0500e8fe4,
   &s_a149980e6c9b0b89,
   &s_a336f45474bb1040,
@@ -920,12 +932,13 @@
   &s_cbcd7cf8cb05e4ea,
   &s_cd067cd97c6ef5ee,
   &s_d1776fb29ec5a084,
+  &s_f0fe319afaa8c9d3,
   &s_fac0b533e23968dc,
 };
-static const uint16_t m_f1161cde473f8389[] = {2, 3, 0, 1};
+static const uint16_t m_f1161cde473f8389[] = {2, 3, 0, 4, 1};
 const ::capnp::_::RawSchema s_f1161cde473f8389 = {
-  0xf1161cde473f8389, b_f1161cde473f8389.words, 61, d_f1161cde473f8389, m_f1161cde473f8389,
-  8, 4, nullptr, nullptr, nullptr, { &s_f1161cde473f8389, nullptr, nullptr, 0, 0, nullptr }
+  0xf1161cde473f8389, b_f1161cde473f8389.words, 72, d_f1161cde473f8389, m_f1161cde473f8389,
+  10, 5, nullptr, nullptr, nullptr, { &s_f1161cde473f8389, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_a149980e6c9b0b89 = {
@@ -1296,6 +1309,80 @@
   0, 1, i_9e7f11e0500e8fe4, nullptr, nullptr, { &s_9e7f11e0500e8fe4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_83ec056c39a960a2 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    162,  96, 169,  57, 108,   5, 236, 131,
+     17,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  70, 114, 111, 110, 116,
+     46, 114, 101,  99,  97, 108, 108,  71,
+    114,  97, 110, 116, 115,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    107, 101, 121, 115,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_83ec056c39a960a2 = b_83ec056c39a960a2.words;
+#if !CAPNP_LITE
+static const uint16_t m_83ec056c39a960a2[] = {0};
+static const uint16_t i_83ec056c39a960a2[] = {0};
+const ::capnp::_::RawSchema s_83ec056c39a960a2 = {
+  0x83ec056c39a960a2, b_83ec056c39a960a2.words, 37, nullptr, m_83ec056c39a960a2,
+  0, 1, i_83ec056c39a960a2, nullptr, nullptr, { &s_83ec056c39a960a2, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_f0fe319afaa8c9d3 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    211, 201, 168, 250, 154,  49, 254, 240,
+     17,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  70, 114, 111, 110, 116,
+     46, 114, 101,  99,  97, 108, 108,  71,
+    114,  97, 110, 116, 115,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_f0fe319afaa8c9d3 = b_f0fe319afaa8c9d3.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_f0fe319afaa8c9d3 = {
+  0xf0fe319afaa8c9d3, b_f0fe319afaa8c9d3.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_f0fe319afaa8c9d3, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1401,6 +1488,16 @@
       "Peer.capnp:Front", "forward",
       0xf1161cde473f8389ull, 3);
 }
+::capnp::Request< ::Hornbeam::Wire::Front::RecallGrantsParams,  ::Hornbeam::Wire::Front::RecallGrantsResults>
+Front::Client::recallGrantsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Hornbeam::Wire::Front::RecallGrantsParams,  ::Hornbeam::Wire::Front::RecallGrantsResults>(
+      0xf1161cde473f8389ull, 4, sizeHint);
+}
+::kj::Promise<void> Front::Server::recallGrants(RecallGrantsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Peer.capnp:Front", "recallGrants",
+      0xf1161cde473f8389ull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult Front::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1439,6 +1536,12 @@
              ::Hornbeam::Wire::Front::ForwardParams,  ::Hornbeam::Wire::Front::ForwardResults>(context)),
         false
       };
+    case 4:
+      return {
+        recallGrants(::capnp::Capability::Server::internalGetTypedContext<
+             ::Hornbeam::Wire::Front::RecallGrantsParams,  ::Hornbeam::Wire::Front::RecallGrantsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1518,6 +1621,22 @@
 constexpr ::capnp::_::RawSchema const* Front::ForwardResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Front::RecallGrantsParams
+constexpr uint16_t Front::RecallGrantsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Front::RecallGrantsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Front::RecallGrantsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Front::RecallGrantsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Front::RecallGrantsResults
+constexpr uint16_t Front::RecallGrantsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Front::RecallGrantsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Front::RecallGrantsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Front::RecallGrantsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -35,6 +35,8 @@
 CAPNP_DECLARE_SCHEMA(cd067cd97c6ef5ee);
 CAPNP_DECLARE_SCHEMA(fac0b533e23968dc);
 CAPNP_DECLARE_SCHEMA(9e7f11e0500e8fe4);
+CAPNP_DECLARE_SCHEMA(83ec056c39a960a2);
+CAPNP_DECLARE_SCHEMA(f0fe319afaa8c9d3);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -163,6 +165,8 @@
   struct FetchTableResults;
   struct ForwardParams;
   struct ForwardResults;
+  struct RecallGrantsParams;
+  struct RecallGrantsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -292,6 +296,36 @@
   };
 };
 
+struct Front::RecallGrantsParams {
+  RecallGrantsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(83ec056c39a960a2, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Front::RecallGrantsResults {
+  RecallGrantsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f0fe319afaa8c9d3, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Member::Reader {
@@ -1095,6 +1129,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Hornbeam::Wire::Front::ForwardParams,  ::Hornbeam::Wire::Front::ForwardResults> forwardRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::Front::RecallGrantsParams,  ::Hornbeam::Wire::Front::RecallGrantsResults> recallGrantsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1127,6 +1163,10 @@
   typedef  ::Hornbeam::Wire::Front::ForwardResults ForwardResults;
   typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
   virtual ::kj::Promise<void> forward(ForwardContext context);
+  typedef  ::Hornbeam::Wire::Front::RecallGrantsParams RecallGrantsParams;
+  typedef  ::Hornbeam::Wire::Front::RecallGrantsResults RecallGrantsResults;
+  typedef ::capnp::CallContext<RecallGrantsParams, RecallGrantsResults> RecallGrantsContext;
+  virtual ::kj::Promise<void> recallGrants(RecallGrantsContext context);
 
   inline  ::Hornbeam::Wire::Front::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1786,6 +1826,159 @@
 };
 #endif  // !CAPNP_LITE
 
+class Front::RecallGrantsParams::Reader {
+public:
+  typedef RecallGrantsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKeys() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Front::RecallGrantsParams::Builder {
+public:
+  typedef RecallGrantsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKeys();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Front::RecallGrantsParams::Pipeline {
+public:
+  typedef RecallGrantsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Front::RecallGrantsResults::Reader {
+public:
+  typedef RecallGrantsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Front::RecallGrantsResults::Builder {
+public:
+  typedef RecallGrantsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Front::RecallGrantsResults::Pipeline {
+public:
+  typedef RecallGrantsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Member::Reader::hasName() const {
@@ -2953,6 +3146,44 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Front::RecallGrantsParams::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Front::RecallGrantsParams::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Front::RecallGrantsParams::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Front::RecallGrantsParams::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Front::RecallGrantsParams::Builder::setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Front::RecallGrantsParams::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Front::RecallGrantsParams::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Front::RecallGrantsParams::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Front::RecallGrantsParams::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -45,6 +45,14 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> recallGrants(RecallGrantsContext aContext) override
+  {
+    for (auto const key : aContext.getParams().getKeys())
+      this->handlers.onRecallGrant(key.cStr());
+    this->loop.Wake();
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> forward(ForwardContext aContext) override
   {
     auto const request = aContext.getParams().getRequest();
@@ -227,6 +235,14 @@
     };
     self->Run<std::string>(aPeer.peerAddress, aTimeout, kj::mv(call), std::move(aDone));
   };
+  port.recallGrant = [self](Member const& aPeer, std::string const& aKey) {
+    auto call = [aKey](Wire::Front::Client& aClient) {
+      auto request = aClient.recallGrantsRequest();
+      request.initKeys(1).set(0, aKey);
+      return request.send().then([](auto&&) { return true; });
+    };
+    self->Run<bool>(aPeer.peerAddress, kCallTimeout, kj::mv(call), [](std::optional<bool>) {});
+  };
   return port;
 }
 
--- a/Libraries/LibPeer/PeerPort.h
+++ b/Libraries/LibPeer/PeerPort.h
@@ -61,6 +61,8 @@
   std::function<void(Member const&, std::function<void(std::optional<std::string>)>)> fetchTable;
   std::function<void(Member const&, ForwardedRequest const&, Duration, std::function<void(std::optional<std::string>)>)>
     forward;
+  /// Asks a holder to stop using free slots of a key and to ask anew. Without an answer; the grant's end is what counts.
+  std::function<void(Member const&, std::string const& aKey)> recallGrant;
 };
 
 /// What this front does for the others.
@@ -69,6 +71,7 @@
   std::function<Heartbeat(Heartbeat const&)> onHeartbeat;
   std::function<GrantBatchAnswer(GrantBatch const&)> onGrantBatch;
   std::function<std::string()> onFetchTable;
+  std::function<void(std::string const& aKey)> onRecallGrant;
   std::function<void(ForwardedRequest const&, std::function<void(std::string)>)> onForward;
 };
 
--- a/Tests/World/World.cpp
+++ b/Tests/World/World.cpp
@@ -269,6 +269,12 @@
     call.operator()<std::string>(
       aPeer, kPeerTimeout, aDone, [](Process& aTo, auto aAnswer) { aAnswer(aTo.handlers.onFetchTable()); });
   };
+  port.recallGrant = [this, weak](Member const& aPeer, std::string const& aKey) {
+    auto const from = weak.lock();
+    auto const to = this->ProcessAt(aPeer.peerAddress);
+    if (to && this->CanTalk(*from, *to))
+      this->Deliver(to, kPeerDelay, [to, aKey] { to->handlers.onRecallGrant(aKey); });
+  };
   port.forward = [call](Member const& aPeer, ForwardedRequest const& aRequest, Duration aTimeout, auto aDone) {
     call.operator()<std::string>(aPeer, aTimeout, aDone, [aRequest](Process& aTo, auto aAnswer) {
       aTo.handlers.onForward(aRequest, aAnswer);
