--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -21,7 +21,7 @@
   std::shared_ptr<HttpExchange> self;
 };
 
-static constexpr std::size_t kReadPieceSize = 16 * 1024;
+static constexpr std::size_t kReadPieceSize = 16UL * 1024;
 
 static void
 Finish(HttpExchange& aExchange, HttpCallEnd aEnd, std::string aDetail)
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -296,7 +296,9 @@
 HttpServer::HandleEvent(lws* aConnection, lws_callback_reasons aReason, void* aUser, void* aInput, size_t aLength)
 {
   auto const* const protocol = lws_get_protocol(aConnection);
-  auto* const server = protocol != nullptr ? static_cast<HttpServer*>(protocol->user) : nullptr;
+  if (protocol == nullptr || protocol->user == nullptr)
+    return lws_callback_http_dummy(aConnection, aReason, aUser, aInput, aLength);
+  auto* const server = static_cast<HttpServer*>(protocol->user);
   auto* const slot = static_cast<ConnectionSlot*>(aUser);
   switch (aReason) {
     case LWS_CALLBACK_HTTP:
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -111,11 +111,23 @@
           connection = std::make_shared<Connection>();
           connection->stream = kj::mv(aStream);
           connection->client = kj::heap<capnp::TwoPartyClient>(*connection->stream);
+          this->DropWhenClosed(aAddress, connection);
         }
         return Wire::Front::Client(connection->client->bootstrap().castAs<Wire::Front>());
       });
   }
 
+  /// Forgets a connection as soon as the peer has closed it, so that no call uses it afterwards.
+  void DropWhenClosed(std::string const& aAddress, std::weak_ptr<Connection> const& aConnection)
+  {
+    this->tasks.add(aConnection.lock()->client->onDisconnect().then([this, aAddress, aConnection] {
+      auto const found = this->connections.find(aAddress);
+      if (found != this->connections.end() && found->second == aConnection.lock())
+        this->Drop(aAddress);
+      this->loop.Wake();
+    }));
+  }
+
   /// Closes a connection at the next turn of the loop: its own callbacks may be running now.
   void Drop(std::string const& aAddress)
   {
@@ -124,7 +136,11 @@
       return;
     auto const connection = found->second;
     this->connections.erase(found);
-    this->loop.RuntimeClock().Schedule(Duration::zero(), [connection] {});
+    // Cap'n Proto throws when it is told to shut down a connection that the peer has closed.
+    this->loop.RuntimeClock().Schedule(Duration::zero(), [connection] {
+      kj::runCatchingExceptions([&] { connection->client = nullptr; });
+      kj::runCatchingExceptions([&] { connection->stream = nullptr; });
+    });
   }
 
   /// Runs one call within a time. aCall makes the promise of its result from the client.
@@ -133,10 +149,12 @@
   {
     auto& timer = this->loop.Io().provider->getTimer();
     auto const done = std::make_shared<std::function<void(std::optional<Result>)>>(std::move(aDone));
-    auto promise =
-      timer.timeoutAfter(aTimeout.count() * kj::MICROSECONDS,
-                         this->Connect(aAddress).then(
-                           [aCall = kj::mv(aCall)](Wire::Front::Client aClient) mutable { return aCall(aClient); }));
+    // A connection that has just broken throws when it is used; evalNow makes that a failed promise.
+    auto result = kj::evalNow([&] {
+      return this->Connect(aAddress).then(
+        [aCall = kj::mv(aCall)](Wire::Front::Client aClient) mutable { return aCall(aClient); });
+    });
+    auto promise = timer.timeoutAfter(aTimeout.count() * kj::MICROSECONDS, kj::mv(result));
     this->tasks.add(promise.then(
       [this, done](Result&& aResult) {
         (*done)(std::move(aResult));
--- a/Libraries/LibSettings/FrontSettings.cpp
+++ b/Libraries/LibSettings/FrontSettings.cpp
@@ -143,7 +143,7 @@
     DurationKey("callers.key_validity_s", 1s, 10, 86400, callers.keyValidity),
     CountKey("callers.body_limit_bytes",
              1024,
-             16 * 1024 * 1024,
+             16L * 1024 * 1024,
              [&](std::int64_t aLimit) { callers.bodyLimit = static_cast<std::size_t>(aLimit); }),
     PolicyKey("routing.policy", aSettings.policy),
   };
--- a/Libraries/LibSettings/FrontSettings.h
+++ b/Libraries/LibSettings/FrontSettings.h
@@ -13,7 +13,7 @@
   Duration keepAddress{ 30s };
   /// How long a key prefix can be used.
   Duration keyValidity{ 600s };
-  std::size_t bodyLimit{ 256 * 1024 };
+  std::size_t bodyLimit{ 256UL * 1024 };
 };
 
 /// The settings of one front. Everything that operators steer while it runs is in the table instead.
--- a/Libraries/LibTable/Columns.cpp
+++ b/Libraries/LibTable/Columns.cpp
@@ -55,8 +55,11 @@
 AllowedChoices(Column const& aColumn)
 {
   std::string allowed;
-  for (auto const* const choice : aColumn.choices)
-    allowed += (allowed.empty() ? "" : ", ") + std::string(choice);
+  for (auto const* const choice : aColumn.choices) {
+    if (!allowed.empty())
+      allowed += ", ";
+    allowed += choice;
+  }
   return allowed;
 }
 
@@ -89,30 +92,46 @@
   VerifyNotReached();
 }
 
+static Column const*
+FindColumn(std::span<Column const> aColumns, std::string const& aName)
+{
+  for (auto const& column : aColumns) {
+    if (aName == column.name)
+      return &column;
+  }
+  return nullptr;
+}
+
+static std::string
+NamesOf(std::span<Column const> aColumns)
+{
+  std::string names;
+  for (auto const& column : aColumns) {
+    if (!names.empty())
+      names += ", ";
+    names += column.name;
+  }
+  return names;
+}
+
 bool
 CheckCells(RowKey const& aKey, Cells const& aCells, LastReason& aReason)
 {
   auto const columns = ColumnsOf(aKey.kind);
-  for (auto const& [name, value] : aCells) {
-    auto const column = std::ranges::find_if(columns, [&](Column const& aColumn) { return name == aColumn.name; });
-    if (column == columns.end()) {
-      std::string known;
-      for (auto const& each : columns)
-        known += (known.empty() ? "" : ", ") + std::string(each.name);
-      aReason = { ReasonCode::InvalidInput, ToString(aKey) + ": unknown cell '" + name + "'; allowed: " + known };
-      return false;
-    }
-    if (auto const allowed = FaultIn(*column, value)) {
-      aReason = { ReasonCode::InvalidInput,
-                  ToString(aKey) + ": cell '" + name + "' is '" + value + "'; allowed: " + *allowed };
-      return false;
-    }
+  auto const fail = [&](std::string const& aDetail) {
+    aReason = { ReasonCode::InvalidInput, ToString(aKey) + ": " + aDetail };
+    return false;
+  };
+  for (auto const& cell : aCells) {
+    auto const* const column = FindColumn(columns, cell.first);
+    if (column == nullptr)
+      return fail("unknown cell '" + cell.first + "'; allowed: " + NamesOf(columns));
+    if (auto const allowed = FaultIn(*column, cell.second))
+      return fail("cell '" + cell.first + "' is '" + cell.second + "'; allowed: " + *allowed);
   }
   for (auto const& column : columns) {
-    if (column.defaultValue == nullptr && !aCells.contains(column.name)) {
-      aReason = { ReasonCode::InvalidInput, ToString(aKey) + ": cell '" + column.name + "' is missing" };
-      return false;
-    }
+    if (column.defaultValue == nullptr && !aCells.contains(column.name))
+      return fail(std::string("cell '") + column.name + "' is missing");
   }
   return true;
 }
--- a/Libraries/LibTable/Table.h
+++ b/Libraries/LibTable/Table.h
@@ -26,7 +26,11 @@
 {
   RowKind kind{ RowKind::Pipeline };
   std::string name;
-  auto operator<=>(RowKey const&) const = default;
+  bool operator==(RowKey const&) const = default;
+  bool operator<(RowKey const& aOther) const
+  {
+    return this->kind != aOther.kind ? this->kind < aOther.kind : this->name < aOther.name;
+  }
 };
 
 using Cells = std::map<std::string, std::string>;
--- a/Services/hornbeamfront/main.cpp
+++ b/Services/hornbeamfront/main.cpp
@@ -96,7 +96,9 @@
   process.front.Start();
   PART_LOG("front") << aSettings.name << " serves callers on " << aSettings.callerAddress << ".";
   process.loop.Run();
-  return 0;
+  // libwebsockets closes its handles only while the loop turns, and the loop has ended; the system closes them.
+  google::FlushLogFiles(google::GLOG_INFO);
+  std::quick_exit(0);
 }
 
 }
--- a/Utilities/hornbeamctl/Output.cpp
+++ b/Utilities/hornbeamctl/Output.cpp
@@ -13,6 +13,7 @@
 PrintColumns(std::vector<std::string> const& aHeading, std::vector<std::vector<std::string>> const& aRows)
 {
   std::vector<std::size_t> widths;
+  widths.reserve(aHeading.size());
   for (auto const& title : aHeading)
     widths.push_back(title.size());
   for (auto const& row : aRows) {
