--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -94,8 +94,14 @@
     case RoutingPolicy::RoundRobin:
       return Choice{ static_cast<std::size_t>(aContext.turn % aCandidates.size()), "next in turn" };
     case RoutingPolicy::LeastOutstanding: {
-      auto const least = std::ranges::min_element(aCandidates, {}, &Candidate::used);
-      return Choice{ static_cast<std::size_t>(least - aCandidates.begin()), "fewest outstanding" };
+      // Ties go round in turn, or all fronts would send to the first endpoint.
+      std::size_t best = aContext.turn % aCandidates.size();
+      for (std::size_t step = 1; step < aCandidates.size(); ++step) {
+        auto const index = (aContext.turn + step) % aCandidates.size();
+        if (aCandidates[index].used < aCandidates[best].used)
+          best = index;
+      }
+      return Choice{ best, "fewest outstanding" };
     }
   }
   VerifyNotReached();
--- a/Tests/World/World.cpp
+++ b/Tests/World/World.cpp
@@ -75,6 +75,7 @@
   settings.callerAddress = aName + ":2";
   settings.administrationToken = "test-token";
   settings.callers.keepAddress = 2s;
+  settings.policy = this->policy;
   auto* const raw = process.get();
   process->front =
     std::make_unique<Front>(settings,
--- a/Tests/World/World.h
+++ b/Tests/World/World.h
@@ -45,6 +45,9 @@
   World(World const&) = delete;
   World& operator=(World const&) = delete;
 
+  /// The routing policy of fronts that are started from now on.
+  void SetPolicy(RoutingPolicy aPolicy) { this->policy = aPolicy; }
+
   void AddFront(std::string const& aName, std::string const& aDataCenter);
   FakeEndpoint& AddEndpoint(std::string const& aName, EndpointModelSettings aSettings);
   FakeEndpoint& Endpoint(std::string const& aName) { return *this->endpoints.at(aName); }
@@ -117,6 +120,7 @@
   std::vector<std::shared_ptr<TrackedRequest>> requests;
   std::vector<std::shared_ptr<TrackedEdit>> edits;
   std::vector<std::string> violations;
+  RoutingPolicy policy { RoutingPolicy::Adaptive };
   Incarnation lastIncarnation{ 1000 };
   std::uint64_t random;
 };
