--- a/Libraries/LibFront/RequestService.cpp
+++ b/Libraries/LibFront/RequestService.cpp
@@ -256,6 +256,22 @@
   return PredictRemaining(outlook);
 }
 
+/// True when the remaining stages cannot be done in time even without any queue: a slot would be wasted on it.
+bool
+RequestService::IsHopeless(RequestPointer const& aRequest) const
+{
+  auto const& progress = aRequest->progress;
+  if (this->settings.policy != RoutingPolicy::Adaptive)
+    return false;
+  Duration least { 0 };
+  for (std::size_t stage = progress.stage; stage < progress.pipeline.stages.size(); ++stage) {
+    auto const estimate = this->estimates.find(progress.pipeline.stages[stage]);
+    if (estimate != this->estimates.end())
+      least += estimate->second.mean;
+  }
+  return this->clock.Now() + least > progress.deadline;
+}
+
 /// Takes a new request in, if the lease, the deadline and the account's limit allow it now. Otherwise it stays waiting
 /// or is refused.
 void
@@ -368,6 +384,12 @@
   if (!next)
     return false;
   auto const request = this->active.at(next->request);
+  if (this->IsHopeless(request)) {
+    auto const detail = "the remaining stages take longer than is left";
+    this->FinishRefused(request,
+                        RefuseProgress(request->progress, RefusalReason::DeadlineUnreachable, detail, 500ms));
+    return true;
+  }
   auto const candidates = this->CandidatesOf(aPool, request);
   ChoiceContext context;
   context.policy = this->settings.policy;
--- a/Libraries/LibFront/RequestService.h
+++ b/Libraries/LibFront/RequestService.h
@@ -91,6 +91,7 @@
   void OnDeadline(RequestId aRequest);
   void Finish(RequestPointer const& aRequest, Answer const& aAnswer);
   void FinishRefused(RequestPointer const& aRequest, Refusal const& aRefusal);
+  bool IsHopeless(RequestPointer const& aRequest) const;
   Duration TimeNeeded(RequestPointer const& aRequest);
   Duration AttemptTimeout(RequestPointer const& aRequest, EndpointRow const& aEndpoint);
   void CountOutlier(EndpointRow const& aEndpoint);
