--- a/Libraries/LibFront/GrantService.cpp
+++ b/Libraries/LibFront/GrantService.cpp
@@ -90,6 +90,13 @@
   return entry->second;
 }
 
+int
+GrantService::KnownLimit(std::string const& aEndpoint) const
+{
+  auto const found = this->knowledge.find(aEndpoint);
+  return found == this->knowledge.end() ? 0 : found->second.limit;
+}
+
 bool
 GrantService::TakeEndpointSlot(std::string const& aEndpoint)
 {
--- a/Libraries/LibFront/GrantService.h
+++ b/Libraries/LibFront/GrantService.h
@@ -39,6 +39,9 @@
   Holding const* EndpointHolding(std::string const& aEndpoint) const;
   EndpointKnowledge& Knowledge(EndpointRow const& aEndpoint);
 
+  /// The limit that the endpoint's owner last told; zero before it has.
+  int KnownLimit(std::string const& aEndpoint) const;
+
   bool TakeEndpointSlot(std::string const& aEndpoint);
 
   /// True while the slots of the endpoint may be used; asked again at the last instant before a send.
--- a/Libraries/LibFront/RequestService.cpp
+++ b/Libraries/LibFront/RequestService.cpp
@@ -246,16 +246,40 @@
     auto const [estimate, isNew] = this->estimates.try_emplace(pool);
     if (isNew && row != table.pools.end())
       estimate->second.mean = row->second.expectedService;
-    StageOutlook each{ estimate->second, static_cast<int>(this->queues[pool].entries.size()), 0 };
-    for (auto const& [name, endpoint] : table.endpoints) {
-      auto const* const holding = endpoint.pool == pool ? this->grants.EndpointHolding(name) : nullptr;
-      each.slots += holding != nullptr ? holding->total : 0;
-    }
-    outlook.push_back(each);
+    outlook.push_back({ estimate->second,
+                        static_cast<int>(this->queues[pool].entries.size()),
+                        std::max(this->SlotsHeld(pool), this->SlotsInReach(pool)) });
   }
   return PredictRemaining(outlook);
 }
 
+int
+RequestService::SlotsHeld(std::string const& aPool) const
+{
+  int slots = 0;
+  for (auto const& [name, endpoint] : this->configuration.Current().endpoints) {
+    auto const* const holding = endpoint.pool == aPool ? this->grants.EndpointHolding(name) : nullptr;
+    slots += holding != nullptr ? holding->total : 0;
+  }
+  return slots;
+}
+
+/// The slots of a pool that this front can count on having when it asks: an equal share of the limits that the owners
+/// have told. What is held at this instant may be less, because unused slots go back.
+int
+RequestService::SlotsInReach(std::string const& aPool) const
+{
+  auto const* const record = this->membership.ActiveRecord();
+  if (record == nullptr)
+    return 0;
+  int limits = 0;
+  for (auto const& [name, endpoint] : this->configuration.Current().endpoints) {
+    if (endpoint.pool == aPool)
+      limits += this->grants.KnownLimit(name);
+  }
+  return limits / static_cast<int>(record->members.size());
+}
+
 /// True when the remaining stages cannot be done in time even without any queue: a slot would be wasted on it.
 bool
 RequestService::IsHopeless(RequestPointer const& aRequest) const
--- a/Libraries/LibFront/RequestService.h
+++ b/Libraries/LibFront/RequestService.h
@@ -91,6 +91,8 @@
   void OnDeadline(RequestId aRequest);
   void Finish(RequestPointer const& aRequest, Answer const& aAnswer);
   void FinishRefused(RequestPointer const& aRequest, Refusal const& aRefusal);
+  int SlotsHeld(std::string const& aPool) const;
+  int SlotsInReach(std::string const& aPool) const;
   bool IsHopeless(RequestPointer const& aRequest) const;
   Duration TimeNeeded(RequestPointer const& aRequest);
   Duration AttemptTimeout(RequestPointer const& aRequest, EndpointRow const& aEndpoint);
