--- a/Libraries/LibFront/RequestService.cpp
+++ b/Libraries/LibFront/RequestService.cpp
@@ -287,7 +287,7 @@
   auto const& progress = aRequest->progress;
   if (this->settings.policy != RoutingPolicy::Adaptive)
     return false;
-  Duration least { 0 };
+  Duration least{ 0 };
   for (std::size_t stage = progress.stage; stage < progress.pipeline.stages.size(); ++stage) {
     auto const estimate = this->estimates.find(progress.pipeline.stages[stage]);
     if (estimate != this->estimates.end())
@@ -410,8 +410,7 @@
   auto const request = this->active.at(next->request);
   if (this->IsHopeless(request)) {
     auto const detail = "the remaining stages take longer than is left";
-    this->FinishRefused(request,
-                        RefuseProgress(request->progress, RefusalReason::DeadlineUnreachable, detail, 500ms));
+    this->FinishRefused(request, RefuseProgress(request->progress, RefusalReason::DeadlineUnreachable, detail, 500ms));
     return true;
   }
   auto const candidates = this->CandidatesOf(aPool, request);
--- a/Tests/Experiment/Experiment.cpp
+++ b/Tests/Experiment/Experiment.cpp
@@ -20,27 +20,27 @@
 struct AccountShare
 {
   std::string account;
-  double share { 0 };
+  double share{ 0 };
 };
 
 /// The load of one pipeline.
 struct PipelineShare
 {
   std::string pipeline;
-  double share { 0 };
-  bool keyed { false };
+  double share{ 0 };
+  bool keyed{ false };
 };
 
 struct Deployment
 {
   std::string name;
-  int fronts { 0 };
+  int fronts{ 0 };
   std::vector<std::string> dataCenters;
   std::vector<AccountShare> accounts;
   std::vector<PipelineShare> pipelines;
   TableEdit table;
   /// Requests a second at which the narrowest pool is fully used.
-  double capacity { 0 };
+  double capacity{ 0 };
 };
 
 /// What happens during a run.
@@ -60,11 +60,11 @@
 };
 
 constexpr std::array kIncidents = {
-  IncidentName { Incident::None, "none" },
-  IncidentName { Incident::DataCenterMoves, "data-centre-moves" },
-  IncidentName { Incident::EndpointsColdAgain, "cold-again" },
-  IncidentName { Incident::SlowStage, "slow-stage" },
-  IncidentName { Incident::Burst, "burst" },
+  IncidentName{ Incident::None, "none" },
+  IncidentName{ Incident::DataCenterMoves, "data-centre-moves" },
+  IncidentName{ Incident::EndpointsColdAgain, "cold-again" },
+  IncidentName{ Incident::SlowStage, "slow-stage" },
+  IncidentName{ Incident::Burst, "burst" },
 };
 
 struct PolicyName
@@ -74,35 +74,35 @@
 };
 
 constexpr std::array kPolicies = {
-  PolicyName { RoutingPolicy::RoundRobin, "round-robin" },
-  PolicyName { RoutingPolicy::LeastOutstanding, "least-outstanding" },
-  PolicyName { RoutingPolicy::Adaptive, "adaptive" },
+  PolicyName{ RoutingPolicy::RoundRobin, "round-robin" },
+  PolicyName{ RoutingPolicy::LeastOutstanding, "least-outstanding" },
+  PolicyName{ RoutingPolicy::Adaptive, "adaptive" },
 };
 
 struct RunPlan
 {
-  RoutingPolicy policy { RoutingPolicy::Adaptive };
-  Incident incident { Incident::None };
-  double load { 1 };
-  Duration warmUp { 10s };
-  Duration length { 20s };
-  std::uint64_t seed { 1 };
+  RoutingPolicy policy{ RoutingPolicy::Adaptive };
+  Incident incident{ Incident::None };
+  double load{ 1 };
+  Duration warmUp{ 10s };
+  Duration length{ 20s };
+  std::uint64_t seed{ 1 };
 };
 
 /// What came of one run.
 struct RunResult
 {
-  int sent { 0 };
-  int inTime { 0 };
-  int violations { 0 };
+  int sent{ 0 };
+  int inTime{ 0 };
+  int violations{ 0 };
   std::map<std::string, int> refusals;
   std::map<std::string, std::pair<int, int>> accounts;
   std::vector<Duration> latencies;
   std::map<std::string, Duration> endpointTime;
-  Duration wastedTime { 0 };
-  std::size_t tokens { 0 };
-  int coldOverloads { 0 };
-  int falls { 0 };
+  Duration wastedTime{ 0 };
+  std::size_t tokens{ 0 };
+  int coldOverloads{ 0 };
+  int falls{ 0 };
 };
 
 Deployment
@@ -196,7 +196,8 @@
       this->world.AddEndpoint(name, settings);
     }
     for (int front = 0; front < aDeployment.fronts; ++front) {
-      auto const& dataCenter = aDeployment.dataCenters[static_cast<std::size_t>(front) % aDeployment.dataCenters.size()];
+      auto const& dataCenter =
+        aDeployment.dataCenters[static_cast<std::size_t>(front) % aDeployment.dataCenters.size()];
       this->fronts.push_back("front-" + std::to_string(front + 1));
       this->world.AddFront(this->fronts.back(), dataCenter);
     }
@@ -337,7 +338,7 @@
   std::mt19937_64 random;
   std::vector<std::string> fronts;
   std::optional<MonotonicTime> measuredFrom;
-  int sent { 0 };
+  int sent{ 0 };
 };
 
 std::int64_t
@@ -350,7 +351,11 @@
 }
 
 json
-ToJson(Deployment const& aDeployment, RunPlan const& aPlan, char const* aPolicy, char const* aIncident, RunResult const& aResult)
+ToJson(Deployment const& aDeployment,
+       RunPlan const& aPlan,
+       char const* aPolicy,
+       char const* aIncident,
+       RunResult const& aResult)
 {
   json accounts = json::object();
   for (auto const& [name, count] : aResult.accounts)
@@ -400,17 +405,18 @@
 int
 main(int aCount, char** aArguments)
 {
-  CLI::App application { "experiment: routing policies side by side under open-loop load" };
+  CLI::App application{ "experiment: routing policies side by side under open-loop load" };
   std::string file;
   std::string jsonFile;
-  std::vector<double> loads { 0.5, 0.8, 1.0, 1.5 };
+  std::vector<double> loads{ 0.5, 0.8, 1.0, 1.5 };
   std::vector<std::string> incidents;
   std::vector<std::string> policies;
   std::uint64_t seed = 1;
   int seconds = 20;
   application.add_option("deployment", file, "A deployment file, such as Base/yaqona/deployment.yaml")->required();
   application.add_option("--load", loads, "Loads as shares of capacity");
-  application.add_option("--incident", incidents, "none, data-centre-moves, cold-again, slow-stage, burst; all otherwise");
+  application.add_option(
+    "--incident", incidents, "none, data-centre-moves, cold-again, slow-stage, burst; all otherwise");
   application.add_option("--policy", policies, "round-robin, least-outstanding, adaptive; all otherwise");
   application.add_option("--seed", seed, "Seed of the arrivals");
   application.add_option("--seconds", seconds, "Measured time of one run");
@@ -424,9 +430,10 @@
   std::string stored;
   auto const table = CompileDeployment(deployment, stored);
   deployment.capacity = CapacityOf(deployment, table);
-  std::cout << "# capacity " << deployment.capacity << " requests/s, seed " << seed << ", " << seconds << " s a run\n"
-            << "deployment incident            load  policy            attainment  goodput  p50  p95 p99 ms  wasted s  falls "
-               "violations  refusals\n";
+  std::cout
+    << "# capacity " << deployment.capacity << " requests/s, seed " << seed << ", " << seconds << " s a run\n"
+    << "deployment incident            load  policy            attainment  goodput  p50  p95 p99 ms  wasted s  falls "
+       "violations  refusals\n";
   auto const wanted = [](std::vector<std::string> const& aNames, char const* aName) {
     return aNames.empty() || std::ranges::find(aNames, aName) != aNames.end();
   };
@@ -436,7 +443,7 @@
       for (auto const& policy : kPolicies) {
         if (!wanted(incidents, incident.name) || !wanted(policies, policy.name))
           continue;
-        RunPlan const plan { policy.policy, incident.incident, load, 20s, std::chrono::seconds(seconds), seed };
+        RunPlan const plan{ policy.policy, incident.incident, load, 20s, std::chrono::seconds(seconds), seed };
         auto const result = Run(deployment, table, stored, plan).Execute();
         rows.push_back(ToJson(deployment, plan, policy.name, incident.name, result));
         PrintLine(rows.back());
--- a/Tests/World/World.h
+++ b/Tests/World/World.h
@@ -120,7 +120,7 @@
   std::vector<std::shared_ptr<TrackedRequest>> requests;
   std::vector<std::shared_ptr<TrackedEdit>> edits;
   std::vector<std::string> violations;
-  RoutingPolicy policy { RoutingPolicy::Adaptive };
+  RoutingPolicy policy{ RoutingPolicy::Adaptive };
   Incarnation lastIncarnation{ 1000 };
   std::uint64_t random;
 };
