--- /dev/null
+++ b/Libraries/LibFront/GrantOwner.cpp
@@ -0,0 +1,266 @@
+#include "GrantKeys.h"
+#include "GrantService.h"
+#include <algorithm>
+
+/// The part of GrantService that answers as the owner of keys: ledgers, phases, changes of epoch, reports.
+
+namespace Hornbeam {
+
+static constexpr Duration kReportInterval = 500ms;
+
+bool
+GrantService::Transition::IsComplete() const
+{
+  return std::ranges::all_of(this->previous,
+                             [&](Member const& aMember) { return this->reported.contains(aMember.name); });
+}
+
+void
+GrantService::HandleEpoch(EpochRecord const& aRecord)
+{
+  auto const now = this->clock.Now();
+  auto const& grants = this->settings.grants;
+  auto const memory = grants.grantDuration + grants.longestWork + grants.driftAllowance;
+  bool const continuous = this->lastActiveEpoch + 1 == aRecord.epoch;
+  this->lastActiveEpoch = aRecord.epoch;
+  std::erase_if(this->transitions, [&](Transition const& aEach) {
+    return now - aEach.activatedAt > memory && now >= aEach.residualUntil;
+  });
+  Transition transition{ aRecord.previous, now, continuous, {}, {} };
+  transition.reported.insert(aRecord.drained.begin(), aRecord.drained.end());
+  this->transitions.push_back(std::move(transition));
+  std::erase_if(this->ledgers, [&](auto const& aEntry) {
+    auto const& owner = OwnerOf(aRecord, aEntry.first, this->DataCenterOf(aEntry.first));
+    return !continuous || owner != this->membership.Self();
+  });
+  std::erase_if(this->phases, [&](auto const& aEntry) {
+    auto const key = EndpointKey(aEntry.first);
+    return OwnerOf(aRecord, key, this->DataCenterOf(key)) != this->membership.Self();
+  });
+  // A grant of the epoch before that arrives from now on would be missing in the report to the new owner.
+  for (auto& [key, holding] : this->holdings) {
+    if (holding.requestSentAt)
+      CancelRequest(holding);
+  }
+  this->reportsDue.clear();
+  for (auto const& member : aRecord.members)
+    this->reportsDue.insert(member.name);
+  this->FlushSoon();
+}
+
+/// How long work may still be running that no member of the present epoch will report: work granted by owners whose
+/// books were lost, and work of holders that are no longer members.
+Duration
+GrantService::Residual() const
+{
+  auto const now = this->clock.Now();
+  auto until = now;
+  for (auto const& transition : this->transitions) {
+    auto const lost = TakenOverLedger(this->settings.grants, transition.activatedAt).takenOverUntil;
+    bool const isPresent = &transition == &this->transitions.back();
+    if (transition.IsComplete())
+      until = std::max(until, transition.residualUntil);
+    else if (!isPresent && !transition.previous.empty())
+      until = std::max(until, lost);
+  }
+  for (auto const& [key, ledger] : this->ledgers) {
+    for (auto const& [holder, entry] : ledger.entries) {
+      if (!this->membership.IsMemberHolder(holder))
+        until = std::max(until, entry.clearAt);
+    }
+  }
+  return until - now;
+}
+
+void
+GrantService::TakeReport(GrantBatch const& aBatch)
+{
+  auto& transition = this->transitions.back();
+  auto const name = aBatch.holder.substr(0, aBatch.holder.rfind('.'));
+  auto const* const reporter = FindMember(transition.previous, name);
+  bool const sameProcess = reporter != nullptr && aBatch.holder == name + "." + std::to_string(reporter->incarnation);
+  if (!sameProcess)
+    return;
+  transition.reported.insert(name);
+  transition.residualUntil = std::max(transition.residualUntil, this->clock.Now() + aBatch.residual);
+  if (!transition.IsComplete())
+    return;
+  PART_LOG("grants") << "every member of the epoch before has reported what it holds.";
+  for (auto& [key, ledger] : this->ledgers)
+    ledger.takenOverUntil = std::min(ledger.takenOverUntil, this->TakenOverUntil(key));
+}
+
+MonotonicTime
+GrantService::TakenOverUntil(std::string const& aKey) const
+{
+  auto const dataCenter = this->DataCenterOf(aKey);
+  auto const& grants = this->settings.grants;
+  MonotonicTime until{};
+  for (auto const& transition : this->transitions) {
+    if (transition.previous.empty())
+      continue;
+    EpochRecord const before{ 0, transition.previous, {} };
+    bool const kept = transition.continuous && OwnerOf(before, aKey, dataCenter) == this->membership.Self();
+    if (kept)
+      continue;
+    auto const unreported = TakenOverLedger(grants, transition.activatedAt).takenOverUntil;
+    until = std::max(until, transition.IsComplete() ? transition.residualUntil : unreported);
+  }
+  return until;
+}
+
+Ledger&
+GrantService::LedgerOf(std::string const& aKey)
+{
+  auto const [entry, isNew] = this->ledgers.try_emplace(aKey);
+  if (isNew)
+    entry->second.takenOverUntil = this->TakenOverUntil(aKey);
+  return entry->second;
+}
+
+EndpointPhase&
+GrantService::PhaseOf(std::string const& aEndpoint, PoolRow const& aPool)
+{
+  auto const [entry, isNew] = this->phases.try_emplace(aEndpoint);
+  if (isNew)
+    MakeCold(entry->second, aPool, this->clock.Now());
+  return entry->second;
+}
+
+GrantBatchAnswer
+GrantService::AnswerBatch(GrantBatch const& aBatch)
+{
+  GrantBatchAnswer answer;
+  auto const* const record = this->membership.ActiveRecord();
+  bool const mayAnswer = record != nullptr && record->epoch == aBatch.epoch && this->lastActiveEpoch == aBatch.epoch;
+  for (auto const& item : aBatch.items) {
+    bool const owns = mayAnswer && OwnerOf(*record, item.key, this->DataCenterOf(item.key)) == this->membership.Self();
+    if (owns)
+      answer.results.push_back(this->AnswerItem(item, record->members.size()));
+    else
+      answer.results.push_back({ item.key, std::nullopt, 0, false, 0 });
+  }
+  if (mayAnswer && aBatch.complete) {
+    this->TakeReport(aBatch);
+    answer.reportTaken = true;
+  }
+  return answer;
+}
+
+GrantResult
+GrantService::AnswerItem(GrantItem const& aItem, std::size_t aHolders)
+{
+  auto const& table = this->configuration.Current();
+  auto const name = NameIn(aItem.key);
+  auto const now = this->clock.Now();
+  GrantResult result;
+  result.key = aItem.key;
+  auto& ledger = this->LedgerOf(aItem.key);
+  auto rule = TakeoverRule::EqualShares;
+  if (IsAccountKey(aItem.key)) {
+    auto const account = table.accounts.find(name);
+    ledger.limit = account == table.accounts.end() ? 0 : account->second.limit;
+    result.limit = ledger.limit;
+  } else if (auto const endpoint = table.endpoints.find(name); endpoint != table.endpoints.end()) {
+    this->AnswerEndpointItem(aItem, endpoint->second, ledger, result);
+    rule = result.cold ? TakeoverRule::Withhold : TakeoverRule::EqualShares;
+  } else {
+    ledger.limit = 0;
+  }
+  result.grant = AnswerRequest(ledger, aItem.request, this->settings.grants, rule, aHolders, now);
+  return result;
+}
+
+void
+GrantService::AnswerEndpointItem(GrantItem const& aItem,
+                                 EndpointRow const& aEndpoint,
+                                 Ledger& aLedger,
+                                 GrantResult& aResult)
+{
+  auto const& table = this->configuration.Current();
+  auto const& pool = table.pools.at(aEndpoint.pool);
+  auto const now = this->clock.Now();
+  auto& phase = this->PhaseOf(aEndpoint.name, pool);
+  auto const before = phase.phase;
+  if (now < aLedger.takenOverUntil)
+    OnHint(phase, aItem.hint, pool, now);
+  OnWorkObserved(phase, aItem.observed, pool, this->phaseSettings, now);
+  this->NotePhaseChange(aEndpoint.name, before, phase, "work that the fronts observed");
+  bool const closed = IsTakenOut(table, aEndpoint) || this->membership.IsLeavingAddress(aEndpoint.address);
+  aLedger.limit = closed ? 0 : LimitOf(phase, pool);
+  aResult.limit = aLedger.limit;
+  aResult.cold = phase.phase == Phase::Cold;
+  aResult.incarnation = phase.incarnation;
+}
+
+void
+GrantService::NotePhaseChange(std::string const& aEndpoint,
+                              Phase aBefore,
+                              EndpointPhase const& aAfter,
+                              char const* aWhy)
+{
+  if (aBefore == aAfter.phase)
+    return;
+  char const* const name = aAfter.phase == Phase::Cold ? "cold" : aAfter.phase == Phase::Warm ? "warm" : "ramping";
+  PART_LOG("grants") << "endpoint " << aEndpoint << " is " << name << " with limit " << aAfter.limit << ": " << aWhy
+                     << ".";
+  if (aAfter.phase == Phase::Cold)
+    this->RecallGrants(EndpointKey(aEndpoint));
+}
+
+/// Grants that were made while the endpoint was warm are more than it bears now.
+void
+GrantService::RecallGrants(std::string const& aKey)
+{
+  auto const* const record = this->membership.ActiveRecord();
+  auto const ledger = this->ledgers.find(aKey);
+  if (record == nullptr || ledger == this->ledgers.end())
+    return;
+  for (auto const& member : record->members) {
+    auto const holder = member.name + "." + std::to_string(member.incarnation);
+    if (!ledger->second.entries.contains(holder))
+      continue;
+    if (member == this->membership.Self())
+      this->clock.Schedule(Duration::zero(), [this, aKey] { this->HandleRecall(aKey); });
+    else
+      this->peers.recallGrant(member, aKey);
+  }
+}
+
+void
+GrantService::HandleRecall(std::string const& aKey)
+{
+  auto const found = this->holdings.find(aKey);
+  if (found == this->holdings.end())
+    return;
+  SuspendHolding(found->second);
+  this->knowledge[NameIn(aKey)].cold = true;
+  this->FlushSoon();
+}
+
+void
+GrantService::PollReports()
+{
+  auto const* const record = this->membership.ActiveRecord();
+  auto const& table = this->configuration.Current();
+  if (record != nullptr) {
+    for (auto const& [name, endpoint] : table.endpoints) {
+      if (OwnerOf(*record, EndpointKey(name), endpoint.dataCenter) != this->membership.Self())
+        continue;
+      this->endpoints.report(endpoint.address, [this, name = name](std::optional<EndpointReport> aReport) {
+        auto const& rows = this->configuration.Current().endpoints;
+        auto const row = rows.find(name);
+        if (!aReport || row == rows.end())
+          return;
+        auto const& pool = this->configuration.Current().pools.at(row->second.pool);
+        auto& phase = this->PhaseOf(name, pool);
+        auto const before = phase.phase;
+        OnReport(phase, *aReport, pool, this->clock.Now());
+        this->NotePhaseChange(name, before, phase, "its report names another incarnation");
+      });
+    }
+  }
+  this->clock.Schedule(kReportInterval, [this] { this->PollReports(); });
+}
+
+}
