LibFront: Count a report of holdings for every open change of epoch

Cause: Processes.FrontKilled failed once of four runs, in a fresh clone on a busy machine: front 2 waited 5 s for a slot of encode-2, which it owned itself. The log shows why: it learned of epoch 3 in the instant in which it activated epoch 2, so it never took front 3's report for epoch 2 and withheld cold slots until 12.1 s after that activation (02.85 s -> 14.98 s, when the first call went to encode-2). Ruled out: the dead front's own slots (none were held), the lease (held throughout).

Change: a complete report tells all that its sender holds, so it counts for every change of epoch that still waits for that sender; members that are present are not part of the residual time, as they report by themselves; a change is complete when all present members have reported.

--- a/Libraries/LibFront/GrantOwner.cpp
+++ b/Libraries/LibFront/GrantOwner.cpp
@@ -11,8 +11,8 @@
 bool
 GrantService::Transition::IsComplete() const
 {
-  return std::ranges::all_of(this->previous,
-                             [&](Member const& aMember) { return this->reported.contains(aMember.name); });
+  auto const hasReported = [&](Member const& aMember) { return this->reported.contains(aMember.name); };
+  return std::ranges::all_of(this->previous, hasReported) && std::ranges::all_of(this->present, hasReported);
 }
 
 void
@@ -26,7 +26,7 @@
   std::erase_if(this->transitions, [&](Transition const& aEach) {
     return now - aEach.activatedAt > memory && now >= aEach.residualUntil;
   });
-  Transition transition{ aRecord.previous, now, continuous, {}, {} };
+  Transition transition{ aRecord.previous, aRecord.members, now, continuous, {}, {} };
   transition.reported.insert(aRecord.drained.begin(), aRecord.drained.end());
   this->transitions.push_back(std::move(transition));
   std::erase_if(this->ledgers, [&](auto const& aEntry) {
@@ -57,10 +57,13 @@
   auto until = now;
   for (auto const& transition : this->transitions) {
     auto const lost = TakenOverLedger(this->settings.grants, transition.activatedAt).takenOverUntil;
-    bool const isPresent = &transition == &this->transitions.back();
-    if (transition.IsComplete())
-      until = std::max(until, transition.residualUntil);
-    else if (!isPresent && !transition.previous.empty())
+    until = std::max(until, transition.residualUntil);
+    // Members that are present report by themselves, to every other.
+    bool const awaitsTheGone = std::ranges::any_of(transition.previous, [&](Member const& aMember) {
+      auto const* const known = this->membership.FindKnownMember(aMember.name, aMember.incarnation);
+      return known == nullptr && !transition.reported.contains(aMember.name);
+    });
+    if (awaitsTheGone)
       until = std::max(until, lost);
   }
   for (auto const& [key, ledger] : this->ledgers) {
@@ -75,17 +78,24 @@
 void
 GrantService::TakeReport(GrantBatch const& aBatch)
 {
-  auto& transition = this->transitions.back();
   auto const name = aBatch.holder.substr(0, aBatch.holder.rfind('.'));
-  auto const* const reporter = FindMember(transition.previous, name);
-  bool const sameProcess = reporter != nullptr && aBatch.holder == name + "." + std::to_string(reporter->incarnation);
-  if (!sameProcess)
-    return;
-  transition.reported.insert(name);
-  transition.residualUntil = std::max(transition.residualUntil, this->clock.Now() + aBatch.residual);
-  if (!transition.IsComplete())
+  auto const isReporter = [&](Member const& aMember) {
+    return aBatch.holder == aMember.name + "." + std::to_string(aMember.incarnation);
+  };
+  // A complete report tells all that its sender holds, from whichever epoch, so it counts for earlier changes too.
+  for (auto& transition : this->transitions) {
+    bool const awaited =
+      std::ranges::any_of(transition.previous, isReporter) || std::ranges::any_of(transition.present, isReporter);
+    // A later process under the name cannot speak for what its predecessor held.
+    auto const* const namesake = FindMember(transition.previous, name);
+    if (!awaited || (namesake != nullptr && !isReporter(*namesake)))
+      continue;
+    transition.reported.insert(name);
+    transition.residualUntil = std::max(transition.residualUntil, this->clock.Now() + aBatch.residual);
+  }
+  if (!this->transitions.back().IsComplete())
     return;
-  PART_LOG("grants") << "every member of the epoch before has reported what it holds.";
+  PART_LOG("grants") << "every member has reported what it holds.";
   for (auto& [key, ledger] : this->ledgers)
     ledger.takenOverUntil = std::min(ledger.takenOverUntil, this->TakenOverUntil(key));
 }
--- a/Libraries/LibFront/GrantService.h
+++ b/Libraries/LibFront/GrantService.h
@@ -74,10 +74,12 @@
   struct Transition
   {
     std::vector<Member> previous;
+    /// The members of the epoch that was activated.
+    std::vector<Member> present;
     MonotonicTime activatedAt{};
     /// Whether this front was active in the epoch before.
     bool continuous{ false };
-    /// Previous members that have reported all they hold, or had nothing when they left.
+    /// Members that have reported all they hold, or had nothing when they left.
     std::set<std::string> reported;
     /// Until when work that nobody reported may be running, as far as the reports tell.
     MonotonicTime residualUntil{};
