--- a/Libraries/LibGrants/EndpointPhase.h
+++ b/Libraries/LibGrants/EndpointPhase.h
@@ -41,7 +41,7 @@
 struct PhaseSettings
 {
   /// Mean latency up to this many times the baseline lets the limit rise.
-  double healthyLatencyRatio{ 2.0 };
+  double healthyLatencyRatio{ 1.5 };
   /// Mean latency above this many times the baseline makes the endpoint cold.
   double coldLatencyRatio{ 4.0 };
   /// Calls that must succeed at one limit before it is raised; at least the limit itself.
