LibFront: Name a holder of grants in one place

Cause: a read of the whole change.

Change: HolderName() in GrantKeys.h serves all four; the dead pieces are gone. No behaviour, check or bound changes.

Left: the sum of grant, longest work and drift stands in Ledger.cpp twice and in GrantOwner.cpp; the start of the two measuring scripts is alike; Membership.cpp, World.cpp and RequestService.cpp are large.

--- a/Libraries/LibFront/GrantKeys.h
+++ b/Libraries/LibFront/GrantKeys.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibMembership/LibMembership.h>
 #include <string>
 #include <string_view>
 
@@ -33,4 +34,11 @@
   return aKey.substr(aKey.find('/') + 1);
 }
 
+/// The name under which a member holds grants; a later process under its name is another holder.
+inline std::string
+HolderName(Member const& aMember)
+{
+  return aMember.name + "." + std::to_string(aMember.incarnation);
+}
+
 }
--- a/Libraries/LibFront/GrantOwner.cpp
+++ b/Libraries/LibFront/GrantOwner.cpp
@@ -79,9 +79,7 @@
 GrantService::TakeReport(GrantBatch const& aBatch)
 {
   auto const name = aBatch.holder.substr(0, aBatch.holder.rfind('.'));
-  auto const isReporter = [&](Member const& aMember) {
-    return aBatch.holder == aMember.name + "." + std::to_string(aMember.incarnation);
-  };
+  auto const isReporter = [&](Member const& aMember) { return aBatch.holder == HolderName(aMember); };
   // A complete report tells all that its sender holds, from whichever epoch, so it counts for earlier changes too.
   for (auto& transition : this->transitions) {
     bool const awaited =
@@ -227,7 +225,7 @@
   if (record == nullptr || ledger == this->ledgers.end())
     return;
   for (auto const& member : record->members) {
-    auto const holder = member.name + "." + std::to_string(member.incarnation);
+    auto const holder = HolderName(member);
     if (!ledger->second.entries.contains(holder))
       continue;
     if (member == this->membership.Self())
--- a/Libraries/LibFront/GrantService.cpp
+++ b/Libraries/LibFront/GrantService.cpp
@@ -214,7 +214,7 @@
 GrantService::MakeBatch(EpochRecord const& aRecord, Member const& aOwner)
 {
   GrantBatch batch;
-  batch.holder = this->settings.name + "." + std::to_string(this->membership.Self().incarnation);
+  batch.holder = HolderName(this->membership.Self());
   batch.epoch = aRecord.epoch;
   batch.complete = this->reportsDue.contains(aOwner.name);
   batch.residual = batch.complete ? this->Residual() : Duration::zero();
--- a/Libraries/LibFront/MembershipService.cpp
+++ b/Libraries/LibFront/MembershipService.cpp
@@ -1,5 +1,6 @@
 #include "MembershipService.h"
 #include "ConfigurationService.h"
+#include "GrantKeys.h"
 #include <algorithm>
 
 namespace Hornbeam {
@@ -64,9 +65,8 @@
 {
   if (!this->state.record)
     return false;
-  return std::ranges::any_of(this->state.record->members, [&](Member const& aMember) {
-    return aHolder == aMember.name + "." + std::to_string(aMember.incarnation);
-  });
+  return std::ranges::any_of(this->state.record->members,
+                             [&](Member const& aMember) { return aHolder == HolderName(aMember); });
 }
 
 std::vector<Member>
--- a/Tests/World/World.cpp
+++ b/Tests/World/World.cpp
@@ -526,12 +526,10 @@
   for (auto const& tracked : this->requests) {
     auto const& input = tracked->request.input;
     int runs = 0;
-    int mostRunsOfOne = 0;
     for (auto const& [name, endpoint] : this->endpoints) {
       auto const& all = endpoint->History().runs;
       auto const found = all.find(input);
       runs += found == all.end() ? 0 : found->second;
-      mostRunsOfOne = std::max(mostRunsOfOne, found == all.end() ? 0 : found->second);
     }
     if (tracked->answers > 1)
       this->Report("request " + input + " got " + std::to_string(tracked->answers) + " answers");
--- a/Tests/World/World.h
+++ b/Tests/World/World.h
@@ -24,7 +24,6 @@
 /// An edit that a test made, and its result.
 struct TrackedEdit
 {
-  std::string endpointsOutOf;
   std::optional<EditResult> result;
   MonotonicTime resultAt{};
 };
@@ -89,7 +88,7 @@
   MonotonicTime Now() const { return this->clock.Now(); }
   std::vector<std::shared_ptr<TrackedRequest>> const& Requests() const { return this->requests; }
 
-  /// Whether a duration has passed since the front lost its reach, for checks that allow a few seconds.
+  /// What did not hold so far; each is reported where it was seen.
   std::vector<std::string> const& Violations() const { return this->violations; }
 
   /// Checks the answers of all requests, once the world has been advanced past their deadlines.
