--- a/Libraries/LibCore/EventLoop.cpp
+++ b/Libraries/LibCore/EventLoop.cpp
@@ -1,4 +1,5 @@
 #include "EventLoop.h"
+#include "Log.h"
 #include "Verify.h"
 #include <algorithm>
 
@@ -37,6 +38,7 @@
     this->RunEmbedded();
     if (aCondition())
       return;
+    FlushLog();
     auto ready = kj::newPromiseAndFulfiller<void>();
     this->wake = kj::mv(ready.fulfiller);
     auto const wait = this->NextWait();
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -8,8 +8,13 @@
 
 namespace Hornbeam {
 
-/// Starts glog on standard error, without files: VMs have no disks.
+/// Sends the lines of glog to standard output, without files: VMs have no disks. Lines wait in memory until FlushLog();
+/// beyond a bound for each second or in memory they are dropped and counted, so that logging never blocks.
 void
 StartLogging(char const* aProgram);
 
+/// Writes waiting lines as far as standard output takes them now.
+void
+FlushLog();
+
 }
--- /dev/null
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -0,0 +1,368 @@
+#include "ClientCall.h"
+#include <algorithm>
+#include <charconv>
+
+namespace Hornbeam::Gateway {
+
+/// Idle connections without a stated time are closed after this; endpoints close theirs at times of their own.
+static constexpr Duration kDefaultIdleTime = 4s;
+/// A kept connection is given up this much before the endpoint would close it, so that a request does not cross the
+/// close; it covers a round trip between data centres and a late timer.
+static constexpr Duration kIdleMargin = 700ms;
+static constexpr Duration kLongestIdleTime = 30s;
+
+std::string_view
+ToString(CallEnd aEnd)
+{
+  switch (aEnd) {
+    case CallEnd::Complete:
+      return "complete";
+    case CallEnd::NotSent:
+      return "not-sent";
+    case CallEnd::Broken:
+      return "broken";
+    case CallEnd::TimedOut:
+      return "timed-out";
+  }
+  VerifyNotReached();
+}
+
+/// One connection to an endpoint.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
+{
+public:
+  ClientConnection(ConnectionPool& aPool, std::string aAddress)
+    : pool(aPool)
+    , address(std::move(aAddress))
+  {
+  }
+  ClientConnection(ClientConnection const&) = delete;
+  ClientConnection& operator=(ClientConnection const&) = delete;
+  ~ClientConnection() { this->pool.clock.Cancel(this->timer); }
+
+  std::string const& Address() const { return this->address; }
+  bool IsOpen() const { return this->stream && this->stream->IsOpen(); }
+
+  void Connect(OutgoingCall aCall, CallEvents aEvents)
+  {
+    this->Begin(std::move(aCall), std::move(aEvents));
+    std::weak_ptr<ClientConnection> const weak = this->weak_from_this();
+    StreamTimeouts timeouts;
+    timeouts.unacknowledged = std::max<Duration>(this->connectTimeout, timeouts.unacknowledged);
+    this->stream = TcpStream::Connect(this->pool.loop, this->address, timeouts, [weak](bool aConnected) {
+      if (auto const connection = weak.lock())
+        connection->OnConnected(aConnected);
+    });
+    if (!this->stream) {
+      this->pool.clock.Schedule(Duration::zero(), [weak] {
+        if (auto const connection = weak.lock())
+          connection->EndCall(CallEnd::NotSent);
+      });
+      return;
+    }
+    this->Attend();
+    this->connectTimer = this->pool.clock.Schedule(this->connectTimeout, [weak] {
+      auto const connection = weak.lock();
+      if (connection && !connection->connected)
+        connection->EndCall(CallEnd::NotSent);
+    });
+  }
+
+  void Reuse(OutgoingCall aCall, CallEvents aEvents)
+  {
+    this->Begin(std::move(aCall), std::move(aEvents));
+    this->SendRequest();
+  }
+
+  /// Waits idle for the next call; drops itself when the other side closes or sends anything.
+  void Idle(Duration aTime)
+  {
+    std::weak_ptr<ClientConnection> const weak = this->weak_from_this();
+    this->timer = this->pool.clock.Schedule(aTime, [weak] {
+      if (auto const connection = weak.lock())
+        connection->pool.Drop(connection.get());
+    });
+  }
+
+  void Abandon()
+  {
+    this->events.reset();
+    this->busy = false;
+    this->CloseNow();
+  }
+
+  void CloseNow()
+  {
+    this->pool.clock.Cancel(this->timer);
+    this->pool.clock.Cancel(this->connectTimer);
+    if (this->stream)
+      this->stream->Reset();
+    this->self.reset();
+  }
+
+  std::shared_ptr<TcpStream> const& Stream() const { return this->stream; }
+
+  /// The number of the call that is under way; zero while idle.
+  std::uint64_t CurrentCall() const { return this->busy ? this->calls : 0; }
+  std::uint64_t LastCall() const { return this->calls; }
+
+private:
+  void Begin(OutgoingCall aCall, CallEvents aEvents)
+  {
+    this->self = this->shared_from_this();
+    this->busy = true;
+    ++this->calls;
+    this->events = std::make_shared<CallEvents const>(std::move(aEvents));
+    this->connectTimeout = aCall.connectTimeout;
+    auto const method = aCall.request.method == "HEAD" ? ResponseTo::Head : ResponseTo::OtherMethod;
+    this->parser = std::make_unique<ResponseParser>(method);
+    this->headTold = false;
+    this->requestBytes = SerializeRequest(aCall.request);
+    this->pool.clock.Cancel(this->timer);
+    std::weak_ptr<ClientConnection> const weak = this->weak_from_this();
+    this->timer = this->pool.clock.Schedule(aCall.timeout, [weak] {
+      if (auto const connection = weak.lock())
+        connection->EndCall(connection->sent ? CallEnd::TimedOut : CallEnd::NotSent);
+    });
+  }
+
+  void Attend()
+  {
+    std::weak_ptr<ClientConnection> const weak = this->weak_from_this();
+    StreamEvents streamEvents;
+    streamEvents.onData = [weak](std::string_view aBytes) {
+      if (auto const connection = weak.lock())
+        connection->OnData(aBytes);
+    };
+    streamEvents.onEnd = [weak](StreamEnd aEnd) {
+      if (auto const connection = weak.lock())
+        connection->OnStreamEnd(aEnd);
+    };
+    this->stream->Listen(std::move(streamEvents));
+  }
+
+  void OnConnected(bool aConnected)
+  {
+    auto const keep = this->shared_from_this();
+    this->pool.clock.Cancel(this->connectTimer);
+    if (!aConnected)
+      return this->EndCall(CallEnd::NotSent);
+    this->connected = true;
+    if (this->busy)
+      this->SendRequest();
+  }
+
+  void SendRequest()
+  {
+    this->sent = true;
+    this->stream->Write(std::move(this->requestBytes));
+  }
+
+  void OnData(std::string_view aBytes)
+  {
+    auto const keep = this->shared_from_this();
+    if (!this->busy) {
+      // Bytes without a request belong to nothing.
+      this->pool.Drop(this);
+      return;
+    }
+    this->received += aBytes;
+    auto const state = this->parser->Feed(this->received);
+    if (state != ParseState::NeedMore && state != ParseState::Done)
+      return this->EndCall(CallEnd::Broken);
+    this->Tell();
+    if (this->busy && state == ParseState::Done)
+      this->OnWhole();
+  }
+
+  void Tell()
+  {
+    auto const told = this->events;
+    if (!this->parser->HeadComplete() || !told)
+      return;
+    if (!this->headTold) {
+      this->headTold = true;
+      if (told->onHead)
+        told->onHead(this->parser->Head());
+    }
+    if (!this->busy)
+      return;
+    if (auto body = this->parser->TakeBody(); !body.empty() && told->onBody)
+      told->onBody(std::move(body));
+  }
+
+  void OnWhole()
+  {
+    // A response that came before the whole request left, or with further bytes, leaves the connection unusable.
+    bool const usable = !this->parser->WantsClose() && this->received.empty() && this->stream->Unsent() == 0;
+    auto const idleTime = this->StatedIdleTime();
+    if (!usable || idleTime <= Duration::zero())
+      return this->EndCall(CallEnd::Complete);
+    auto const told = std::move(this->events);
+    this->busy = false;
+    this->sent = false;
+    this->parser.reset();
+    this->pool.clock.Cancel(this->timer);
+    auto const keep = std::move(this->self);
+    this->pool.Keep(keep, idleTime);
+    if (told && told->onEnd)
+      told->onEnd(CallEnd::Complete);
+  }
+
+  Duration StatedIdleTime() const
+  {
+    auto const head = this->parser->Head();
+    auto const* const stated = FindField(head.fields, "Keep-Alive");
+    if (stated == nullptr)
+      return kDefaultIdleTime;
+    auto const position = stated->find("timeout=");
+    if (position == std::string::npos)
+      return kDefaultIdleTime;
+    long seconds = 0;
+    std::from_chars(stated->data() + position + 8, stated->data() + stated->size(), seconds);
+    return std::min<Duration>(std::chrono::seconds(seconds), kLongestIdleTime) - kIdleMargin;
+  }
+
+  void OnStreamEnd(StreamEnd aEnd)
+  {
+    auto const keep = this->shared_from_this();
+    if (!this->busy) {
+      this->pool.Drop(this);
+      return;
+    }
+    if (!this->connected)
+      return this->EndCall(CallEnd::NotSent);
+    bool const whole = aEnd == StreamEnd::Closed && this->parser->FeedEnd() == ParseState::Done;
+    this->EndCall(whole ? CallEnd::Complete : CallEnd::Broken);
+  }
+
+  void EndCall(CallEnd aEnd)
+  {
+    if (!this->busy)
+      return;
+    auto const keep = this->shared_from_this();
+    auto const told = std::move(this->events);
+    this->busy = false;
+    if (aEnd != CallEnd::Complete)
+      ++this->pool.usage.failures;
+    this->CloseNow();
+    if (told && told->onEnd)
+      told->onEnd(aEnd);
+  }
+
+  ConnectionPool& pool;
+  std::string address;
+  std::shared_ptr<TcpStream> stream;
+  std::unique_ptr<ResponseParser> parser;
+  /// Shared with a callback that is running, which may abandon the call.
+  std::shared_ptr<CallEvents const> events;
+  std::shared_ptr<ClientConnection> self;
+  std::string requestBytes;
+  std::string received;
+  std::uint64_t calls{ 0 };
+  Duration connectTimeout{};
+  TimerId timer{ 0 };
+  TimerId connectTimer{ 0 };
+  bool busy{ false };
+  bool connected{ false };
+  bool sent{ false };
+  bool headTold{ false };
+};
+
+std::shared_ptr<ClientConnection>
+CallHandle::Find() const
+{
+  auto const held = this->connection.lock();
+  return held && held->CurrentCall() == this->call ? held : nullptr;
+}
+
+void
+CallHandle::Abandon() const
+{
+  if (auto const held = this->Find())
+    held->Abandon();
+}
+
+void
+CallHandle::PauseReading() const
+{
+  if (auto const held = this->Find(); held && held->Stream())
+    held->Stream()->PauseReading();
+}
+
+void
+CallHandle::ResumeReading() const
+{
+  if (auto const held = this->Find(); held && held->Stream())
+    held->Stream()->ResumeReading();
+}
+
+ConnectionPool::ConnectionPool(uv_loop_t& aLoop, Clock& aClock)
+  : loop(aLoop)
+  , clock(aClock)
+{
+}
+
+CallHandle
+ConnectionPool::Send(OutgoingCall aCall, CallEvents aEvents, Reuse aReuse)
+{
+  ++this->usage.calls;
+  auto const found = this->idle.find(aCall.address);
+  if (aReuse == Reuse::Kept && found != this->idle.end() && !found->second.empty()) {
+    // The connection used last is the least likely to be closed by the endpoint now.
+    auto const kept = std::move(found->second.back());
+    found->second.pop_back();
+    kept->Reuse(std::move(aCall), std::move(aEvents));
+    return { kept, kept->LastCall() };
+  }
+  ++this->usage.connectionsMade;
+  auto const connection = std::make_shared<ClientConnection>(*this, aCall.address);
+  connection->Connect(std::move(aCall), std::move(aEvents));
+  return { connection, connection->LastCall() };
+}
+
+bool
+ConnectionPool::HasIdle(std::string const& aAddress) const
+{
+  auto const found = this->idle.find(aAddress);
+  return found != this->idle.end() && !found->second.empty();
+}
+
+void
+ConnectionPool::Keep(std::shared_ptr<ClientConnection> aConnection, Duration aIdleTime)
+{
+  aConnection->Idle(aIdleTime);
+  this->idle[aConnection->Address()].push_back(std::move(aConnection));
+}
+
+void
+ConnectionPool::Drop(ClientConnection* aConnection)
+{
+  auto const found = this->idle.find(aConnection->Address());
+  if (found == this->idle.end())
+    return;
+  auto& connections = found->second;
+  auto const position =
+    std::ranges::find_if(connections, [&](auto const& aKept) { return aKept.get() == aConnection; });
+  if (position == connections.end())
+    return;
+  auto const dropped = std::move(*position);
+  connections.erase(position);
+  if (connections.empty())
+    this->idle.erase(found);
+  dropped->CloseNow();
+}
+
+void
+ConnectionPool::Forget(std::string const& aAddress)
+{
+  auto const found = this->idle.find(aAddress);
+  if (found == this->idle.end())
+    return;
+  auto const dropped = std::move(found->second);
+  this->idle.erase(found);
+  for (auto const& connection : dropped)
+    connection->CloseNow();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibExchange/HttpParsers.cpp
@@ -0,0 +1,203 @@
+#include "HttpParsers.h"
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace Hornbeam::Gateway {
+
+namespace http = boost::beast::http;
+
+/// Limits for the heads of responses, which the platform does not bound.
+static constexpr std::uint32_t kResponseHeaderBytes = 65536;
+/// A declared length above this is taken for garbage; memory is reserved by it.
+static constexpr std::uint64_t kResponseBodyBytes = 64 << 20;
+
+static ParseState
+StateOf(boost::beast::error_code const& aFailure)
+{
+  if (aFailure == http::error::need_more)
+    return ParseState::NeedMore;
+  if (aFailure == http::error::header_limit)
+    return ParseState::HeaderTooLarge;
+  if (aFailure == http::error::body_limit)
+    return ParseState::BodyTooLarge;
+  return ParseState::Malformed;
+}
+
+/// Feeds a Beast parser until it is done, fails or needs more.
+template<typename Parser, typename Check>
+static ParseState
+FeedParser(Parser& aParser, std::string& aBytes, Check aHeadCheck)
+{
+  while (!aParser.is_done() && !aBytes.empty()) {
+    boost::beast::error_code failure;
+    auto const used = aParser.put(boost::asio::buffer(aBytes.data(), aBytes.size()), failure);
+    aBytes.erase(0, used);
+    if (failure)
+      return StateOf(failure);
+    if (aParser.is_header_done() && !aHeadCheck())
+      return ParseState::Malformed;
+    if (used == 0)
+      break;
+  }
+  return aParser.is_done() ? ParseState::Done : ParseState::NeedMore;
+}
+
+template<typename Message>
+static HeaderFields
+FieldsOf(Message const& aMessage)
+{
+  HeaderFields fields;
+  for (auto const& field : aMessage) {
+    auto const name = field.name_string();
+    auto const value = field.value();
+    fields.emplace_back(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
+  }
+  return fields;
+}
+
+/// Beast treats an unknown transfer coding as no body at all, which would let a second request hide in the body.
+template<typename Message>
+static bool
+HasSoundCoding(Message const& aMessage)
+{
+  auto const coding = aMessage.find(http::field::transfer_encoding);
+  if (coding == aMessage.end())
+    return true;
+  return aMessage.count(http::field::transfer_encoding) == 1 &&
+         EqualIgnoringCase(std::string_view(coding->value().data(), coding->value().size()), "chunked");
+}
+
+struct RequestParser::Implementation
+{
+  http::request_parser<http::string_body> parser;
+};
+
+RequestParser::RequestParser(MessageLimits aLimits)
+  : implementation(std::make_unique<Implementation>())
+{
+  auto& parser = this->implementation->parser;
+  parser.header_limit(std::uint32_t(aLimits.headerBytes));
+  parser.body_limit(aLimits.bodyBytes);
+  parser.eager(true);
+}
+
+RequestParser::~RequestParser() = default;
+
+ParseState
+RequestParser::Feed(std::string& aBytes)
+{
+  auto& parser = this->implementation->parser;
+  return FeedParser(parser, aBytes, [&] { return HasSoundCoding(parser.get()); });
+}
+
+bool
+RequestParser::HeadComplete() const
+{
+  return this->implementation->parser.is_header_done();
+}
+
+bool
+RequestParser::ExpectsContinue() const
+{
+  auto const& message = this->implementation->parser.get();
+  return EqualIgnoringCase(std::string(message[http::field::expect]), "100-continue");
+}
+
+bool
+RequestParser::WantsClose() const
+{
+  return !this->implementation->parser.keep_alive();
+}
+
+RequestMessage
+RequestParser::Take()
+{
+  auto message = this->implementation->parser.release();
+  RequestMessage request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.fields = FieldsOf(message);
+  request.body = std::move(message.body());
+  return request;
+}
+
+struct ResponseParser::Implementation
+{
+  std::optional<http::response_parser<http::string_body>> parser;
+  ResponseTo method;
+
+  void Renew()
+  {
+    this->parser.emplace();
+    this->parser->header_limit(kResponseHeaderBytes);
+    this->parser->body_limit(kResponseBodyBytes);
+    this->parser->eager(true);
+    this->parser->skip(this->method == ResponseTo::Head);
+  }
+};
+
+ResponseParser::ResponseParser(ResponseTo aMethod)
+  : implementation(std::make_unique<Implementation>())
+{
+  this->implementation->method = aMethod;
+  this->implementation->Renew();
+}
+
+ResponseParser::~ResponseParser() = default;
+
+ParseState
+ResponseParser::Feed(std::string& aBytes)
+{
+  while (true) {
+    auto& parser = *this->implementation->parser;
+    auto const state = FeedParser(parser, aBytes, [&] { return HasSoundCoding(parser.get()); });
+    bool const informational = state == ParseState::Done && parser.get().result_int() / 100 == 1;
+    if (!informational)
+      return state;
+    this->implementation->Renew();
+    if (aBytes.empty())
+      return ParseState::NeedMore;
+  }
+}
+
+ParseState
+ResponseParser::FeedEnd()
+{
+  auto& parser = *this->implementation->parser;
+  if (!parser.is_header_done())
+    return ParseState::Malformed;
+  if (parser.is_done())
+    return ParseState::Done;
+  boost::beast::error_code failure;
+  parser.put_eof(failure);
+  return failure ? ParseState::Malformed : ParseState::Done;
+}
+
+bool
+ResponseParser::HeadComplete() const
+{
+  return this->implementation->parser->is_header_done();
+}
+
+bool
+ResponseParser::WantsClose() const
+{
+  return !this->implementation->parser->keep_alive();
+}
+
+ResponseHead
+ResponseParser::Head() const
+{
+  auto const& message = this->implementation->parser->get();
+  return { message.result_int(), FieldsOf(message) };
+}
+
+std::string
+ResponseParser::TakeBody()
+{
+  std::string body;
+  body.swap(this->implementation->parser->get().body());
+  return body;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibExchange/ServerConnection.cpp
@@ -0,0 +1,246 @@
+#include "ServerConnection.h"
+
+namespace Hornbeam::Gateway {
+
+/// How long an erring caller's further bytes are thrown away before its connection closes.
+static constexpr Duration kLingerTime = 500ms;
+/// Bytes of later requests that may wait while one is served.
+static constexpr std::size_t kWaitingBytes = 65536;
+
+Exchange::Exchange(std::weak_ptr<ServerConnection> aConnection, RequestMessage aRequest, MonotonicTime aReceived)
+  : connection(std::move(aConnection))
+  , request(std::move(aRequest))
+  , received(aReceived)
+{
+}
+
+void
+Exchange::Respond(ResponseHead const& aHead, std::string_view aBody)
+{
+  auto const to = this->connection.lock();
+  if (!to || to->phase != ServerConnection::Phase::Responding)
+    return;
+  auto bytes = SerializeResponseHead(aHead, BodyFraming::Sized, aBody.size(), to->Use());
+  if (this->request.method != "HEAD")
+    bytes += aBody;
+  to->stream->Write(std::move(bytes));
+  to->FinishResponse();
+}
+
+void
+Exchange::BeginStream(ResponseHead const& aHead)
+{
+  auto const to = this->connection.lock();
+  if (to && to->phase == ServerConnection::Phase::Responding)
+    to->stream->Write(SerializeResponseHead(aHead, BodyFraming::Chunked, 0, to->Use()));
+}
+
+void
+Exchange::SendPiece(std::string_view aPiece)
+{
+  auto const to = this->connection.lock();
+  if (to && to->phase == ServerConnection::Phase::Responding && !aPiece.empty())
+    to->stream->Write(SerializeChunk(aPiece));
+}
+
+void
+Exchange::EndStream()
+{
+  auto const to = this->connection.lock();
+  if (!to || to->phase != ServerConnection::Phase::Responding)
+    return;
+  to->stream->Write(SerializeLastChunk());
+  to->FinishResponse();
+}
+
+void
+Exchange::BreakOff()
+{
+  auto const to = this->connection.lock();
+  if (!to)
+    return;
+  to->exchange.reset();
+  to->stream->Reset();
+  to->End();
+}
+
+std::size_t
+Exchange::Unsent() const
+{
+  auto const to = this->connection.lock();
+  return to ? to->stream->Unsent() : 0;
+}
+
+ServerConnection::ServerConnection(ServerContext& aContext, std::shared_ptr<TcpStream> aStream)
+  : context(aContext)
+  , stream(std::move(aStream))
+{
+  ++this->context.open;
+}
+
+ServerConnection::~ServerConnection()
+{
+  --this->context.open;
+  this->context.clock.Cancel(this->timer);
+}
+
+void
+ServerConnection::Serve(ServerContext& aContext, std::shared_ptr<TcpStream> aStream)
+{
+  auto const connection = std::make_shared<ServerConnection>(aContext, std::move(aStream));
+  connection->self = connection;
+  StreamEvents events;
+  auto* const raw = connection.get();
+  events.onData = [raw](std::string_view aBytes) { raw->OnData(aBytes); };
+  events.onEnd = [raw](StreamEnd) { raw->OnEnd(); };
+  events.onDrained = [raw] {
+    if (raw->exchange && raw->exchange->onDrained)
+      raw->exchange->onDrained();
+  };
+  connection->stream->Listen(std::move(events));
+  connection->ArmTimer(aContext.limits.headerTimeout);
+}
+
+ConnectionUse
+ServerConnection::Use() const
+{
+  return this->closeAfter ? ConnectionUse::Close : this->context.use;
+}
+
+void
+ServerConnection::OnData(std::string_view aBytes)
+{
+  auto const keep = this->shared_from_this();
+  if (this->phase == Phase::Lingering || this->phase == Phase::Ended)
+    return;
+  this->received += aBytes;
+  if (this->phase == Phase::Responding) {
+    if (this->received.size() > kWaitingBytes)
+      this->stream->PauseReading();
+    return;
+  }
+  this->Advance();
+}
+
+void
+ServerConnection::OnEnd()
+{
+  auto const keep = this->shared_from_this();
+  if (auto const gone = std::move(this->exchange); gone && gone->onCallerGone)
+    gone->onCallerGone();
+  this->stream->Close();
+  this->End();
+}
+
+void
+ServerConnection::BeginRequest()
+{
+  this->phase = Phase::Receiving;
+  this->firstByte = this->context.clock.ArrivalBound();
+  this->continueSent = false;
+  this->parser = std::make_unique<RequestParser>(this->context.limits.message);
+  this->ArmTimer(this->context.limits.headerTimeout);
+}
+
+void
+ServerConnection::Advance()
+{
+  if (this->received.empty())
+    return;
+  if (this->phase == Phase::Idle)
+    this->BeginRequest();
+  switch (this->parser->Feed(this->received)) {
+    case ParseState::NeedMore:
+      if (this->parser->HeadComplete() && this->parser->ExpectsContinue() && !this->continueSent) {
+        this->continueSent = true;
+        this->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return;
+    case ParseState::Malformed:
+      return this->Reject(400, "malformed request");
+    case ParseState::HeaderTooLarge:
+      return this->Reject(431, "header too large");
+    case ParseState::BodyTooLarge:
+      return this->Reject(413, "body too large");
+    case ParseState::Done:
+      break;
+  }
+  this->closeAfter = this->parser->WantsClose();
+  this->context.clock.Cancel(this->timer);
+  this->phase = Phase::Responding;
+  auto request = std::make_shared<Exchange>(this->weak_from_this(), this->parser->Take(), this->firstByte);
+  this->parser.reset();
+  this->exchange = request;
+  this->context.handler(std::move(request));
+}
+
+void
+ServerConnection::FinishResponse()
+{
+  this->exchange.reset();
+  if (this->Use() == ConnectionUse::Close) {
+    this->phase = Phase::Lingering;
+    this->stream->ResumeReading();
+    this->ArmTimer(kLingerTime);
+    return;
+  }
+  this->phase = Phase::Idle;
+  this->stream->ResumeReading();
+  this->ArmTimer(this->context.limits.idleTimeout);
+  if (this->received.empty())
+    return;
+  // A request that came early begins at the next turn: the response may have been sent from within its handler.
+  std::weak_ptr<ServerConnection> const weak = this->weak_from_this();
+  this->context.clock.Schedule(Duration::zero(), [weak] {
+    if (auto const connection = weak.lock(); connection && connection->phase == Phase::Idle)
+      connection->Advance();
+  });
+}
+
+void
+ServerConnection::Reject(unsigned aStatus, std::string_view aReason)
+{
+  this->context.onRejected(aStatus, aReason);
+  ResponseHead const head{ aStatus, { { "Content-Type", "text/plain" } } };
+  this->stream->Write(SerializeResponseHead(head, BodyFraming::Sized, aReason.size(), ConnectionUse::Close) +
+                      std::string(aReason));
+  this->parser.reset();
+  this->received.clear();
+  this->phase = Phase::Lingering;
+  this->ArmTimer(kLingerTime);
+}
+
+void
+ServerConnection::ArmTimer(Duration aDelay)
+{
+  this->context.clock.Cancel(this->timer);
+  this->timer = this->context.clock.Schedule(aDelay, [this] { this->OnTimer(); });
+}
+
+void
+ServerConnection::OnTimer()
+{
+  auto const keep = this->shared_from_this();
+  if (this->phase == Phase::Receiving)
+    return this->Reject(408, "request took too long");
+  this->stream->Close();
+  this->End();
+}
+
+void
+ServerConnection::End()
+{
+  this->phase = Phase::Ended;
+  this->context.clock.Cancel(this->timer);
+  this->self.reset();
+}
+
+HttpEntry::HttpEntry(uv_loop_t& aLoop, Clock& aClock, ExchangeHandler aHandler)
+  : context{ aClock, {}, std::move(aHandler), ConnectionUse::KeepAlive, 0, [](unsigned, std::string_view) {} }
+  , listener(aLoop, StreamTimeouts{}, [this](std::shared_ptr<TcpStream> aStream) {
+    ServerConnection::Serve(this->context, std::move(aStream));
+  })
+{
+}
+
+}
--- /dev/null
+++ b/Libraries/LibExchange/TcpStream.cpp
@@ -0,0 +1,295 @@
+#include "TcpStream.h"
+#include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Hornbeam::Gateway {
+
+/// Large enough for a whole typical request in one read.
+static constexpr std::size_t kReadBufferBytes = 65536;
+/// Unanswered keep-alive probes after which a connection counts as dead; with a second between them a silent
+/// connection is found within the contact time of the platform's rules.
+static constexpr int kProbes = 2;
+static constexpr int kListenBacklog = 511;
+
+static uv_stream_t*
+AsStream(uv_tcp_t* aHandle)
+{
+  return reinterpret_cast<uv_stream_t*>(aHandle);
+}
+
+std::optional<sockaddr_in>
+ParseAddress(std::string const& aAddress)
+{
+  auto const colon = aAddress.rfind(':');
+  if (colon == std::string::npos || aAddress.size() - colon > 6)
+    return std::nullopt;
+  int port = 0;
+  for (auto const digit : std::string_view(aAddress).substr(colon + 1)) {
+    if (digit < '0' || digit > '9')
+      return std::nullopt;
+    port = port * 10 + (digit - '0');
+  }
+  sockaddr_in result{};
+  if (port == 0 || port > 65535 || uv_ip4_addr(aAddress.substr(0, colon).c_str(), port, &result) != 0)
+    return std::nullopt;
+  return result;
+}
+
+TcpStream::TcpStream()
+{
+  this->handle.data = this;
+  this->connecting.data = this;
+}
+
+void
+TcpStream::Prepare(StreamTimeouts aTimeouts)
+{
+  uv_tcp_nodelay(&this->handle, 1);
+  auto const probeAfter = std::max<Duration>(1s, aTimeouts.probeAfter);
+  uv_tcp_keepalive(&this->handle, 1, unsigned(std::chrono::duration_cast<std::chrono::seconds>(probeAfter).count()));
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&this->handle), &descriptor) != 0)
+    return;
+  int const interval = 1;
+  int const probes = kProbes;
+  auto const unacknowledged = static_cast<unsigned>(Milliseconds(aTimeouts.unacknowledged));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof(unacknowledged));
+}
+
+std::shared_ptr<TcpStream>
+TcpStream::Connect(uv_loop_t& aLoop,
+                   std::string const& aAddress,
+                   StreamTimeouts aTimeouts,
+                   std::function<void(bool)> aDone)
+{
+  auto const address = ParseAddress(aAddress);
+  if (!address)
+    return nullptr;
+  std::shared_ptr<TcpStream> stream(new TcpStream);
+  if (uv_tcp_init_ex(&aLoop, &stream->handle, AF_INET) != 0)
+    return nullptr;
+  stream->self = stream;
+  stream->Prepare(aTimeouts);
+  stream->onConnected = std::move(aDone);
+  auto const connected = [](uv_connect_t* aRequest, int aStatus) {
+    auto const stream = static_cast<TcpStream*>(aRequest->data)->shared_from_this();
+    auto const done = std::move(stream->onConnected);
+    if (stream->closing)
+      return;
+    if (aStatus == 0)
+      stream->StartReading();
+    done(aStatus == 0);
+  };
+  int const failure =
+    uv_tcp_connect(&stream->connecting, &stream->handle, reinterpret_cast<sockaddr const*>(&*address), connected);
+  if (failure == 0)
+    return stream;
+  stream->Finish();
+  return nullptr;
+}
+
+std::shared_ptr<TcpStream>
+TcpStream::Accept(uv_stream_t& aListener, StreamTimeouts aTimeouts)
+{
+  std::shared_ptr<TcpStream> stream(new TcpStream);
+  if (uv_tcp_init(aListener.loop, &stream->handle) != 0)
+    return nullptr;
+  stream->self = stream;
+  if (uv_accept(&aListener, AsStream(&stream->handle)) != 0) {
+    stream->Finish();
+    return nullptr;
+  }
+  stream->Prepare(aTimeouts);
+  stream->StartReading();
+  return stream;
+}
+
+void
+TcpStream::Listen(StreamEvents aEvents)
+{
+  this->events = std::make_shared<StreamEvents const>(std::move(aEvents));
+}
+
+void
+TcpStream::StartReading()
+{
+  if (this->reading || this->paused || this->closing)
+    return;
+  auto const allocate = [](uv_handle_t*, std::size_t, uv_buf_t* aBuffer) {
+    // One loop, one thread: the bytes are consumed before the next read.
+    static std::array<char, kReadBufferBytes> buffer;
+    *aBuffer = uv_buf_init(buffer.data(), buffer.size());
+  };
+  auto const onRead = [](uv_stream_t* aStream, ssize_t aCount, uv_buf_t const* aBuffer) {
+    static_cast<TcpStream*>(aStream->data)->OnRead(aCount, aBuffer);
+  };
+  this->reading = uv_read_start(AsStream(&this->handle), allocate, onRead) == 0;
+}
+
+void
+TcpStream::OnRead(ssize_t aCount, uv_buf_t const* aBuffer)
+{
+  auto const keep = this->shared_from_this();
+  auto const told = this->events;
+  if (aCount == 0 || this->closing || !told)
+    return;
+  if (aCount > 0) {
+    if (told->onData)
+      told->onData(std::string_view(aBuffer->base, std::size_t(aCount)));
+    return;
+  }
+  uv_read_stop(AsStream(&this->handle));
+  this->reading = false;
+  if (told->onEnd)
+    told->onEnd(aCount == UV_EOF ? StreamEnd::Closed : StreamEnd::Reset);
+}
+
+struct PendingWrite
+{
+  uv_write_t request{};
+  std::shared_ptr<TcpStream> stream;
+  std::string bytes;
+};
+
+void
+TcpStream::Write(std::string aBytes)
+{
+  if (this->closing || this->closeWhenSent || aBytes.empty())
+    return;
+  if (this->writesInFlight == 0) {
+    auto const buffer = uv_buf_init(aBytes.data(), static_cast<unsigned>(aBytes.size()));
+    int const written = uv_try_write(AsStream(&this->handle), &buffer, 1);
+    if (written == int(aBytes.size()))
+      return;
+    if (written > 0)
+      aBytes.erase(0, std::size_t(written));
+  }
+  auto* const pending = new PendingWrite;
+  pending->stream = this->shared_from_this();
+  pending->bytes = std::move(aBytes);
+  pending->request.data = pending;
+  auto const buffer = uv_buf_init(pending->bytes.data(), static_cast<unsigned>(pending->bytes.size()));
+  auto const written = [](uv_write_t* aRequest, int aStatus) {
+    std::unique_ptr<PendingWrite> const pending(static_cast<PendingWrite*>(aRequest->data));
+    pending->stream->OnWritten(aStatus);
+  };
+  ++this->writesInFlight;
+  if (uv_write(&pending->request, AsStream(&this->handle), &buffer, 1, written) != 0) {
+    delete pending;
+    --this->writesInFlight;
+  }
+}
+
+void
+TcpStream::OnWritten(int aStatus)
+{
+  --this->writesInFlight;
+  if (this->writesInFlight != 0 || this->closing)
+    return;
+  if (this->closeWhenSent) {
+    this->Finish();
+    return;
+  }
+  // NOTE: A failed write is reported by the read side.
+  auto const told = this->events;
+  if (aStatus == 0 && told && told->onDrained)
+    told->onDrained();
+}
+
+std::size_t
+TcpStream::Unsent() const
+{
+  return uv_stream_get_write_queue_size(reinterpret_cast<uv_stream_t const*>(&this->handle));
+}
+
+void
+TcpStream::PauseReading()
+{
+  if (this->paused || this->closing)
+    return;
+  this->paused = true;
+  if (this->reading)
+    uv_read_stop(AsStream(&this->handle));
+  this->reading = false;
+}
+
+void
+TcpStream::ResumeReading()
+{
+  if (!this->paused)
+    return;
+  this->paused = false;
+  this->StartReading();
+}
+
+void
+TcpStream::Close()
+{
+  this->events.reset();
+  if (this->closing)
+    return;
+  if (this->writesInFlight == 0) {
+    this->Finish();
+    return;
+  }
+  this->closeWhenSent = true;
+}
+
+void
+TcpStream::Reset()
+{
+  this->events.reset();
+  if (this->closing)
+    return;
+  this->closing = true;
+  auto const closed = [](uv_handle_t* aHandle) { static_cast<TcpStream*>(aHandle->data)->self.reset(); };
+  if (uv_tcp_close_reset(&this->handle, closed) != 0)
+    uv_close(reinterpret_cast<uv_handle_t*>(&this->handle), closed);
+}
+
+void
+TcpStream::Finish()
+{
+  this->events.reset();
+  if (this->closing)
+    return;
+  this->closing = true;
+  uv_close(reinterpret_cast<uv_handle_t*>(&this->handle),
+           [](uv_handle_t* aHandle) { static_cast<TcpStream*>(aHandle->data)->self.reset(); });
+}
+
+TcpListener::TcpListener(uv_loop_t& aLoop,
+                         StreamTimeouts aTimeouts,
+                         std::function<void(std::shared_ptr<TcpStream>)> aAccept)
+  : loop(aLoop)
+  , timeouts(aTimeouts)
+  , accept(std::move(aAccept))
+{
+}
+
+bool
+TcpListener::Open(std::string const& aAddress)
+{
+  auto const address = ParseAddress(aAddress);
+  if (!address)
+    return false;
+  this->handle = new uv_tcp_t;
+  if (uv_tcp_init(&this->loop, this->handle) != 0)
+    return false;
+  this->handle->data = this;
+  if (uv_tcp_bind(this->handle, reinterpret_cast<sockaddr const*>(&*address), 0) != 0)
+    return false;
+  auto const onConnection = [](uv_stream_t* aListener, int aStatus) {
+    if (aStatus != 0)
+      return;
+    auto& self = *static_cast<TcpListener*>(aListener->data);
+    if (auto stream = TcpStream::Accept(*aListener, self.timeouts))
+      self.accept(std::move(stream));
+  };
+  return uv_listen(AsStream(this->handle), kListenBacklog, onConnection) == 0;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -0,0 +1,139 @@
+#include "DirectoryService.h"
+#include "GatewayNames.h"
+#include <nlohmann/json.hpp>
+
+namespace Hornbeam::Gateway {
+
+/// The platform counts at most this many addresses of an answer.
+static constexpr std::size_t kMostAddresses = 64;
+
+DirectoryService::DirectoryService(Kernel& aKernel)
+  : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
+  , beliefs(aKernel.Find<BeliefService>(GatewayName::kBeliefs))
+  , clock(aKernel.Find<Clock>(GatewayName::kClock))
+  , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
+  , store(aKernel.Find<StoreClient>(GatewayName::kStore))
+  , peers(aKernel.Find<FrontPeers>(GatewayName::kPeers))
+  , stageOwner(aKernel.Find<StageOwnerService>(GatewayName::kStageOwner))
+  , proxy(aKernel.Find<ProxyService>(GatewayName::kProxy))
+  , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
+{
+}
+
+static void
+RespondText(Exchange& aExchange, unsigned aStatus, std::string const& aType, std::string const& aBody)
+{
+  aExchange.Respond({ aStatus, { { "Content-Type", aType } } }, aBody);
+}
+
+std::vector<std::string>
+DirectoryService::Addresses() const
+{
+  auto const now = this->clock.Now();
+  std::vector<std::pair<std::uint64_t, std::string>> found;
+  for (auto const& [name, belief] : this->beliefs.Fronts().byName) {
+    bool const own = name == this->settings.name;
+    if (own ? this->leaving : belief.suspectUntil > now)
+      continue;
+    // Each front names another part where there are more than an answer holds.
+    found.emplace_back(RendezvousWeight(this->settings.name, name), belief.entry.callerAddress);
+  }
+  if (found.empty() && !this->leaving)
+    found.emplace_back(0, this->settings.callerAddress);
+  std::ranges::sort(found, std::greater());
+  found.resize(std::min(found.size(), kMostAddresses));
+  std::vector<std::string> result;
+  for (auto& [weight, address] : found)
+    result.push_back(std::move(address));
+  return result;
+}
+
+void
+DirectoryService::HandleDirectory(std::shared_ptr<Exchange> const& aExchange)
+{
+  if (!Platform::DecodeDirectoryQuery(aExchange->Request())) {
+    RespondText(*aExchange, 404, "text/plain", "not here");
+    return;
+  }
+  auto const addresses = this->beliefs.Complete() ? this->Addresses() : std::vector<std::string>();
+  if (addresses.empty()) {
+    RespondText(*aExchange, 503, "text/plain", "no front is known");
+    return;
+  }
+  auto const body = Platform::EncodeDirectoryAnswer(addresses, this->settings.directoryLifetime);
+  RespondText(*aExchange, 200, "application/json", body);
+}
+
+void
+DirectoryService::HandleReadiness(std::shared_ptr<Exchange> const& aExchange)
+{
+  bool const ready = Platform::IsReadinessQuery(aExchange->Request()) && this->beliefs.Complete() && !this->leaving;
+  RespondText(*aExchange, ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
+}
+
+void
+DirectoryService::UpdateMetrics()
+{
+  auto& target = this->metrics;
+  auto const& endpoints = this->beliefs.Endpoints();
+  target.Set("table_version", this->beliefs.Table() ? double(this->beliefs.Table()->version) : 0);
+  target.Set("beliefs_age_seconds", double(Milliseconds(this->beliefs.Age())) / 1000);
+  target.Set("endpoints", double(endpoints.byId.size()));
+  target.Set("data_centers_out", double(endpoints.dataCentersOut.size()));
+  target.Set("fronts", double(this->beliefs.Fronts().byName.size()));
+  target.Set("requests_active", double(this->proxy.Active()));
+  target.Set("store_calls", double(this->store.Calls()));
+  target.Set("peer_calls", double(this->peers.Calls()));
+  target.Set("endpoint_calls", double(this->connections.Usage().calls));
+  target.Set("endpoint_connections_made", double(this->connections.Usage().connectionsMade));
+  target.Set("endpoint_call_failures", double(this->connections.Usage().failures));
+  auto const& counts = this->stageOwner.Counts();
+  target.Set("stage_calls", double(counts.calls));
+  target.Set("stage_pieces", double(counts.pieces));
+  target.Set("stage_calls_failed", double(counts.failedCalls));
+}
+
+std::string
+DirectoryService::Beliefs() const
+{
+  using nlohmann::json;
+  auto const now = this->clock.Now();
+  json result;
+  result["name"] = this->settings.name;
+  result["table_version"] = this->beliefs.Table() ? this->beliefs.Table()->version : 0;
+  result["store_reached"] = this->beliefs.StoreIsReached();
+  result["age_ms"] = Milliseconds(this->beliefs.Age());
+  result["leaving"] = this->leaving;
+  result["data_centers_out"] = this->beliefs.Endpoints().dataCentersOut;
+  auto& endpoints = result["endpoints"] = json::array();
+  for (auto const& [id, belief] : this->beliefs.Endpoints().byId)
+    endpoints.push_back({ { "id", id },
+                          { "service", belief.entry.service },
+                          { "data_center", belief.entry.dataCenter },
+                          { "state", belief.entry.state == EndpointState::Ready ? "ready" : "leaving" },
+                          { "cold_ms", std::max<std::int64_t>(0, Milliseconds(belief.coldUntil - now)) },
+                          { "ejected_ms", std::max<std::int64_t>(0, Milliseconds(belief.ejectedUntil - now)) },
+                          { "outstanding", belief.outstanding } });
+  auto& fronts = result["fronts"] = json::array();
+  for (auto const& [name, belief] : this->beliefs.Fronts().byName)
+    fronts.push_back({ { "name", name },
+                       { "address", belief.entry.callerAddress },
+                       { "suspect_ms", std::max<std::int64_t>(0, Milliseconds(belief.suspectUntil - now)) } });
+  return result.dump();
+}
+
+void
+DirectoryService::HandleMetrics(std::shared_ptr<Exchange> const& aExchange)
+{
+  auto const& target = aExchange->Request().target;
+  if (target == "/metrics") {
+    this->UpdateMetrics();
+    RespondText(*aExchange, 200, "text/plain; version=0.0.4", this->metrics.Render());
+  } else if (target == "/beliefs") {
+    RespondText(*aExchange, 200, "application/json", this->Beliefs());
+  } else {
+    RespondText(*aExchange, 404, "text/plain", "try /metrics or /beliefs");
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -0,0 +1,48 @@
+@0xd3a1f6b27c5e9048;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Hornbeam::Wire");
+
+# All pieces of one stage of one request. Times are relative, as the clocks of fronts differ.
+struct StageOrder {
+  service @0 :Text;
+  requestId @1 :Text;
+  stage @2 :UInt16;
+  pieces @3 :UInt32;
+  rank @4 :Int16;
+  targetLeftUs @5 :Int64;
+  deadlineLeftUs @6 :Int64;
+  laterUs @7 :Int64;
+  pieceBytes @8 :UInt64;
+  dataCenter @9 :Text;
+  key @10 :Text;
+  inputs @11 :List(Text);
+}
+
+enum StageEnd {
+  made @0;
+  late @1;
+  inputsGone @2;
+  failed @3;
+  moved @4;
+}
+
+struct StageResult {
+  end @0 :StageEnd;
+  handles @1 :List(Text);
+  retryAfterUs @2 :Int64;
+}
+
+# What a front that starts while the store is away takes over from its peers.
+struct KnownObject {
+  kind @0 :UInt8;
+  document @1 :Text;
+}
+
+interface GatewayPeer {
+  # Answered when all pieces are made or the order is given up. Dropping the call cancels the order.
+  makeStage @0 (order :StageOrder) -> (result :StageResult);
+  releaseResults @1 (service :Text, handles :List(Text)) -> ();
+  ping @2 () -> (incarnation :Int64);
+  knownObjects @3 () -> (objects :List(KnownObject));
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -0,0 +1,155 @@
+#include "GatewayFront.h"
+#include "GatewayNames.h"
+
+namespace Hornbeam::Gateway {
+
+/// Callers may hold an answer of the directory for its lifetime and come here meanwhile.
+static constexpr Duration kLeastDraining = 3s;
+/// Before SIGKILL comes.
+static constexpr Duration kGraceMargin = 500ms;
+static constexpr Duration kDrainReview = 100ms;
+
+GatewayFront::GatewayFront(GatewaySettings aSettings, EventLoop& aLoop, std::function<void()> aEnd)
+  : settings(std::move(aSettings))
+  , loop(aLoop)
+  , end(std::move(aEnd))
+  , connections(aLoop.Embedded(), aLoop.RuntimeClock())
+  , store(this->connections, this->settings.storeAddress)
+  , peers(aLoop)
+{
+  this->kernel.Provide(GatewayName::kSettings, static_cast<GatewaySettings const&>(this->settings));
+  this->kernel.Provide(GatewayName::kClock, aLoop.RuntimeClock());
+  this->kernel.Provide(GatewayName::kConnections, this->connections);
+  this->kernel.Provide(GatewayName::kStore, this->store);
+  this->kernel.Provide(GatewayName::kPeers, this->peers);
+  this->kernel.Provide(GatewayName::kMetrics, this->metrics);
+  this->beliefs = std::make_unique<BeliefService>(this->kernel);
+  this->kernel.Provide(GatewayName::kBeliefs, *this->beliefs);
+  this->stageOwner = std::make_unique<StageOwnerService>(this->kernel);
+  this->kernel.Provide(GatewayName::kStageOwner, *this->stageOwner);
+  this->stages = std::make_unique<StageService>(this->kernel);
+  this->kernel.Provide(GatewayName::kStages, *this->stages);
+  this->presence = std::make_unique<PresenceService>(this->kernel);
+  this->kernel.Provide(GatewayName::kPresence, *this->presence);
+  this->proxy = std::make_unique<ProxyService>(this->kernel);
+  this->kernel.Provide(GatewayName::kProxy, *this->proxy);
+  this->directory = std::make_unique<DirectoryService>(this->kernel);
+  this->kernel.Provide(GatewayName::kDirectory, *this->directory);
+}
+
+HttpEntry&
+GatewayFront::AddEntry(ExchangeHandler aHandler)
+{
+  this->entries.push_back(
+    std::make_unique<HttpEntry>(this->loop.Embedded(), this->loop.RuntimeClock(), std::move(aHandler)));
+  return *this->entries.back();
+}
+
+FrontPeerHandlers
+GatewayFront::PeerHandlers()
+{
+  FrontPeerHandlers handlers;
+  handlers.makeStage = [this](RemoteOrder aOrder, StageDone aDone) {
+    return this->stageOwner->Make(std::move(aOrder), std::move(aDone));
+  };
+  handlers.releaseResults = [this](std::string const& aService, std::vector<std::string> const& aHandles) {
+    this->stageOwner->Release(aService, aHandles);
+  };
+  handlers.incarnation = [this] { return this->presence->Incarnation(); };
+  handlers.knownObjects = [this] {
+    std::vector<KnownObject> objects;
+    for (auto& [kind, document] : this->beliefs->KnownObjects())
+      objects.push_back({ unsigned(kind), std::move(document) });
+    return objects;
+  };
+  return handlers;
+}
+
+bool
+GatewayFront::Open()
+{
+  this->callers = &this->AddEntry([this](std::shared_ptr<Exchange> aExchange) { this->proxy->Handle(aExchange); });
+  this->callers->Context().onRejected = [](unsigned aStatus, std::string_view aReason) {
+    PART_LOG("callers") << "event=rejected status=" << aStatus << " reason=\"" << aReason << "\"";
+  };
+  auto& readiness =
+    this->AddEntry([this](std::shared_ptr<Exchange> aExchange) { this->directory->HandleReadiness(aExchange); });
+  auto& directoryEntry =
+    this->AddEntry([this](std::shared_ptr<Exchange> aExchange) { this->directory->HandleDirectory(aExchange); });
+  auto& metricsEntry =
+    this->AddEntry([this](std::shared_ptr<Exchange> aExchange) { this->directory->HandleMetrics(aExchange); });
+  std::vector<std::pair<HttpEntry*, std::string>> const addresses{ { this->callers, this->settings.callerAddress },
+                                                                   { &readiness, this->settings.readinessAddress },
+                                                                   { &directoryEntry, this->settings.directoryAddress },
+                                                                   { &metricsEntry, this->settings.metricsAddress } };
+  for (auto const& [entry, address] : addresses)
+    if (!entry->Open(address)) {
+      LOG(ERROR) << "front: event=cannot-listen address=" << address;
+      return false;
+    }
+  return this->peers.Listen(this->settings.peerAddress, this->PeerHandlers());
+}
+
+void
+GatewayFront::Start()
+{
+  PART_LOG("front") << "event=start name=" << this->settings.name << " data_center=" << this->settings.dataCenter
+                    << " callers=" << this->settings.callerAddress << " store=" << this->settings.storeAddress
+                    << " incarnation=" << this->presence->Incarnation();
+  this->beliefs->OnChange([this] { this->ReviewCallerRules(); });
+  this->beliefs->Start();
+  this->presence->Start();
+}
+
+void
+GatewayFront::ReviewCallerRules()
+{
+  auto const table = this->beliefs->Table();
+  if (!table)
+    return;
+  auto const& rules = table->callers;
+  auto& limits = this->callers->Context().limits;
+  limits.message = { rules.maxHeaderBytes, rules.maxBodyBytes };
+  limits.headerTimeout = rules.headerTimeout;
+  limits.idleTimeout = rules.idleTimeout;
+}
+
+void
+GatewayFront::Reload(GatewaySettings const& aSettings)
+{
+  // Addresses and names belong to the process; the rest may change.
+  this->settings.graceTime = aSettings.graceTime;
+  this->settings.directoryLifetime = aSettings.directoryLifetime;
+  this->settings.retries = aSettings.retries;
+  this->settings.cold = aSettings.cold;
+  PART_LOG("front") << "event=reload name=" << this->settings.name;
+}
+
+void
+GatewayFront::BeginDraining()
+{
+  if (this->drainingSince)
+    return;
+  this->drainingSince = this->loop.RuntimeClock().Now();
+  PART_LOG("front") << "event=draining active=" << this->proxy->Active();
+  this->directory->Leave();
+  this->presence->Leave();
+  this->stageOwner->HandOver();
+  this->callers->Context().use = ConnectionUse::Close;
+  this->ReviewDraining();
+}
+
+void
+GatewayFront::ReviewDraining()
+{
+  auto const elapsed = this->loop.RuntimeClock().Now() - *this->drainingSince;
+  bool const idle = this->proxy->Active() == 0 && elapsed >= kLeastDraining;
+  if (idle || elapsed >= this->settings.graceTime - kGraceMargin) {
+    PART_LOG("front") << "event=stop active=" << this->proxy->Active() << " after_ms=" << Milliseconds(elapsed);
+    this->end();
+    return;
+  }
+  this->loop.RuntimeClock().Schedule(kDrainReview, [this] { this->ReviewDraining(); });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -0,0 +1,81 @@
+#include "GatewayMetrics.h"
+#include "ProxiedRequest.h"
+#include <prometheus/text_serializer.h>
+
+namespace Hornbeam::Gateway {
+
+/// Seconds; from a plain service's answer to the longest stream.
+static prometheus::Histogram::BucketBoundaries const&
+LatencyBuckets()
+{
+  static prometheus::Histogram::BucketBoundaries const buckets{ 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1,
+                                                                1.4,  2,    3,   5,    8,    15,  30 };
+  return buckets;
+}
+
+static prometheus::Histogram&
+LatencyHistogram(prometheus::Registry& aRegistry, std::string const& aName, std::string const& aHelp)
+{
+  return prometheus::BuildHistogram().Name(aName).Help(aHelp).Register(aRegistry).Add({}, LatencyBuckets());
+}
+
+GatewayMetrics::GatewayMetrics()
+  : ends(prometheus::BuildCounter()
+           .Name("hornbeamfront_proxied_ended_total")
+           .Help("Requests that ended, by outcome and status.")
+           .Register(this->registry))
+  , figures(prometheus::BuildGauge()
+              .Name("hornbeamfront_gateway")
+              .Help("Figures of the parts of a front, by name.")
+              .Register(this->registry))
+  , firstAnswer(LatencyHistogram(this->registry,
+                                 "hornbeamfront_first_answer_seconds",
+                                 "From the first byte of a request to the first byte of a streamed answer."))
+  , whole(LatencyHistogram(this->registry,
+                           "hornbeamfront_request_seconds",
+                           "From the first byte of a request to the end of its answer."))
+  , received(prometheus::BuildCounter()
+               .Name("hornbeamfront_proxied_received_total")
+               .Help("Whole requests from callers.")
+               .Register(this->registry)
+               .Add({}))
+{
+}
+
+void
+GatewayMetrics::CountEnd(RequestOutcome aOutcome, unsigned aStatus)
+{
+  this->ends.Add({ { "outcome", std::string(ToString(aOutcome)) }, { "status", std::to_string(aStatus) } }).Increment();
+}
+
+static double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+void
+GatewayMetrics::ObserveFirstAnswer(Duration aTime)
+{
+  this->firstAnswer.Observe(Seconds(aTime));
+}
+
+void
+GatewayMetrics::ObserveEnd(Duration aTime)
+{
+  this->whole.Observe(Seconds(aTime));
+}
+
+void
+GatewayMetrics::Set(std::string const& aName, double aValue)
+{
+  this->figures.Add({ { "figure", aName } }).Set(aValue);
+}
+
+std::string
+GatewayMetrics::Render() const
+{
+  return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -0,0 +1,129 @@
+#include "GatewaySettings.h"
+#include <LibExchange/LibExchange.h>
+#include <yaml-cpp/yaml.h>
+
+namespace Hornbeam::Gateway {
+
+/// The directory's answers live shorter than the platform allows, so that callers leave a stopped front soon.
+static constexpr Duration kDirectoryLifetime = 2s;
+
+namespace {
+
+/// Reads values by their path and collects faults.
+class SettingsReader
+{
+public:
+  SettingsReader(YAML::Node aRoot, std::vector<std::string>& aFaults)
+    : root(std::move(aRoot))
+    , faults(aFaults)
+  {
+  }
+
+  std::string Text(std::string const& aPath)
+  {
+    auto const node = this->Find(aPath);
+    if (node && node.IsScalar() && !node.Scalar().empty())
+      return node.Scalar();
+    this->faults.push_back(aPath + ": a text is needed");
+    return "";
+  }
+
+  std::string Address(std::string const& aPath)
+  {
+    auto address = this->Text(aPath);
+    if (!address.empty() && !ParseAddress(address))
+      this->faults.push_back(aPath + ": an address with a port is needed, such as 10.0.0.1:8080");
+    return address;
+  }
+
+  double Number(std::string const& aPath, double aLeast, double aMost)
+  {
+    auto const node = this->Find(aPath);
+    double value = 0;
+    if (node && node.IsScalar() && YAML::convert<double>::decode(node, value) && value >= aLeast && value <= aMost)
+      return value;
+    this->faults.push_back(aPath + ": a number from " + std::to_string(aLeast) + " to " + std::to_string(aMost) +
+                           " is needed");
+    return aLeast;
+  }
+
+  Duration Seconds(std::string const& aPath, double aLeast, double aMost)
+  {
+    std::chrono::duration<double> const seconds(this->Number(aPath, aLeast, aMost));
+    return std::chrono::duration_cast<Duration>(seconds);
+  }
+
+  std::vector<std::string> Addresses(std::string const& aPath)
+  {
+    std::vector<std::string> result;
+    auto const node = this->Find(aPath);
+    if (!node || !node.IsSequence())
+      return result;
+    for (auto const& item : node) {
+      auto const address = item.as<std::string>("");
+      if (ParseAddress(address))
+        result.push_back(address);
+      else
+        this->faults.push_back(aPath + ": " + address + " is no address with a port");
+    }
+    return result;
+  }
+
+private:
+  YAML::Node Find(std::string const& aPath) const
+  {
+    YAML::Node node = YAML::Clone(this->root);
+    std::size_t begin = 0;
+    while (begin <= aPath.size() && node && node.IsMap()) {
+      auto const end = std::min(aPath.find('.', begin), aPath.size());
+      node.reset(node[aPath.substr(begin, end - begin)]);
+      begin = end + 1;
+      if (begin > aPath.size())
+        return node;
+    }
+    return YAML::Node(YAML::NodeType::Undefined);
+  }
+
+  YAML::Node root;
+  std::vector<std::string>& faults;
+};
+
+}
+
+std::optional<GatewaySettings>
+LoadGatewaySettings(std::string const& aFile, std::vector<std::string>& aFaults)
+{
+  YAML::Node root;
+  // yaml-cpp reports by exceptions; outcomes are values here.
+  try {
+    root = YAML::LoadFile(aFile);
+  } catch (YAML::Exception const& failure) {
+    aFaults.push_back(aFile + ": " + failure.what());
+    return std::nullopt;
+  }
+  SettingsReader reader(root, aFaults);
+  GatewaySettings settings;
+  settings.name = reader.Text("name");
+  settings.dataCenter = reader.Text("data_center");
+  settings.region = reader.Text("region");
+  settings.callerAddress = reader.Address("addresses.callers");
+  settings.readinessAddress = reader.Address("addresses.readiness");
+  settings.directoryAddress = reader.Address("addresses.directory");
+  settings.peerAddress = reader.Address("addresses.peers");
+  settings.metricsAddress = reader.Address("addresses.metrics");
+  settings.storeAddress = reader.Address("store.address");
+  settings.seeds = reader.Addresses("seeds");
+  settings.graceTime = reader.Seconds("shutdown.grace_s", 0.5, 600);
+  settings.directoryLifetime =
+    std::min(kDirectoryLifetime, reader.Seconds("directory.longest_lifetime_s", 0.1, 600));
+  settings.retries.ratio = reader.Number("retries.ratio", 0, 10);
+  settings.retries.slack = reader.Number("retries.slack", 0, 100000);
+  settings.retries.window = reader.Seconds("retries.window_s", 1, 600);
+  settings.cold.overshoot = reader.Number("cold.overshoot", 0, 100);
+  settings.cold.slack = reader.Number("cold.slack", 0, 100000);
+  if (!aFaults.empty())
+    return std::nullopt;
+  return settings;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -0,0 +1,97 @@
+#include "ObjectWatch.h"
+
+namespace Hornbeam::Gateway {
+
+/// Below the longest wait that the store allows (30 s); each call is priced, so a watch waits long. A silent connection
+/// is found by TCP's keep-alive probes, not by this time.
+static constexpr Duration kWatchTime = 25s;
+static constexpr Duration kFirstBackOff = 100ms;
+/// The table must be in force two seconds after the store's acknowledgement once the store is back.
+static constexpr Duration kLongestBackOff = 800ms;
+
+ObjectWatch::ObjectWatch(StoreClient& aStore, Clock& aClock, ObjectKind aKind, ObjectWatchEvents aEvents)
+  : store(aStore)
+  , clock(aClock)
+  , kind(aKind)
+  , events(std::move(aEvents))
+  , random(std::random_device{}())
+{
+}
+
+void
+ObjectWatch::SetReach(StoreReach aReach)
+{
+  if (aReach == StoreReach::Reached)
+    this->heardAt = this->clock.Now();
+  if (aReach == this->reach)
+    return;
+  this->reach = aReach;
+  if (aReach == StoreReach::Lost)
+    PART_WARNING("store") << "event=lost kind=" << ToString(this->kind) << " revision=" << this->revision;
+  else
+    PART_LOG("store") << "event=reached kind=" << ToString(this->kind) << " revision=" << this->revision;
+  this->events.onReach(aReach);
+}
+
+void
+ObjectWatch::Retry(std::string_view aWhat, Platform::StoreOutcome aOutcome, std::function<void()> aAction)
+{
+  this->SetReach(StoreReach::Lost);
+  this->backOff = std::clamp<Duration>(this->backOff * 2, kFirstBackOff, kLongestBackOff);
+  // Jitter keeps the fronts from coming back all at once.
+  auto const delay = this->backOff / 2 + this->backOff * std::int64_t(this->random() % 1000) / 2000;
+  PART_LOG("store") << "event=retry call=" << aWhat << " kind=" << ToString(this->kind)
+                    << " outcome=" << ToString(aOutcome) << " delay_ms=" << Milliseconds(delay);
+  this->clock.Schedule(delay, std::move(aAction));
+}
+
+void
+ObjectWatch::List()
+{
+  this->store.List(this->kind, [this](Platform::ObjectList aAnswer) {
+    if (aAnswer.outcome != Platform::StoreOutcome::Done) {
+      this->Retry("list", aAnswer.outcome, [this] { this->List(); });
+      return;
+    }
+    this->backOff = {};
+    this->revision = aAnswer.revision;
+    this->SetReach(StoreReach::Reached);
+    this->events.onList(std::move(aAnswer.objects));
+    this->Watch();
+  });
+}
+
+void
+ObjectWatch::Watch()
+{
+  this->store.Watch(
+    this->kind, this->revision, kWatchTime, [this](Platform::ObjectEvents aAnswer) { this->OnEvents(std::move(aAnswer)); });
+}
+
+void
+ObjectWatch::OnEvents(Platform::ObjectEvents aAnswer)
+{
+  switch (aAnswer.outcome) {
+    case Platform::StoreOutcome::Done:
+      break;
+    case Platform::StoreOutcome::HistoryGone:
+      PART_LOG("store") << "event=history-gone kind=" << ToString(this->kind) << " revision=" << this->revision;
+      this->List();
+      return;
+    default:
+      this->Retry("watch", aAnswer.outcome, [this] { this->Watch(); });
+      return;
+  }
+  this->backOff = {};
+  this->SetReach(StoreReach::Reached);
+  this->revision = std::max(this->revision, aAnswer.revision);
+  for (auto& event : aAnswer.events) {
+    if (event.removed)
+      this->events.onRemoved(std::move(event.object));
+    else
+      this->events.onChanged(std::move(event.object));
+  }
+  this->Watch();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ObjectWatch.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <platform/Platform.h>
+#include <random>
+
+namespace Hornbeam::Gateway {
+
+using Platform::ObjectKind;
+using Platform::StoreClient;
+using Platform::StoredObject;
+
+enum class StoreReach
+{
+  Unknown,
+  Reached,
+  Lost,
+};
+
+/// What the owner of a watch is told.
+struct ObjectWatchEvents
+{
+  /// All objects of the kind, after the start and after a gap in the history.
+  std::function<void(std::vector<StoredObject>)> onList;
+  std::function<void(StoredObject)> onChanged;
+  std::function<void(StoredObject)> onRemoved;
+  std::function<void(StoreReach)> onReach;
+};
+
+/// Follows all objects of one kind: one list, then one long watch after the other.
+class ObjectWatch
+{
+public:
+  ObjectWatch(StoreClient& aStore, Clock& aClock, ObjectKind aKind, ObjectWatchEvents aEvents);
+  ObjectWatch(ObjectWatch const&) = delete;
+  ObjectWatch& operator=(ObjectWatch const&) = delete;
+
+  void Start() { this->List(); }
+
+  StoreReach Reach() const { return this->reach; }
+
+  /// When the store last answered this watch.
+  MonotonicTime HeardAt() const { return this->heardAt; }
+
+private:
+  void List();
+  void Watch();
+  void OnEvents(Platform::ObjectEvents aAnswer);
+  void SetReach(StoreReach aReach);
+  void Retry(std::string_view aWhat, Platform::StoreOutcome aOutcome, std::function<void()> aAction);
+
+  StoreClient& store;
+  Clock& clock;
+  ObjectKind kind;
+  ObjectWatchEvents events;
+  StoreReach reach{ StoreReach::Unknown };
+  MonotonicTime heardAt{};
+  std::uint64_t revision{ 0 };
+  Duration backOff{ 0 };
+  std::minstd_rand random;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -0,0 +1,613 @@
+#include "ProxiedRequest.h"
+
+namespace Hornbeam::Gateway {
+
+/// The final answer leaves this much before the caller stops waiting; it covers the way back.
+static constexpr Duration kAnswerMargin = 15ms;
+/// The time from sending to the first event of a model endpoint that is not loaded: connect, read the prompt, one step.
+static constexpr Duration kFirstEventTime = 150ms;
+/// A stream that may go on elsewhere is given up after this silence. Callers leave after two seconds.
+static constexpr Duration kStallTime = 1200ms;
+/// An endpoint that has not begun to answer a repeatable request is given up after this multiple of the target.
+static constexpr unsigned kFirstAnswerPatience = 2;
+static constexpr Duration kConnectTimeout = 400ms;
+/// Endpoints that could not be reached, tried for one request besides its attempts: nothing was sent to them.
+static constexpr unsigned kMostConnectFailures = 4;
+static constexpr unsigned kMostStageRestarts = 2;
+/// Answers up to this size are held until they are whole, so that a broken one can be replaced.
+static constexpr std::size_t kHeldAnswerBytes = 256 * 1024;
+/// Unsent bytes towards a slow caller at which reading from the endpoint pauses.
+static constexpr std::size_t kCallerBacklog = 128 * 1024;
+static constexpr Duration kLeastRetryAfter = 200ms;
+static constexpr Duration kRetryAfterNoEndpoint = 500ms;
+
+std::string_view
+ToString(RequestOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case RequestOutcome::Answered:
+      return "answered";
+    case RequestOutcome::Refused:
+      return "refused";
+    case RequestOutcome::Failed:
+      return "failed";
+    case RequestOutcome::BrokenOff:
+      return "broken-off";
+    case RequestOutcome::CallerGone:
+      return "caller-gone";
+  }
+  VerifyNotReached();
+}
+
+ProxiedRequest::ProxiedRequest(ProxyService& aService,
+                               std::shared_ptr<Exchange> aExchange,
+                               std::shared_ptr<ServingTable const> aTable,
+                               Route const& aRoute,
+                               ClientAccount aAccount,
+                               Platform::RequestFacts aFacts)
+  : service(aService)
+  , exchange(std::move(aExchange))
+  , table(std::move(aTable))
+  , route(aRoute)
+  , account(std::move(aAccount))
+  , facts(std::move(aFacts))
+{
+}
+
+bool
+ProxiedRequest::IsRepeatable() const
+{
+  return this->route.kind == RequestKind::Safe || (this->route.kind == RequestKind::Streaming && this->route.resumable);
+}
+
+std::string
+ProxiedRequest::AffinityKey() const
+{
+  // The deepest part that other requests share; the last one is the request's or its session's own.
+  auto const& prompt = this->facts.prompt;
+  if (!this->route.prefixAffinity || prompt.empty())
+    return "";
+  return prompt.size() > 1 ? prompt[prompt.size() - 2].id : prompt.back().id;
+}
+
+EndpointQuery
+ProxiedRequest::Query() const
+{
+  return { this->target,
+           this->AffinityKey(),
+           this->tried,
+           this->service.settings.name,
+           this->service.settings.dataCenter };
+}
+
+void
+ProxiedRequest::Begin()
+{
+  auto const received = this->exchange->Received();
+  auto const patience = std::min(this->route.timeout, this->facts.patience.value_or(this->route.timeout));
+  this->deadline = received + patience - kAnswerMargin;
+  this->due = received + this->route.targetLatency;
+  this->rank = this->account.priority.value_or(this->route.priority);
+  double const draw = double(this->service.random() - std::minstd_rand::min()) /
+                      (double(std::minstd_rand::max()) - double(std::minstd_rand::min()) + 1);
+  this->target = PickService(this->route, draw);
+  CountRequest(this->service.retryShares[this->target], this->service.settings.retries, received);
+  auto const self = this->weak_from_this();
+  this->exchange->onCallerGone = [self] {
+    if (auto const request = self.lock())
+      request->End(RequestOutcome::CallerGone, 0, "caller-gone");
+  };
+  this->deadlineTimer =
+    this->service.clock.Schedule(this->deadline - this->service.clock.Now(), [self] {
+      if (auto const request = self.lock())
+        request->OnDeadline();
+    });
+  if (this->route.stages.empty()) {
+    this->TryEndpoint();
+    return;
+  }
+  this->stages = PlanStages(this->route.stages, this->facts.stagePieces);
+  if (!this->stages) {
+    this->Fail(400, "pieces-do-not-fit-stages");
+    return;
+  }
+  auto const now = this->service.clock.Now();
+  this->plannedEndpoint = ChooseEndpoint(this->service.beliefs.View(), this->Query(), now).value_or("");
+  this->StartStages();
+}
+
+void
+ProxiedRequest::StartStages()
+{
+  auto const keep = this->shared_from_this();
+  for (auto const stage : StartableStages(*this->stages)) {
+    if (this->ended)
+      return;
+    this->StartStage(stage);
+  }
+  if (!this->ended && AllComplete(*this->stages) && !this->attempting)
+    this->TryEndpoint();
+}
+
+void
+ProxiedRequest::StartStage(unsigned aStage)
+{
+  auto& plan = *this->stages;
+  plan.started[aStage] = true;
+  auto inputs = InputsOf(plan, aStage);
+  if (plan.pieces[aStage] == 0) {
+    CompleteStage(plan, aStage, std::move(inputs));
+    this->StartStages();
+    return;
+  }
+  RemoteOrder order;
+  order.service = plan.rules[aStage].service;
+  order.order.requestId = this->facts.requestId;
+  order.order.stage = aStage;
+  order.order.pieces = plan.pieces[aStage];
+  order.order.rank = this->rank;
+  order.order.target = this->due;
+  order.order.deadline = this->deadline;
+  order.order.later = TimeAfterStage(plan, aStage, *this->table) + kFirstEventTime;
+  order.order.pieceBytes = plan.rules[aStage].resultBytes;
+  order.order.key = this->facts.stageKey;
+  order.order.inputs = std::move(inputs);
+  auto const planned = this->service.beliefs.Endpoints().byId.find(this->plannedEndpoint);
+  if (planned != this->service.beliefs.Endpoints().byId.end())
+    order.order.dataCenter = planned->second.entry.dataCenter;
+  auto const self = this->weak_from_this();
+  auto const done = [self, aStage](StageResult aResult) {
+    if (auto const request = self.lock())
+      request->OnStageResult(aStage, std::move(aResult));
+  };
+  // The answer may come before Make() returns.
+  this->openStages[aStage] = nullptr;
+  auto cancel = this->service.stages.Make(std::move(order), done);
+  auto const open = this->openStages.find(aStage);
+  if (open != this->openStages.end())
+    open->second = std::move(cancel);
+}
+
+void
+ProxiedRequest::OnStageResult(unsigned aStage, StageResult aResult)
+{
+  if (this->ended)
+    return;
+  this->openStages.erase(aStage);
+  switch (aResult.end) {
+    case StageEnd::Made:
+      for (auto const& [stageService, handles] : CompleteStage(*this->stages, aStage, std::move(aResult.handles)))
+        this->service.stages.Release(stageService, handles);
+      this->StartStages();
+      return;
+    case StageEnd::InputsGone:
+      this->RestartStages("inputs-gone");
+      return;
+    case StageEnd::Late:
+      this->Refuse("stage-late", aResult.retryAfter);
+      return;
+    default:
+      this->Refuse("stage-failed", kRetryAfterNoEndpoint);
+      return;
+  }
+}
+
+void
+ProxiedRequest::CancelStages()
+{
+  auto const open = std::move(this->openStages);
+  this->openStages.clear();
+  for (auto const& [stage, cancel] : open)
+    if (cancel)
+      cancel();
+}
+
+void
+ProxiedRequest::ReleaseResults()
+{
+  if (!this->stages || this->resultsReleased)
+    return;
+  this->resultsReleased = true;
+  for (auto const& [stageService, handles] : TakeHeldResults(*this->stages))
+    this->service.stages.Release(stageService, handles);
+}
+
+void
+ProxiedRequest::RestartStages(std::string_view aCause)
+{
+  this->CancelStages();
+  this->ReleaseResults();
+  Duration needed = kFirstEventTime;
+  for (unsigned stage = 0; stage < this->stages->rules.size(); ++stage)
+    needed = std::max(needed, TimeAfterStage(*this->stages, stage, *this->table) + kFirstEventTime);
+  if (++this->stageRestarts > kMostStageRestarts || this->service.clock.Now() + needed > this->deadline) {
+    if (this->answerBegun || this->mayHaveRun)
+      this->Fail(502, aCause);
+    else
+      this->Refuse(aCause, kRetryAfterNoEndpoint);
+    return;
+  }
+  PART_LOG("request") << "id=" << this->facts.requestId << " decision=restart-stages cause=" << aCause
+                      << " restarts=" << this->stageRestarts;
+  Gateway::RestartStages(*this->stages);
+  this->resultsReleased = false;
+  this->StartStages();
+}
+
+void
+ProxiedRequest::TryEndpoint()
+{
+  if (this->ended || this->attempting)
+    return;
+  // A route may have been given another service meanwhile; requests sent from now on follow the newest table.
+  auto const now = this->service.clock.Now();
+  auto const view = this->service.beliefs.View();
+  auto const planned = view.endpoints.byId.find(this->plannedEndpoint);
+  std::optional<std::string> chosen;
+  bool const plannedIsGood = planned != view.endpoints.byId.end() && this->tried.empty() &&
+                             IsUsable(view.endpoints, planned->second) && planned->second.ejectedUntil <= now &&
+                             planned->second.coldUntil <= now;
+  if (plannedIsGood)
+    chosen = this->plannedEndpoint;
+  else
+    chosen = ChooseEndpoint(view, this->Query(), now);
+  if (!chosen) {
+    this->service.waiting.push_back(this->weak_from_this());
+    this->service.ScheduleReview();
+    return;
+  }
+  this->Send(*chosen);
+}
+
+void
+ProxiedRequest::Send(std::string const& aEndpoint)
+{
+  auto const now = this->service.clock.Now();
+  auto const& entry = this->service.beliefs.Endpoints().byId.at(aEndpoint).entry;
+  this->endpoint = aEndpoint;
+  this->attempting = true;
+  this->headSeen = false;
+  this->forwarding = false;
+  this->discarding = false;
+  this->heldHead.reset();
+  this->heldBody.clear();
+  Platform::EndpointOrder order;
+  order.endpointId = aEndpoint;
+  order.patience = this->deadline - now;
+  order.account = this->account.name;
+  if (this->route.kind == RequestKind::Streaming)
+    order.priority = this->rank;
+  if (this->stages)
+    order.inputs = FinalInputs(*this->stages);
+  if (this->events.lastId)
+    order.lastEventId = this->events.lastId;
+  OutgoingCall outgoing;
+  outgoing.address = entry.address;
+  outgoing.request = Platform::EncodeEndpointRequest(this->exchange->Request(), order);
+  outgoing.timeout = this->deadline - now + 2 * kAnswerMargin;
+  outgoing.connectTimeout = std::min<Duration>(kConnectTimeout, this->deadline - now);
+  auto const self = this->weak_from_this();
+  CallEvents callEvents;
+  callEvents.onHead = [self](ResponseHead const& aHead) {
+    if (auto const request = self.lock())
+      request->OnHead(aHead);
+  };
+  callEvents.onBody = [self](std::string aPiece) {
+    if (auto const request = self.lock())
+      request->OnBody(std::move(aPiece));
+  };
+  callEvents.onEnd = [self](CallEnd aEnd) {
+    if (auto const request = self.lock())
+      request->OnAttemptEnd(aEnd);
+  };
+  OnSend(this->service.beliefs.Endpoints(), aEndpoint, now);
+  this->call = this->service.connections.Send(std::move(outgoing), std::move(callEvents));
+  this->WatchForStall();
+}
+
+void
+ProxiedRequest::WatchForStall()
+{
+  this->service.clock.Cancel(this->stallTimer);
+  if (!this->IsRepeatable() || this->ended)
+    return;
+  auto const patience = this->headSeen ? kStallTime : std::max<Duration>(kStallTime, this->route.targetLatency * kFirstAnswerPatience);
+  auto const self = this->weak_from_this();
+  this->stallTimer = this->service.clock.Schedule(patience, [self] {
+    if (auto const request = self.lock())
+      request->OnStall();
+  });
+}
+
+void
+ProxiedRequest::OnStall()
+{
+  if (this->ended || !this->attempting || this->attempts >= this->route.maxAttempts)
+    return;
+  // Where another attempt is out of reach, a late answer is better than none.
+  if (this->service.clock.Now() + this->route.targetLatency > this->deadline)
+    return;
+  this->call.Abandon();
+  this->NoteEndpoint(AttemptHealth::Failed);
+  this->mayHaveRun = true;
+  ++this->attempts;
+  this->AfterFailedAttempt("stalled");
+}
+
+void
+ProxiedRequest::NoteEndpoint(AttemptHealth aHealth)
+{
+  this->service.clock.Cancel(this->stallTimer);
+  this->attempting = false;
+  auto& endpoints = this->service.beliefs.Endpoints();
+  auto const found = endpoints.byId.find(this->endpoint);
+  if (found != endpoints.byId.end() && found->second.outstanding > 0)
+    --found->second.outstanding;
+  auto const coldTime = RuleOf(*this->table, this->target).coldTime;
+  Gateway::OnAttemptEnd(endpoints, this->endpoint, aHealth, coldTime, this->service.clock.Now());
+}
+
+void
+ProxiedRequest::OnHead(ResponseHead const& aHead)
+{
+  if (this->ended)
+    return;
+  this->headSeen = true;
+  auto const answer = Platform::DecodeAnswer(aHead);
+  // An answer that names another request, or none, belongs to no request of ours.
+  bool const foreign = answer.requestId != this->facts.requestId && !answer.notRun;
+  bool const success = aHead.status / 100 == 2;
+  if (answer.notRun || foreign || (success && (!answer.hasSignature || answer.encoded))) {
+    this->discarding = true;
+    this->call.Abandon();
+    if (answer.notRun) {
+      this->OnNotRun(answer);
+      return;
+    }
+    this->NoteEndpoint(AttemptHealth::Failed);
+    this->mayHaveRun = true;
+    ++this->attempts;
+    this->AfterFailedAttempt(foreign ? "foreign-answer" : "answer-not-the-endpoints");
+    return;
+  }
+  this->WatchForStall();
+  this->forwarding = true;
+  bool const resumed = this->answerBegun;
+  if (resumed && !success) {
+    this->discarding = true;
+    this->call.Abandon();
+    this->NoteEndpoint(AttemptHealth::Failed);
+    ++this->attempts;
+    this->AfterFailedAttempt("resumption-refused");
+    return;
+  }
+  if (resumed)
+    return;
+  if (this->route.kind == RequestKind::Streaming && success)
+    this->StartAnswer(aHead);
+  else
+    this->heldHead = aHead;
+}
+
+void
+ProxiedRequest::OnNotRun(Platform::EndpointAnswer const& aAnswer)
+{
+  this->NoteEndpoint(aAnswer.misdirected ? AttemptHealth::Misdirected : AttemptHealth::Full);
+  ++this->attempts;
+  if (aAnswer.inputsGone && this->stages) {
+    this->RestartStages("results-gone");
+    return;
+  }
+  this->tried.push_back(this->endpoint);
+  if (this->MayRepeat()) {
+    PART_LOG("request") << "id=" << this->facts.requestId << " decision=send-again cause=not-run endpoint="
+                        << this->endpoint << " attempts=" << this->attempts;
+    this->TryEndpoint();
+    return;
+  }
+  if (this->mayHaveRun || this->answerBegun)
+    this->Fail(502, "endpoint-refused-after-attempt");
+  else
+    this->Refuse("endpoint-refused", kLeastRetryAfter);
+}
+
+bool
+ProxiedRequest::MayRepeat()
+{
+  auto const now = this->service.clock.Now();
+  if (this->attempts >= this->route.maxAttempts || now >= this->deadline)
+    return false;
+  return TakeRepeat(this->service.retryShares[this->target],
+                    this->service.settings.retries,
+                    std::max<std::size_t>(1, this->service.beliefs.Fronts().byName.size()),
+                    now);
+}
+
+void
+ProxiedRequest::AfterFailedAttempt(std::string_view aCause)
+{
+  auto const keep = this->shared_from_this();
+  PART_LOG("request") << "id=" << this->facts.requestId << " decision=attempt-failed cause=" << aCause
+                      << " endpoint=" << this->endpoint << " attempts=" << this->attempts
+                      << " may_have_run=" << this->mayHaveRun << " begun=" << this->answerBegun;
+  this->tried.push_back(this->endpoint);
+  bool const repeatable = this->IsRepeatable() || !this->mayHaveRun;
+  if (!repeatable || !this->MayRepeat()) {
+    this->Fail(502, aCause);
+    return;
+  }
+  // A stream goes on from its last whole event; bytes of a later one are made anew.
+  this->events.partial.clear();
+  if (this->stages && this->resultsReleased)
+    this->RestartStages(aCause);
+  else
+    this->TryEndpoint();
+}
+
+void
+ProxiedRequest::OnBody(std::string aPiece)
+{
+  if (this->ended || this->discarding || !this->forwarding)
+    return;
+  this->WatchForStall();
+  // The endpoint has read the results that it was given.
+  this->ReleaseResults();
+  if (this->answerBegun) {
+    this->ForwardBody(std::move(aPiece));
+    return;
+  }
+  this->heldBody += aPiece;
+  if (this->heldBody.size() <= kHeldAnswerBytes)
+    return;
+  this->StartAnswer(*this->heldHead);
+  this->exchange->SendPiece(this->heldBody);
+  this->heldBody.clear();
+}
+
+void
+ProxiedRequest::StartAnswer(ResponseHead const& aHead)
+{
+  this->answerBegun = true;
+  this->service.metrics.ObserveFirstAnswer(this->service.clock.Now() - this->exchange->Received());
+  auto const self = this->weak_from_this();
+  this->exchange->onDrained = [self] {
+    if (auto const request = self.lock())
+      request->call.ResumeReading();
+  };
+  this->exchange->BeginStream(Platform::EncodeCallerResponse(aHead));
+}
+
+void
+ProxiedRequest::ForwardBody(std::string aPiece)
+{
+  if (this->route.kind != RequestKind::Streaming) {
+    this->exchange->SendPiece(aPiece);
+  } else {
+    auto const whole = TakeWholeEvents(this->events, aPiece);
+    if (this->events.outOfOrder) {
+      this->call.Abandon();
+      this->NoteEndpoint(AttemptHealth::Failed);
+      this->End(RequestOutcome::BrokenOff, 0, "events-out-of-order");
+      return;
+    }
+    this->exchange->SendPiece(whole);
+  }
+  if (this->exchange->Unsent() > kCallerBacklog)
+    this->call.PauseReading();
+}
+
+void
+ProxiedRequest::OnAttemptEnd(CallEnd aEnd)
+{
+  if (this->ended || !this->attempting)
+    return;
+  if (aEnd == CallEnd::Complete && this->forwarding) {
+    bool const healthy = !this->heldHead || this->heldHead->status < 500;
+    this->NoteEndpoint(healthy ? AttemptHealth::Good : AttemptHealth::Failed);
+    ++this->attempts;
+    this->FinishAnswer();
+    return;
+  }
+  this->NoteEndpoint(AttemptHealth::Failed);
+  if (aEnd == CallEnd::NotSent) {
+    this->tried.push_back(this->endpoint);
+    if (++this->connectFailures <= kMostConnectFailures && this->service.clock.Now() < this->deadline) {
+      PART_LOG("request") << "id=" << this->facts.requestId << " decision=other-endpoint cause=not-connected endpoint="
+                          << this->endpoint;
+      this->TryEndpoint();
+    } else if (this->mayHaveRun || this->answerBegun) {
+      this->Fail(502, "no-endpoint-reached");
+    } else {
+      this->Refuse("no-endpoint-reached", kRetryAfterNoEndpoint);
+    }
+    return;
+  }
+  this->mayHaveRun = true;
+  ++this->attempts;
+  this->AfterFailedAttempt(ToString(aEnd));
+}
+
+void
+ProxiedRequest::FinishAnswer()
+{
+  if (this->answerBegun) {
+    if (this->route.kind == RequestKind::Streaming && !this->events.partial.empty())
+      this->exchange->SendPiece(this->events.partial);
+    this->exchange->EndStream();
+    this->End(RequestOutcome::Answered, 200, "complete");
+    return;
+  }
+  auto const head = Platform::EncodeCallerResponse(*this->heldHead);
+  this->exchange->Respond(head, this->heldBody);
+  this->End(RequestOutcome::Answered, head.status, "complete");
+}
+
+void
+ProxiedRequest::OnDeadline()
+{
+  if (this->ended)
+    return;
+  bool const sent = this->attempting || this->mayHaveRun;
+  if (this->answerBegun || sent)
+    this->Fail(504, "deadline");
+  else
+    this->Refuse("deadline", kLeastRetryAfter);
+}
+
+void
+ProxiedRequest::Refuse(std::string_view aReason, Duration aRetryAfter)
+{
+  if (this->ended)
+    return;
+  auto const retryAfter = std::max(kLeastRetryAfter, aRetryAfter);
+  this->exchange->Respond(Platform::EncodeOwnResponse(503, this->facts.requestId, retryAfter), aReason);
+  this->End(RequestOutcome::Refused, 503, aReason);
+}
+
+void
+ProxiedRequest::Fail(unsigned aStatus, std::string_view aReason)
+{
+  if (this->ended)
+    return;
+  if (this->answerBegun) {
+    this->End(RequestOutcome::BrokenOff, 0, aReason);
+    return;
+  }
+  this->exchange->Respond(Platform::EncodeOwnResponse(aStatus, this->facts.requestId, std::nullopt), aReason);
+  this->End(RequestOutcome::Failed, aStatus, aReason);
+}
+
+void
+ProxiedRequest::End(RequestOutcome aOutcome, unsigned aStatus, std::string_view aReason)
+{
+  if (this->ended)
+    return;
+  auto const keep = this->shared_from_this();
+  this->ended = true;
+  this->service.clock.Cancel(this->deadlineTimer);
+  this->service.clock.Cancel(this->stallTimer);
+  if (this->attempting) {
+    this->call.Abandon();
+    this->attempting = false;
+    auto const found = this->service.beliefs.Endpoints().byId.find(this->endpoint);
+    if (found != this->service.beliefs.Endpoints().byId.end() && found->second.outstanding > 0)
+      --found->second.outstanding;
+  }
+  if (aOutcome == RequestOutcome::BrokenOff)
+    this->exchange->BreakOff();
+  this->CancelStages();
+  this->ReleaseResults();
+  auto const took = this->service.clock.Now() - this->exchange->Received();
+  this->service.metrics.CountEnd(aOutcome, aStatus);
+  this->service.metrics.ObserveEnd(took);
+  PART_LOG("request") << "id=" << this->facts.requestId << " outcome=" << ToString(aOutcome) << " status=" << aStatus
+                      << " reason=" << aReason << " route=" << this->route.name << " service=" << this->target
+                      << " account=" << this->account.name << " endpoint=" << this->endpoint
+                      << " attempts=" << this->attempts << " stage_restarts=" << this->stageRestarts
+                      << " table=" << this->table->version << " took_ms=" << Milliseconds(took)
+                      << " target_ms=" << Milliseconds(this->route.targetLatency)
+                      << " beliefs_age_ms=" << Milliseconds(this->service.beliefs.Age());
+  this->service.active.erase(keep);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "ProxyService.h"
+
+namespace Hornbeam::Gateway {
+
+/// How a request ended, for logs and metrics.
+enum class RequestOutcome
+{
+  Answered,
+  /// Nothing ran; the caller may come back.
+  Refused,
+  /// It may have run.
+  Failed,
+  /// The answer broke off midway.
+  BrokenOff,
+  CallerGone,
+};
+
+std::string_view
+ToString(RequestOutcome aOutcome);
+
+/// One caller's request on its way through stages and attempts.
+class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
+{
+public:
+  ProxiedRequest(ProxyService& aService,
+                 std::shared_ptr<Exchange> aExchange,
+                 std::shared_ptr<ServingTable const> aTable,
+                 Route const& aRoute,
+                 ClientAccount aAccount,
+                 Platform::RequestFacts aFacts);
+  ProxiedRequest(ProxiedRequest const&) = delete;
+  ProxiedRequest& operator=(ProxiedRequest const&) = delete;
+
+  void Begin();
+
+  /// Looks for an endpoint once more.
+  void TryEndpoint();
+
+  int Rank() const { return this->rank; }
+  MonotonicTime Received() const { return this->exchange->Received(); }
+
+private:
+  bool IsRepeatable() const;
+  std::string AffinityKey() const;
+  EndpointQuery Query() const;
+
+  void StartStages();
+  void StartStage(unsigned aStage);
+  void OnStageResult(unsigned aStage, StageResult aResult);
+  void RestartStages(std::string_view aCause);
+  void ReleaseResults();
+  void CancelStages();
+
+  void Send(std::string const& aEndpoint);
+  void OnHead(ResponseHead const& aHead);
+  void OnBody(std::string aPiece);
+  void OnAttemptEnd(CallEnd aEnd);
+  void OnNotRun(Platform::EndpointAnswer const& aAnswer);
+  void AfterFailedAttempt(std::string_view aCause);
+  bool MayRepeat();
+  void NoteEndpoint(AttemptHealth aHealth);
+  void WatchForStall();
+  void OnStall();
+
+  void StartAnswer(ResponseHead const& aHead);
+  void ForwardBody(std::string aPiece);
+  void FinishAnswer();
+
+  void OnDeadline();
+  void Refuse(std::string_view aReason, Duration aRetryAfter);
+  void Fail(unsigned aStatus, std::string_view aReason);
+  void End(RequestOutcome aOutcome, unsigned aStatus, std::string_view aReason);
+
+  ProxyService& service;
+  std::shared_ptr<Exchange> exchange;
+  /// Keeps the route.
+  std::shared_ptr<ServingTable const> table;
+  Route const& route;
+  ClientAccount account;
+  Platform::RequestFacts facts;
+  std::string target;
+  int rank{ 0 };
+  MonotonicTime due{};
+  MonotonicTime deadline{};
+  TimerId deadlineTimer{ 0 };
+  TimerId stallTimer{ 0 };
+
+  std::optional<RequestStages> stages;
+  std::map<unsigned, CancelAction> openStages;
+  unsigned stageRestarts{ 0 };
+  bool resultsReleased{ false };
+  std::string plannedEndpoint;
+
+  /// The attempt under way.
+  std::string endpoint;
+  CallHandle call;
+  bool attempting{ false };
+  bool headSeen{ false };
+  /// The response's head is good, so that its body goes to the caller.
+  bool forwarding{ false };
+  /// The response is known to be useless: only its end is awaited.
+  bool discarding{ false };
+  std::vector<std::string> tried;
+  unsigned attempts{ 0 };
+  unsigned connectFailures{ 0 };
+  /// A byte of the request has gone to an endpoint that has not said that it did not run it.
+  bool mayHaveRun{ false };
+
+  std::optional<ResponseHead> heldHead;
+  std::string heldBody;
+  bool answerBegun{ false };
+  EventStream events;
+  bool ended{ false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -0,0 +1,232 @@
+#include "StageOwnerService.h"
+#include "GatewayNames.h"
+
+namespace Hornbeam::Gateway {
+
+/// Results are freed together after this; their memory is needed within a call's time (200 ms).
+static constexpr Duration kFreeDelay = 15ms;
+/// How often waiting orders are looked at without an event: for other data centres, pauses and deadlines.
+static constexpr Duration kTickInterval = 50ms;
+static constexpr Duration kFreeTimeout = 1s;
+
+StageOwnerService::StageOwnerService(Kernel& aKernel)
+  : beliefs(aKernel.Find<BeliefService>(GatewayName::kBeliefs))
+  , clock(aKernel.Find<Clock>(GatewayName::kClock))
+  , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
+{
+  this->beliefs.OnChange([this] { this->Review(); });
+}
+
+static std::vector<EndpointEntry>
+UsableEntries(EndpointSet const& aSet, std::string const& aService)
+{
+  std::vector<EndpointEntry> entries;
+  auto const pool = aSet.idsByService.find(aService);
+  if (pool == aSet.idsByService.end())
+    return entries;
+  for (auto const& id : pool->second)
+    if (auto const& belief = aSet.byId.at(id); IsUsable(aSet, belief))
+      entries.push_back(belief.entry);
+  return entries;
+}
+
+StagePool*
+StageOwnerService::PoolOf(std::string const& aService)
+{
+  auto const table = this->beliefs.Table();
+  if (!table)
+    return nullptr;
+  auto const& rule = RuleOf(*table, aService);
+  if (!rule.stage)
+    return nullptr;
+  auto const [position, added] = this->pools.try_emplace(aService);
+  if (added) {
+    PART_LOG("stages") << "event=pool-taken service=" << aService << " table=" << table->version;
+    auto const entries = UsableEntries(this->beliefs.Endpoints(), aService);
+    this->Carry(aService, UpdatePool(position->second, *rule.stage, entries, this->clock.Now()));
+  }
+  return &position->second;
+}
+
+void
+StageOwnerService::Review()
+{
+  auto const table = this->beliefs.Table();
+  if (!table)
+    return;
+  for (auto& [service, pool] : this->pools) {
+    auto const& rule = RuleOf(*table, service);
+    auto const limits = rule.stage.value_or(pool.limits);
+    this->Carry(service, UpdatePool(pool, limits, UsableEntries(this->beliefs.Endpoints(), service), this->clock.Now()));
+  }
+}
+
+CancelAction
+StageOwnerService::Make(RemoteOrder aOrder, StageDone aDone)
+{
+  auto* const pool = this->handedOver ? nullptr : this->PoolOf(aOrder.service);
+  if (pool == nullptr) {
+    this->clock.Schedule(Duration::zero(),
+                         [aDone = std::move(aDone)] { aDone({ 0, StageEnd::Moved, {}, Duration::zero() }); });
+    return [] {};
+  }
+  auto const service = aOrder.service;
+  auto outcome = SubmitOrder(*pool, std::move(aOrder.order), this->clock.Now());
+  this->waiting[{ service, outcome.order }] = std::move(aDone);
+  this->Carry(service, std::move(outcome.decisions));
+  this->Tick();
+  return [this, service, order = outcome.order] {
+    if (this->waiting.erase({ service, order }) != 0)
+      this->Carry(service, CancelOrder(this->pools.at(service), order, this->clock.Now()));
+  };
+}
+
+void
+StageOwnerService::Release(std::string const& aService, std::vector<std::string> const& aHandles)
+{
+  auto* const pool = this->PoolOf(aService);
+  if (pool != nullptr)
+    this->Carry(aService, ReleaseResults(*pool, aHandles, this->clock.Now()));
+}
+
+void
+StageOwnerService::HandOver()
+{
+  this->handedOver = true;
+  for (auto& [service, pool] : this->pools)
+    this->Carry(service, Gateway::HandOver(pool));
+}
+
+void
+StageOwnerService::Carry(std::string const& aService, StageDecisions aDecisions)
+{
+  for (auto const& call : aDecisions.calls)
+    this->StartCall(aService, call);
+  for (auto& [address, handles] : aDecisions.frees) {
+    auto& list = this->frees[address];
+    std::ranges::move(handles, std::back_inserter(list));
+  }
+  if (!this->frees.empty() && !this->freesScheduled) {
+    this->freesScheduled = true;
+    this->clock.Schedule(kFreeDelay, [this] { this->SendFrees(); });
+  }
+  for (auto& result : aDecisions.results) {
+    auto const found = this->waiting.find({ aService, result.order });
+    if (found == this->waiting.end())
+      continue;
+    auto const done = std::move(found->second);
+    this->waiting.erase(found);
+    done(std::move(result));
+  }
+}
+
+void
+StageOwnerService::StartCall(std::string const& aService, StageCall const& aCall)
+{
+  ++this->usage.calls;
+  this->usage.pieces += aCall.pieces.size();
+  OutgoingCall call;
+  call.address = aCall.address;
+  call.timeout = aCall.timeout;
+  call.request = Platform::EncodeStageCall(this->pools.at(aService), aCall, this->clock.Now());
+  struct Progress
+  {
+    unsigned status{ 0 };
+    std::string body;
+  };
+  auto const progress = std::make_shared<Progress>();
+  CallEvents events;
+  events.onHead = [progress](ResponseHead const& aHead) { progress->status = aHead.status; };
+  events.onBody = [progress](std::string aPiece) { progress->body += aPiece; };
+  events.onEnd = [this, aService, id = aCall.id, progress](CallEnd aEnd) {
+    this->OnCallDone(aService, id, progress->status, progress->body, aEnd);
+  };
+  this->connections.Send(std::move(call), std::move(events));
+}
+
+static StageCallEnd
+EndOf(unsigned aStatus, CallEnd aEnd)
+{
+  if (aEnd != CallEnd::Complete)
+    return StageCallEnd::Failed;
+  switch (aStatus) {
+    case 200:
+      return StageCallEnd::Answered;
+    case 421:
+      return StageCallEnd::Misdirected;
+    case 429:
+    case 503:
+      return StageCallEnd::Refused;
+    default:
+      return StageCallEnd::Failed;
+  }
+}
+
+void
+StageOwnerService::OnCallDone(std::string const& aService,
+                              StageCallId aCall,
+                              unsigned aStatus,
+                              std::string const& aBody,
+                              CallEnd aEnd)
+{
+  auto& pool = this->pools.at(aService);
+  auto end = EndOf(aStatus, aEnd);
+  std::vector<PieceResult> results;
+  if (end == StageCallEnd::Answered) {
+    auto decoded = Platform::DecodeStageAnswer(aBody);
+    if (decoded)
+      results = std::move(*decoded);
+    else
+      end = StageCallEnd::Failed;
+  }
+  if (end != StageCallEnd::Answered) {
+    ++this->usage.failedCalls;
+    auto const running = pool.running.find(aCall);
+    if (running != pool.running.end())
+      PART_WARNING("stages") << "event=call-failed service=" << aService
+                             << " endpoint=" << running->second.call.endpoint << " status=" << aStatus
+                             << " end=" << ToString(aEnd) << " pieces=" << running->second.call.pieces.size()
+                             << " first_request=" << pool.orders.at(running->second.call.pieces[0].order).order.requestId;
+  }
+  this->Carry(aService, OnCallEnd(pool, aCall, end, results, this->clock.Now()));
+}
+
+void
+StageOwnerService::SendFrees()
+{
+  this->freesScheduled = false;
+  auto const frees = std::move(this->frees);
+  this->frees.clear();
+  for (auto const& [address, handles] : frees) {
+    ++this->usage.frees;
+    OutgoingCall call;
+    call.address = address;
+    call.timeout = kFreeTimeout;
+    call.request = Platform::EncodeStageFree(address, handles);
+    CallEvents events;
+    events.onEnd = [address = address, count = handles.size()](CallEnd aEnd) {
+      // The results' stated lifetime frees them then.
+      if (aEnd != CallEnd::Complete)
+        PART_WARNING("stages") << "event=free-failed address=" << address << " results=" << count
+                               << " end=" << ToString(aEnd);
+    };
+    this->connections.Send(std::move(call), std::move(events));
+  }
+}
+
+void
+StageOwnerService::Tick()
+{
+  if (this->tickScheduled || this->waiting.empty())
+    return;
+  this->tickScheduled = true;
+  this->clock.Schedule(kTickInterval, [this] {
+    this->tickScheduled = false;
+    auto const now = this->clock.Now();
+    for (auto& [service, pool] : this->pools)
+      this->Carry(service, Schedule(pool, now));
+    this->Tick();
+  });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/StageService.cpp
@@ -0,0 +1,101 @@
+#include "StageService.h"
+#include "GatewayNames.h"
+
+namespace Hornbeam::Gateway {
+
+/// A pause before an order is sent again, so that an owner that comes and goes is not flooded.
+static constexpr Duration kResendPause = 20ms;
+/// Owners tried for one order; each was believed to live.
+static constexpr unsigned kMostOwners = 5;
+
+StageService::StageService(Kernel& aKernel)
+  : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
+  , beliefs(aKernel.Find<BeliefService>(GatewayName::kBeliefs))
+  , clock(aKernel.Find<Clock>(GatewayName::kClock))
+  , peers(aKernel.Find<FrontPeers>(GatewayName::kPeers))
+  , owner(aKernel.Find<StageOwnerService>(GatewayName::kStageOwner))
+{
+}
+
+struct StageService::Pending
+{
+  RemoteOrder order;
+  StageDone done;
+  CancelAction cancel;
+  unsigned owners{ 0 };
+  bool ended{ false };
+
+  void End(StageResult aResult)
+  {
+    if (this->ended)
+      return;
+    this->ended = true;
+    this->cancel = nullptr;
+    this->done(std::move(aResult));
+  }
+};
+
+CancelAction
+StageService::Make(RemoteOrder aOrder, StageDone aDone)
+{
+  auto const pending = std::make_shared<Pending>();
+  pending->order = std::move(aOrder);
+  pending->done = std::move(aDone);
+  this->Send(pending);
+  return [pending] {
+    if (pending->ended)
+      return;
+    pending->ended = true;
+    if (auto const cancel = std::move(pending->cancel))
+      cancel();
+  };
+}
+
+void
+StageService::Send(std::shared_ptr<Pending> const& aPending)
+{
+  if (aPending->ended)
+    return;
+  auto const now = this->clock.Now();
+  if (++aPending->owners > kMostOwners || now >= aPending->order.order.deadline) {
+    aPending->End({ 0, StageEnd::Failed, {}, Duration::zero() });
+    return;
+  }
+  auto const again = [this, aPending](std::string const& aFront) {
+    PART_WARNING("stages") << "event=owner-failed service=" << aPending->order.service << " front=" << aFront
+                           << " request=" << aPending->order.order.requestId;
+    SuspectFront(this->beliefs.Fronts(), aFront, this->clock.Now());
+    this->clock.Schedule(kResendPause, [this, aPending] { this->Send(aPending); });
+  };
+  auto const owner = OwnerOf(this->beliefs.Fronts(), aPending->order.service, now);
+  if (!owner || owner->name == this->settings.name) {
+    aPending->cancel = this->owner.Make(aPending->order, [aPending, again, this](StageResult aResult) {
+      if (aResult.end == StageEnd::Moved)
+        again(this->settings.name);
+      else
+        aPending->End(std::move(aResult));
+    });
+    return;
+  }
+  auto const onResult = [aPending, again, name = owner->name](std::optional<StageResult> aResult) {
+    if (!aResult || aResult->end == StageEnd::Moved)
+      again(name);
+    else
+      aPending->End(std::move(*aResult));
+  };
+  aPending->cancel = this->peers.MakeStage(owner->peerAddress, aPending->order, onResult);
+}
+
+void
+StageService::Release(std::string const& aService, std::vector<std::string> const& aHandles)
+{
+  if (aHandles.empty())
+    return;
+  auto const owner = OwnerOf(this->beliefs.Fronts(), aService, this->clock.Now());
+  if (!owner || owner->name == this->settings.name)
+    this->owner.Release(aService, aHandles);
+  else
+    this->peers.ReleaseResults(owner->peerAddress, aService, aHandles);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/StageService.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "StageOwnerService.h"
+
+namespace Hornbeam::Gateway {
+
+/// Sends orders for stages to the fronts that own their pools, and again to the next one when a front fails.
+class StageService
+{
+public:
+  explicit StageService(Kernel& aKernel);
+
+  /// Answers once, with any end but Moved; the returned action cancels the order.
+  CancelAction Make(RemoteOrder aOrder, StageDone aDone);
+
+  void Release(std::string const& aService, std::vector<std::string> const& aHandles);
+
+private:
+  struct Pending;
+  void Send(std::shared_ptr<Pending> const& aPending);
+
+  GatewaySettings const& settings;
+  BeliefService& beliefs;
+  Clock& clock;
+  FrontPeers& peers;
+  StageOwnerService& owner;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibServing/RequestStages.cpp
@@ -0,0 +1,134 @@
+#include "RequestStages.h"
+#include <algorithm>
+
+namespace Hornbeam::Gateway {
+
+std::optional<RequestStages>
+PlanStages(std::vector<StageRule> const& aRules, std::vector<unsigned> const& aPieces)
+{
+  if (aPieces.size() != aRules.size())
+    return std::nullopt;
+  RequestStages stages{ aRules, aPieces, {}, {} };
+  RestartStages(stages);
+  return stages;
+}
+
+void
+RestartStages(RequestStages& aStages)
+{
+  aStages.started.assign(aStages.rules.size(), false);
+  aStages.results.assign(aStages.rules.size(), std::nullopt);
+  // A stage that is left out passes on what it would have worked on. Positions in `after` come before their stage.
+  for (unsigned stage = 0; stage < aStages.rules.size(); ++stage)
+    if (aStages.pieces[stage] == 0 && aStages.rules[stage].after.empty()) {
+      aStages.started[stage] = true;
+      aStages.results[stage].emplace();
+    }
+}
+
+static bool
+InputsThere(RequestStages const& aStages, unsigned aStage)
+{
+  auto const& after = aStages.rules[aStage].after;
+  return std::ranges::all_of(after, [&](unsigned aBefore) { return aStages.results[aBefore].has_value(); });
+}
+
+std::vector<unsigned>
+StartableStages(RequestStages const& aStages)
+{
+  std::vector<unsigned> result;
+  for (unsigned stage = 0; stage < aStages.rules.size(); ++stage)
+    if (!aStages.started[stage] && InputsThere(aStages, stage))
+      result.push_back(stage);
+  return result;
+}
+
+std::vector<std::string>
+InputsOf(RequestStages const& aStages, unsigned aStage)
+{
+  std::vector<std::string> inputs;
+  for (auto const before : aStages.rules[aStage].after)
+    inputs.insert(inputs.end(), aStages.results[before]->begin(), aStages.results[before]->end());
+  return inputs;
+}
+
+/// Whether a stage's results are still to be read by a later stage or by the request itself.
+static bool
+StillNeeded(RequestStages const& aStages, unsigned aStage)
+{
+  bool followed = false;
+  for (unsigned later = 0; later < aStages.rules.size(); ++later) {
+    if (std::ranges::find(aStages.rules[later].after, aStage) == aStages.rules[later].after.end())
+      continue;
+    followed = true;
+    if (!aStages.results[later])
+      return true;
+  }
+  return !followed;
+}
+
+std::map<std::string, std::vector<std::string>>
+CompleteStage(RequestStages& aStages, unsigned aStage, std::vector<std::string> aResults)
+{
+  aStages.results[aStage] = std::move(aResults);
+  std::map<std::string, std::vector<std::string>> done;
+  if (aStages.pieces[aStage] == 0)
+    return done;
+  for (auto const before : aStages.rules[aStage].after) {
+    auto& results = *aStages.results[before];
+    if (results.empty() || StillNeeded(aStages, before))
+      continue;
+    auto& list = done[aStages.rules[before].service];
+    list.insert(list.end(), results.begin(), results.end());
+    results.clear();
+  }
+  return done;
+}
+
+bool
+AllComplete(RequestStages const& aStages)
+{
+  return std::ranges::all_of(aStages.results, [](auto const& aResult) { return aResult.has_value(); });
+}
+
+std::vector<std::string>
+FinalInputs(RequestStages const& aStages)
+{
+  std::vector<std::string> inputs;
+  for (unsigned stage = 0; stage < aStages.rules.size(); ++stage)
+    if (aStages.results[stage] && StillNeeded(aStages, stage))
+      inputs.insert(inputs.end(), aStages.results[stage]->begin(), aStages.results[stage]->end());
+  return inputs;
+}
+
+std::map<std::string, std::vector<std::string>>
+TakeHeldResults(RequestStages& aStages)
+{
+  std::map<std::string, std::vector<std::string>> held;
+  for (unsigned stage = 0; stage < aStages.rules.size(); ++stage) {
+    if (!aStages.results[stage] || aStages.results[stage]->empty() || aStages.pieces[stage] == 0)
+      continue;
+    auto& list = held[aStages.rules[stage].service];
+    list.insert(list.end(), aStages.results[stage]->begin(), aStages.results[stage]->end());
+    aStages.results[stage]->clear();
+  }
+  return held;
+}
+
+Duration
+TimeAfterStage(RequestStages const& aStages, unsigned aStage, ServingTable const& aTable)
+{
+  Duration longest{ 0 };
+  for (unsigned later = aStage + 1; later < aStages.rules.size(); ++later) {
+    auto const& rule = aStages.rules[later];
+    if (std::ranges::find(rule.after, aStage) == rule.after.end())
+      continue;
+    auto const& service = RuleOf(aTable, rule.service);
+    auto const limits = service.stage.value_or(StageLimits{});
+    auto const own = limits.callTime + limits.pieceTime * std::int64_t(aStages.pieces[later]);
+    longest = std::max(longest, own + TimeAfterStage(aStages, later, aTable));
+  }
+  return longest;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibServing/StagePool.h
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "EndpointSet.h"
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Hornbeam::Gateway {
+
+using StageOrderId = std::uint64_t;
+using StageCallId = std::uint64_t;
+
+/// All pieces of one stage of one request.
+struct StageOrder
+{
+  std::string requestId;
+  /// The stage's position in its route.
+  unsigned stage{ 0 };
+  unsigned pieces{ 0 };
+  /// Zero is the most urgent.
+  int rank{ 0 };
+  /// When the request's first answer is due, and when it is worth nothing.
+  MonotonicTime target{};
+  MonotonicTime deadline{};
+  /// What the request still needs after this stage when nothing waits.
+  Duration later{ 0 };
+  std::size_t pieceBytes{ 0 };
+  /// Where the results will be read; results that cross data centres are slow and priced.
+  std::string dataCenter;
+  /// What the pieces of a first stage are made from.
+  std::string key;
+  /// Results that the pieces of a later stage are made from.
+  std::vector<std::string> inputs;
+};
+
+enum class StageEnd
+{
+  Made,
+  /// The deadline cannot be met.
+  Late,
+  /// An input no longer exists.
+  InputsGone,
+  /// Endpoints failed it too often.
+  Failed,
+  /// The owner is leaving; another front takes over.
+  Moved,
+};
+
+std::string_view
+ToString(StageEnd aEnd);
+
+struct StageResult
+{
+  StageOrderId order{ 0 };
+  StageEnd end{ StageEnd::Failed };
+  /// One for each piece, in order.
+  std::vector<std::string> handles;
+  /// When an order that was too late may be tried again.
+  Duration retryAfter{ 0 };
+};
+
+struct StagePiece
+{
+  StageOrderId order{ 0 };
+  unsigned segment{ 0 };
+};
+
+/// A call to be made now. The orders of its pieces are in the pool until the call has ended.
+struct StageCall
+{
+  StageCallId id{ 0 };
+  std::string endpoint;
+  std::string address;
+  std::vector<StagePiece> pieces;
+  Duration timeout{ 0 };
+};
+
+/// What became of one piece.
+enum class PieceEnd
+{
+  Made,
+  Late,
+  InputGone,
+  NoRoom,
+  Error,
+};
+
+struct PieceResult
+{
+  PieceEnd end{ PieceEnd::Error };
+  std::string handle;
+};
+
+/// How a call ended as a whole.
+enum class StageCallEnd
+{
+  Answered,
+  /// The endpoint was full; nothing was worked on.
+  Refused,
+  /// Another process has the address.
+  Misdirected,
+  /// No answer; pieces may have been made in vain.
+  Failed,
+};
+
+struct StageDecisions
+{
+  std::vector<StageCall> calls;
+  std::vector<StageResult> results;
+  /// Results to be freed, by the address of their endpoint.
+  std::map<std::string, std::vector<std::string>> frees;
+};
+
+/// One endpoint as its pool's owner sees it.
+struct StageEndpoint
+{
+  EndpointEntry entry;
+  unsigned calls{ 0 };
+  std::size_t reservedBytes{ 0 };
+  MonotonicTime blockedUntil{};
+  unsigned failuresInARow{ 0 };
+  /// Measured over expected time of its calls, smoothed.
+  double slowness{ 1 };
+  /// It left the pool while calls are under way.
+  bool leaving{ false };
+};
+
+struct PendingOrder
+{
+  StageOrder order;
+  MonotonicTime submitted{};
+  std::deque<unsigned> waiting;
+  std::vector<std::string> handles;
+  unsigned made{ 0 };
+  unsigned errors{ 0 };
+  bool cancelled{ false };
+  unsigned underWay{ 0 };
+};
+
+struct RunningCall
+{
+  StageCall call;
+  MonotonicTime began{};
+  Duration expected{ 0 };
+  std::size_t bytes{ 0 };
+};
+
+struct HeldResult
+{
+  std::string endpoint;
+  std::size_t bytes{ 0 };
+  MonotonicTime expires{};
+};
+
+/// The queue and the endpoints of one stage service, at the front that owns it. Patterns it answers: many small pieces
+/// from many fronts (one queue forms full batches while calls run), overload (the most urgent that can still be on time
+/// go first; what cannot be done is given up at once), little memory for results (it is reserved before a call).
+struct StagePool
+{
+  StageLimits limits;
+  std::map<std::string, StageEndpoint> endpoints;
+  std::map<StageOrderId, PendingOrder> orders;
+  std::map<StageCallId, RunningCall> running;
+  std::unordered_map<std::string, HeldResult> held;
+  StageOrderId lastOrder{ 0 };
+  StageCallId lastCall{ 0 };
+};
+
+/// Takes the service's limits and its usable endpoints.
+StageDecisions
+UpdatePool(StagePool& aPool, StageLimits const& aLimits, std::vector<EndpointEntry> const& aEndpoints, MonotonicTime aNow);
+
+struct SubmitOutcome
+{
+  StageOrderId order{ 0 };
+  StageDecisions decisions;
+};
+
+SubmitOutcome
+SubmitOrder(StagePool& aPool, StageOrder aOrder, MonotonicTime aNow);
+
+/// The request no longer needs it; results that come are freed.
+StageDecisions
+CancelOrder(StagePool& aPool, StageOrderId aOrder, MonotonicTime aNow);
+
+/// aResults has one entry for each piece of the call when aEnd is Answered.
+StageDecisions
+OnCallEnd(StagePool& aPool,
+          StageCallId aCall,
+          StageCallEnd aEnd,
+          std::vector<PieceResult> const& aResults,
+          MonotonicTime aNow);
+
+/// The request has read these results or no longer needs them.
+StageDecisions
+ReleaseResults(StagePool& aPool, std::vector<std::string> const& aHandles, MonotonicTime aNow);
+
+/// Starts what can be started and gives up what came too late.
+StageDecisions
+Schedule(StagePool& aPool, MonotonicTime aNow);
+
+/// Ends all waiting orders: another front takes over.
+StageDecisions
+HandOver(StagePool& aPool);
+
+/// How long a new order of this rank would wait for its turn.
+Duration
+ExpectedWait(StagePool const& aPool, int aRank);
+
+}
--- /dev/null
+++ b/Services/hornbeamfront/RunFront.cpp
@@ -0,0 +1,99 @@
+#include "RunFront.h"
+#include "ExitCodes.h"
+#include <csignal>
+
+namespace Hornbeam {
+
+namespace {
+
+/// Everything that one front process consists of.
+struct FrontProcess
+{
+  explicit FrontProcess(FrontSettings const& aSettings)
+    : clock(ClockMode::Running)
+    , loop(clock)
+    , http(loop)
+    , client(http)
+    , store(client, clock, aSettings.store)
+    , peers(loop)
+    , storePort(store.Port())
+    , peerPort(peers.Port())
+    , endpointPort(MakeHttpEndpointPort(client))
+    , front(aSettings, IncarnationFrom(clock), { clock, storePort, peerPort, endpointPort }, [this] { loop.Stop(); })
+  {
+    this->front.Find<MetricsService>(ServiceName::kMetrics).Observe(this->store.Usage(), this->peers.Usage());
+  }
+
+  /// A later process under the same name has a greater number.
+  static Incarnation IncarnationFrom(Clock const& aClock)
+  {
+    return static_cast<Incarnation>(aClock.WallNow().time_since_epoch().count());
+  }
+
+  Clock clock;
+  EventLoop loop;
+  HttpContext http;
+  HttpClient client;
+  HttpStore store;
+  PeerNetwork peers;
+  StorePort storePort;
+  PeerPort peerPort;
+  EndpointPort endpointPort;
+  Front front;
+};
+
+std::unique_ptr<HttpServer>
+Serve(FrontProcess& aProcess, std::string const& aAddress, HttpHandler aHandler, std::size_t aBodyLimit)
+{
+  auto server = std::make_unique<HttpServer>(aProcess.http, aAddress, std::move(aHandler), aBodyLimit);
+  if (server->IsListening())
+    return server;
+  LOG(ERROR) << "front: cannot listen on " << aAddress << ".";
+  return nullptr;
+}
+
+/// Waits for SIGTERM and SIGINT on the loop.
+kj::Promise<void>
+AwaitSignal(FrontProcess& aProcess)
+{
+  auto& port = aProcess.loop.Io().unixEventPort;
+  return port.onSignal(SIGTERM).exclusiveJoin(port.onSignal(SIGINT)).then([&aProcess](siginfo_t&&) {
+    aProcess.front.Find<ShutdownService>(ServiceName::kShutdown).Begin();
+    aProcess.loop.Wake();
+  });
+}
+
+}
+
+int
+RunFront(FrontSettings const& aSettings)
+{
+  kj::UnixEventPort::captureSignal(SIGTERM);
+  kj::UnixEventPort::captureSignal(SIGINT);
+  FrontProcess process(aSettings);
+  auto& callers = process.front.Find<CallerService>(ServiceName::kCallers);
+  auto& administration = process.front.Find<AdministrationService>(ServiceName::kAdministration);
+  auto const callerServer = Serve(
+    process,
+    aSettings.callerAddress,
+    [&](HttpRequest const& aRequest, HttpResponder aResponder) { callers.Handle(aRequest, aResponder); },
+    aSettings.callers.bodyLimit);
+  auto const administrationServer = Serve(
+    process,
+    aSettings.administrationAddress,
+    [&](HttpRequest const& aRequest, HttpResponder aResponder) { administration.Handle(aRequest, aResponder); },
+    aSettings.callers.bodyLimit);
+  if (!callerServer || !administrationServer)
+    return kExitAddress;
+  if (!process.peers.Listen(aSettings.peerAddress, process.front.Handlers()))
+    return kExitAddress;
+  auto const signal = AwaitSignal(process).eagerlyEvaluate(nullptr);
+  process.front.Start();
+  PART_LOG("front") << aSettings.name << " serves callers on " << aSettings.callerAddress << ".";
+  process.loop.Run();
+  // libwebsockets closes its handles only while the loop turns, and the loop has ended; the system closes them.
+  FlushLog();
+  std::quick_exit(0);
+}
+
+}
--- /dev/null
+++ b/Services/hornbeamfront/RunGateway.cpp
@@ -0,0 +1,56 @@
+#include "RunGateway.h"
+#include "ExitCodes.h"
+#include <csignal>
+
+namespace Hornbeam {
+
+using namespace Gateway;
+
+static kj::Promise<void>
+AwaitStop(EventLoop& aLoop, GatewayFront& aFront)
+{
+  auto& port = aLoop.Io().unixEventPort;
+  return port.onSignal(SIGTERM).exclusiveJoin(port.onSignal(SIGINT)).then([&](siginfo_t&&) {
+    aFront.BeginDraining();
+    aLoop.Wake();
+  });
+}
+
+static kj::Promise<void>
+AwaitReload(EventLoop& aLoop, GatewayFront& aFront, std::string const& aFile)
+{
+  return aLoop.Io().unixEventPort.onSignal(SIGHUP).then([&](siginfo_t&&) {
+    std::vector<std::string> faults;
+    auto const settings = LoadGatewaySettings(aFile, faults);
+    if (settings)
+      aFront.Reload(*settings);
+    for (auto const& fault : faults)
+      PART_WARNING("front") << "event=reload-refused fault=\"" << fault << "\"";
+    aLoop.Wake();
+    return AwaitReload(aLoop, aFront, aFile);
+  });
+}
+
+int
+RunGateway(GatewaySettings const& aSettings, std::string const& aFile)
+{
+  for (auto const signal : { SIGTERM, SIGINT, SIGHUP })
+    kj::UnixEventPort::captureSignal(signal);
+  std::signal(SIGPIPE, SIG_IGN);
+  Clock clock(ClockMode::Running);
+  EventLoop loop(clock);
+  GatewayFront front(aSettings, loop, [&] { loop.Stop(); });
+  if (!front.Open()) {
+    FlushLog();
+    return kExitAddress;
+  }
+  auto const stop = AwaitStop(loop, front).eagerlyEvaluate(nullptr);
+  auto const reload = AwaitReload(loop, front, aFile).eagerlyEvaluate(nullptr);
+  front.Start();
+  loop.Run();
+  FlushLog();
+  // Handles close only while the loop turns, and the loop has ended; the system closes them.
+  std::quick_exit(0);
+}
+
+}
--- a/Services/hornbeamfront/main.cpp
+++ b/Services/hornbeamfront/main.cpp
@@ -1,106 +1,47 @@
-/// hornbeamfront: one front. It takes requests of callers and carries them through pipelines to endpoints.
+/// hornbeamfront: one front. It takes requests of callers and carries them to endpoints, through stages where needed.
 
+#include "ExitCodes.h"
+#include "RunFront.h"
+#include "RunGateway.h"
 #include <CLI/CLI.hpp>
-#include <LibFront/LibFront.h>
-#include <csignal>
 #include <iostream>
 
 using namespace Hornbeam;
 
-namespace {
-
-/// Exit codes of the program.
-constexpr int kExitSettings = 2;
-constexpr int kExitAddress = 3;
-
-/// Everything that one front process consists of.
-struct FrontProcess
+static int
+ServeOwnInterface(std::string const& aFile, bool aCheckOnly)
 {
-  explicit FrontProcess(FrontSettings const& aSettings)
-    : clock(ClockMode::Running)
-    , loop(clock)
-    , http(loop)
-    , client(http)
-    , store(client, clock, aSettings.store)
-    , peers(loop)
-    , storePort(store.Port())
-    , peerPort(peers.Port())
-    , endpointPort(MakeHttpEndpointPort(client))
-    , front(aSettings, IncarnationFrom(clock), { clock, storePort, peerPort, endpointPort }, [this] { loop.Stop(); })
-  {
-    this->front.Find<MetricsService>(ServiceName::kMetrics).Observe(this->store.Usage(), this->peers.Usage());
+  std::vector<SettingsFault> faults;
+  auto const settings = LoadFrontSettings(aFile, faults);
+  if (!settings) {
+    for (auto const& fault : faults)
+      std::cerr << ToString(fault) << "\n";
+    return kExitSettings;
   }
-
-  /// A later process under the same name has a greater number.
-  static Incarnation IncarnationFrom(Clock const& aClock)
-  {
-    return static_cast<Incarnation>(aClock.WallNow().time_since_epoch().count());
+  if (aCheckOnly) {
+    std::cout << aFile << ": the settings are in order\n";
+    return 0;
   }
-
-  Clock clock;
-  EventLoop loop;
-  HttpContext http;
-  HttpClient client;
-  HttpStore store;
-  PeerNetwork peers;
-  StorePort storePort;
-  PeerPort peerPort;
-  EndpointPort endpointPort;
-  Front front;
-};
-
-std::unique_ptr<HttpServer>
-Serve(FrontProcess& aProcess, std::string const& aAddress, HttpHandler aHandler, std::size_t aBodyLimit)
-{
-  auto server = std::make_unique<HttpServer>(aProcess.http, aAddress, std::move(aHandler), aBodyLimit);
-  if (server->IsListening())
-    return server;
-  LOG(ERROR) << "front: cannot listen on " << aAddress << ".";
-  return nullptr;
-}
-
-/// Waits for SIGTERM and SIGINT on the loop.
-kj::Promise<void>
-AwaitSignal(FrontProcess& aProcess)
-{
-  auto& port = aProcess.loop.Io().unixEventPort;
-  return port.onSignal(SIGTERM).exclusiveJoin(port.onSignal(SIGINT)).then([&aProcess](siginfo_t&&) {
-    aProcess.front.Find<ShutdownService>(ServiceName::kShutdown).Begin();
-    aProcess.loop.Wake();
-  });
+  StartLogging("hornbeamfront");
+  return RunFront(*settings);
 }
 
-int
-RunFront(FrontSettings const& aSettings)
+static int
+ServePlatform(std::string const& aFile, bool aCheckOnly)
 {
-  kj::UnixEventPort::captureSignal(SIGTERM);
-  kj::UnixEventPort::captureSignal(SIGINT);
-  FrontProcess process(aSettings);
-  auto& callers = process.front.Find<CallerService>(ServiceName::kCallers);
-  auto& administration = process.front.Find<AdministrationService>(ServiceName::kAdministration);
-  auto const callerServer = Serve(
-    process,
-    aSettings.callerAddress,
-    [&](HttpRequest const& aRequest, HttpResponder aResponder) { callers.Handle(aRequest, aResponder); },
-    aSettings.callers.bodyLimit);
-  auto const administrationServer = Serve(
-    process,
-    aSettings.administrationAddress,
-    [&](HttpRequest const& aRequest, HttpResponder aResponder) { administration.Handle(aRequest, aResponder); },
-    aSettings.callers.bodyLimit);
-  if (!callerServer || !administrationServer)
-    return kExitAddress;
-  if (!process.peers.Listen(aSettings.peerAddress, process.front.Handlers()))
-    return kExitAddress;
-  auto const signal = AwaitSignal(process).eagerlyEvaluate(nullptr);
-  process.front.Start();
-  PART_LOG("front") << aSettings.name << " serves callers on " << aSettings.callerAddress << ".";
-  process.loop.Run();
-  // libwebsockets closes its handles only while the loop turns, and the loop has ended; the system closes them.
-  google::FlushLogFiles(google::GLOG_INFO);
-  std::quick_exit(0);
-}
-
+  std::vector<std::string> faults;
+  auto const settings = Gateway::LoadGatewaySettings(aFile, faults);
+  if (!settings) {
+    for (auto const& fault : faults)
+      std::cerr << fault << "\n";
+    return kExitSettings;
+  }
+  if (aCheckOnly) {
+    std::cout << aFile << ": the settings are in order\n";
+    return 0;
+  }
+  StartLogging("hornbeamfront");
+  return RunGateway(*settings, aFile);
 }
 
 int
@@ -111,21 +52,10 @@
                         "(see hornbeamctl)." };
   std::string file;
   bool checkOnly = false;
+  bool platform = false;
   application.add_option("--settings", file, "The settings file")->required();
   application.add_flag("--check-settings", checkOnly, "Check the settings, name every fault, and end");
+  application.add_flag("--platform", platform, "Serve the users' platform: table, endpoints and fronts from its store");
   CLI11_PARSE(application, aCount, aArguments);
-
-  std::vector<SettingsFault> faults;
-  auto const settings = LoadFrontSettings(file, faults);
-  if (!settings) {
-    for (auto const& fault : faults)
-      std::cerr << ToString(fault) << "\n";
-    return kExitSettings;
-  }
-  if (checkOnly) {
-    std::cout << file << ": the settings are in order\n";
-    return 0;
-  }
-  StartLogging(aArguments[0]);
-  return RunFront(*settings);
+  return platform ? ServePlatform(file, checkOnly) : ServeOwnInterface(file, checkOnly);
 }
