LibGateway: Keep the action that ends a remote order alive

Cause: processes crashed (139) when the first call of a stage pool ended: kj::defer took the cancel action by reference, and it was gone with its frame. Ruled out: the pool itself (ten new tests under the address sanitizer pass).

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -91,7 +91,7 @@
       (*fulfiller)->fulfill(kj::mv(aResult));
     });
     this->loop.Wake();
-    auto const cancelUnlessEnded = [cancel = std::move(cancel), ended] {
+    auto cancelUnlessEnded = [cancel = std::move(cancel), ended] {
       if (!*ended)
         cancel();
     };
@@ -102,7 +102,7 @@
         wireResult.setRetryAfterUs(aResult.retryAfter.count());
         WriteTexts(aResult.handles, wireResult.initHandles(unsigned(aResult.handles.size())));
       })
-      .attach(kj::defer(cancelUnlessEnded));
+      .attach(kj::defer(kj::mv(cancelUnlessEnded)));
   }
 
   kj::Promise<void> releaseResults(ReleaseResultsContext aContext) override
--- /dev/null
+++ b/Tests/LibServing/StagePoolTests.cpp
@@ -0,0 +1,193 @@
+#include <LibServing/LibServing.h>
+#include <gtest/gtest.h>
+
+namespace Hornbeam::Gateway {
+
+static MonotonicTime const kStart{ 1h };
+
+static StageLimits
+Limits()
+{
+  return { 1, 2, 8, 200ms, 20ms, 18'000'000, 4s };
+}
+
+static EndpointEntry
+Entry(std::string aId, std::string aDataCenter)
+{
+  EndpointEntry entry;
+  entry.id = aId;
+  entry.service = "encode";
+  entry.address = "10.0.0.1:" + std::to_string(8000 + aId.back());
+  entry.dataCenter = std::move(aDataCenter);
+  return entry;
+}
+
+static StageOrder
+Order(std::string aRequest, unsigned aPieces, int aRank = 0)
+{
+  StageOrder order;
+  order.requestId = std::move(aRequest);
+  order.pieces = aPieces;
+  order.rank = aRank;
+  order.target = kStart + 2s;
+  order.deadline = kStart + 6s;
+  order.pieceBytes = 1'000'000;
+  order.dataCenter = "a";
+  order.key = "k";
+  return order;
+}
+
+static std::vector<PieceResult>
+AllMade(StageCall const& aCall)
+{
+  std::vector<PieceResult> results;
+  for (auto const& piece : aCall.pieces)
+    results.push_back({ PieceEnd::Made,
+                        aCall.address + "/" + std::to_string(piece.order) + "-" + std::to_string(piece.segment) });
+  return results;
+}
+
+static StagePool
+PoolOf(std::vector<EndpointEntry> const& aEntries)
+{
+  StagePool pool;
+  UpdatePool(pool, Limits(), aEntries, kStart);
+  return pool;
+}
+
+TEST(StagePool, MakesAllPiecesOfAnOrder)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto const submitted = SubmitOrder(pool, Order("r1", 3), kStart);
+  ASSERT_EQ(submitted.decisions.calls.size(), 1U);
+  auto const& call = submitted.decisions.calls[0];
+  EXPECT_EQ(call.pieces.size(), 3U);
+  auto const ended = OnCallEnd(pool, call.id, StageCallEnd::Answered, AllMade(call), kStart + 260ms);
+  ASSERT_EQ(ended.results.size(), 1U);
+  EXPECT_EQ(ended.results[0].end, StageEnd::Made);
+  EXPECT_EQ(ended.results[0].handles.size(), 3U);
+  EXPECT_TRUE(pool.orders.empty());
+}
+
+TEST(StagePool, FormsTheNextBatchWhileACallRuns)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto const first = SubmitOrder(pool, Order("r1", 1), kStart);
+  ASSERT_EQ(first.decisions.calls.size(), 1U);
+  for (int index = 0; index < 10; ++index)
+    EXPECT_TRUE(SubmitOrder(pool, Order("q" + std::to_string(index), 1), kStart + 10ms).decisions.calls.empty());
+  auto const& call = first.decisions.calls[0];
+  auto const ended = OnCallEnd(pool, call.id, StageCallEnd::Answered, AllMade(call), kStart + 220ms);
+  ASSERT_EQ(ended.calls.size(), 1U);
+  EXPECT_EQ(ended.calls[0].pieces.size(), 8U);
+}
+
+TEST(StagePool, ReservesMemoryBeforeACallAndWaitsForFrees)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto order = Order("r1", 4);
+  order.pieceBytes = 6'000'000;
+  auto const submitted = SubmitOrder(pool, order, kStart);
+  ASSERT_EQ(submitted.decisions.calls.size(), 1U);
+  auto const& call = submitted.decisions.calls[0];
+  EXPECT_EQ(call.pieces.size(), 3U);
+  auto const results = AllMade(call);
+  auto const ended = OnCallEnd(pool, call.id, StageCallEnd::Answered, results, kStart + 260ms);
+  EXPECT_TRUE(ended.calls.empty());
+  auto const released = ReleaseResults(pool, { results[0].handle }, kStart + 300ms);
+  EXPECT_EQ(released.frees.size(), 1U);
+  ASSERT_EQ(released.calls.size(), 1U);
+  EXPECT_EQ(released.calls[0].pieces.size(), 1U);
+}
+
+TEST(StagePool, ServesTheMoreUrgentAndThoseThatCanBeOnTimeFirst)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto const first = SubmitOrder(pool, Order("running", 1), kStart);
+  auto late = Order("late", 8, 0);
+  late.target = kStart + 100ms;
+  SubmitOrder(pool, late, kStart);
+  SubmitOrder(pool, Order("less-urgent", 8, 2), kStart);
+  SubmitOrder(pool, Order("urgent", 8, 0), kStart);
+  auto const& call = first.decisions.calls[0];
+  auto ended = OnCallEnd(pool, call.id, StageCallEnd::Answered, AllMade(call), kStart + 220ms);
+  ASSERT_EQ(ended.calls.size(), 1U);
+  EXPECT_EQ(pool.orders.at(ended.calls[0].pieces[0].order).order.requestId, "urgent");
+  ended = OnCallEnd(pool, ended.calls[0].id, StageCallEnd::Answered, AllMade(ended.calls[0]), kStart + 600ms);
+  ASSERT_EQ(ended.calls.size(), 1U);
+  EXPECT_EQ(pool.orders.at(ended.calls[0].pieces[0].order).order.requestId, "less-urgent");
+}
+
+TEST(StagePool, GivesUpAtOnceWhatCannotBeDoneInTime)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  SubmitOrder(pool, Order("running", 1), kStart);
+  auto order = Order("hopeless", 1);
+  order.deadline = kStart + 150ms;
+  auto const submitted = SubmitOrder(pool, order, kStart);
+  ASSERT_EQ(submitted.decisions.results.size(), 1U);
+  EXPECT_EQ(submitted.decisions.results[0].end, StageEnd::Late);
+}
+
+TEST(StagePool, FreesResultsOfACancelledOrderWhenTheyCome)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto const submitted = SubmitOrder(pool, Order("r1", 2), kStart);
+  EXPECT_TRUE(CancelOrder(pool, submitted.order, kStart + 10ms).results.empty());
+  auto const& call = submitted.decisions.calls[0];
+  auto const ended = OnCallEnd(pool, call.id, StageCallEnd::Answered, AllMade(call), kStart + 240ms);
+  EXPECT_TRUE(ended.results.empty());
+  ASSERT_EQ(ended.frees.size(), 1U);
+  EXPECT_EQ(ended.frees.begin()->second.size(), 2U);
+  EXPECT_TRUE(pool.orders.empty());
+  EXPECT_EQ(pool.endpoints.at("e1").reservedBytes, 0U);
+}
+
+TEST(StagePool, SendsPiecesOfAFailedCallToAnotherEndpoint)
+{
+  auto pool = PoolOf({ Entry("e1", "a"), Entry("e2", "a") });
+  auto const submitted = SubmitOrder(pool, Order("r1", 2), kStart);
+  ASSERT_EQ(submitted.decisions.calls.size(), 1U);
+  auto const ended = OnCallEnd(pool, submitted.decisions.calls[0].id, StageCallEnd::Failed, {}, kStart + 100ms);
+  ASSERT_EQ(ended.calls.size(), 1U);
+  EXPECT_NE(ended.calls[0].endpoint, submitted.decisions.calls[0].endpoint);
+  EXPECT_EQ(ended.calls[0].pieces.size(), 2U);
+}
+
+TEST(StagePool, WaitsForItsDataCentreBeforeAnotherTakesThePieces)
+{
+  auto pool = PoolOf({ Entry("e1", "a"), Entry("e2", "b") });
+  auto const first = SubmitOrder(pool, Order("r1", 1), kStart);
+  ASSERT_EQ(first.decisions.calls.size(), 1U);
+  EXPECT_EQ(first.decisions.calls[0].endpoint, "e1");
+  EXPECT_TRUE(SubmitOrder(pool, Order("r2", 1), kStart).decisions.calls.empty());
+  auto const later = Schedule(pool, kStart + 210ms);
+  ASSERT_EQ(later.calls.size(), 1U);
+  EXPECT_EQ(later.calls[0].endpoint, "e2");
+}
+
+TEST(StagePool, EndsAnOrderWhoseInputsAreGone)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto const submitted = SubmitOrder(pool, Order("r1", 2), kStart);
+  auto results = AllMade(submitted.decisions.calls[0]);
+  results[0] = { PieceEnd::InputGone, "" };
+  auto const ended = OnCallEnd(pool, submitted.decisions.calls[0].id, StageCallEnd::Answered, results, kStart + 240ms);
+  ASSERT_EQ(ended.results.size(), 1U);
+  EXPECT_EQ(ended.results[0].end, StageEnd::InputsGone);
+  EXPECT_EQ(ended.frees.size(), 1U);
+  EXPECT_TRUE(pool.orders.empty());
+}
+
+TEST(StagePool, HandsWaitingOrdersOver)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  SubmitOrder(pool, Order("running", 1), kStart);
+  auto const waiting = SubmitOrder(pool, Order("waiting", 1), kStart);
+  auto const handed = HandOver(pool);
+  ASSERT_EQ(handed.results.size(), 1U);
+  EXPECT_EQ(handed.results[0].order, waiting.order);
+  EXPECT_EQ(handed.results[0].end, StageEnd::Moved);
+}
+
+}
