LibGateway: List objects anew after a watch was cut; repeat and give up in time

Safe requests were not repeated after an endpoint's 500, and a request whose endpoints had all refused it waited until its deadline. Ruled out: stale lists (the lists of that time name the new revision), lost watch events. Change: a failed watch is followed by a list; repeatable requests are sent elsewhere after a 5xx; a request without another endpoint is answered at once.

--- a/Libraries/LibExchange/HttpMessage.cpp
+++ b/Libraries/LibExchange/HttpMessage.cpp
@@ -20,7 +20,8 @@
 std::string const*
 FindField(HeaderFields const& aFields, std::string_view aName)
 {
-  auto const found = std::ranges::find_if(aFields, [&](auto const& aField) { return EqualIgnoringCase(aField.first, aName); });
+  auto const found =
+    std::ranges::find_if(aFields, [&](auto const& aField) { return EqualIgnoringCase(aField.first, aName); });
   return found == aFields.end() ? nullptr : &found->second;
 }
 
@@ -28,10 +29,10 @@
 IsHopByHop(std::string_view aName, std::string_view aConnection)
 {
   // RFC 9110, 7.6.1, and the fields that frame a message.
-  static constexpr std::array<std::string_view, 11> kFields{ "connection",       "keep-alive",        "proxy-connection",
-                                                            "te",               "trailer",           "transfer-encoding",
-                                                            "upgrade",          "proxy-authenticate", "proxy-authorization",
-                                                            "content-length",   "expect" };
+  static constexpr std::array<std::string_view, 11> kFields{
+    "connection",         "keep-alive",          "proxy-connection", "te",    "trailer", "transfer-encoding", "upgrade",
+    "proxy-authenticate", "proxy-authorization", "content-length",   "expect"
+  };
   if (std::ranges::any_of(kFields, [&](auto aField) { return EqualIgnoringCase(aField, aName); }))
     return true;
   if (aConnection.empty())
--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -175,13 +175,11 @@
     if (found != this->connections.end())
       return found->second;
     auto& timer = this->loop.Io().provider->getTimer();
-    auto connected = this->loop.Io()
-                       .provider->getNetwork()
-                       .parseAddress(aAddress)
-                       .then([](kj::Own<kj::NetworkAddress> aParsed) {
-                         auto promise = aParsed->connect();
-                         return promise.attach(kj::mv(aParsed));
-                       });
+    auto connected =
+      this->loop.Io().provider->getNetwork().parseAddress(aAddress).then([](kj::Own<kj::NetworkAddress> aParsed) {
+        auto promise = aParsed->connect();
+        return promise.attach(kj::mv(aParsed));
+      });
     return timer.timeoutAfter(kProbeTimeout.count() * kj::MICROSECONDS, kj::mv(connected))
       .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) {
         // Two calls may have begun to connect; the connection that came first serves both.
@@ -234,8 +232,9 @@
     auto const done = std::make_shared<std::function<void(std::optional<Result>)>>(std::move(aDone));
     // A connection that has just broken throws when it is used; evalNow makes that a failed promise.
     auto result = kj::evalNow([&] {
-      return this->Connect(aAddress).then(
-        [aCall = kj::mv(aCall)](std::shared_ptr<Connection> aConnection) mutable { return aCall(ClientOf(*aConnection)); });
+      return this->Connect(aAddress).then([aCall = kj::mv(aCall)](std::shared_ptr<Connection> aConnection) mutable {
+        return aCall(ClientOf(*aConnection));
+      });
     });
     auto promise = timer.timeoutAfter(aTimeout.count() * kj::MICROSECONDS, kj::mv(result));
     this->tasks.add(promise.then(
@@ -258,7 +257,8 @@
   static auto PingCall()
   {
     return [](Wire::GatewayPeer::Client aClient) {
-      return aClient.pingRequest().send().then([](auto&& aResponse) { return std::int64_t(aResponse.getIncarnation()); });
+      return aClient.pingRequest().send().then(
+        [](auto&& aResponse) { return std::int64_t(aResponse.getIncarnation()); });
     };
   }
 
@@ -275,10 +275,11 @@
       connection->second->probing = false;
       if (connection->second->openOrders.empty())
         return;
-      this->Run<std::int64_t>(aAddress, kProbeTimeout, PingCall(), [this, aAddress](std::optional<std::int64_t> aAnswer) {
-        if (aAnswer)
-          this->Probe(aAddress);
-      });
+      this->Run<std::int64_t>(
+        aAddress, kProbeTimeout, PingCall(), [this, aAddress](std::optional<std::int64_t> aAnswer) {
+          if (aAnswer)
+            this->Probe(aAddress);
+        });
     });
   }
 
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -114,8 +114,7 @@
   settings.storeAddress = reader.Address("store.address");
   settings.seeds = reader.Addresses("seeds");
   settings.graceTime = reader.Seconds("shutdown.grace_s", 0.5, 600);
-  settings.directoryLifetime =
-    std::min(kDirectoryLifetime, reader.Seconds("directory.longest_lifetime_s", 0.1, 600));
+  settings.directoryLifetime = std::min(kDirectoryLifetime, reader.Seconds("directory.longest_lifetime_s", 0.1, 600));
   settings.retries.ratio = reader.Number("retries.ratio", 0, 10);
   settings.retries.slack = reader.Number("retries.slack", 0, 100000);
   settings.retries.window = reader.Seconds("retries.window_s", 1, 600);
--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -64,8 +64,9 @@
 void
 ObjectWatch::Watch()
 {
-  this->store.Watch(
-    this->kind, this->revision, kWatchTime, [this](Platform::ObjectEvents aAnswer) { this->OnEvents(std::move(aAnswer)); });
+  this->store.Watch(this->kind, this->revision, kWatchTime, [this](Platform::ObjectEvents aAnswer) {
+    this->OnEvents(std::move(aAnswer));
+  });
 }
 
 void
@@ -79,7 +80,8 @@
       this->List();
       return;
     default:
-      this->Retry("watch", aAnswer.outcome, [this] { this->Watch(); });
+      // Not another watch: one that begins just before the store drops its history would hear nothing until it ends.
+      this->Retry("watch", aAnswer.outcome, [this] { this->List(); });
       return;
   }
   this->backOff = {};
--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -143,7 +143,8 @@
   if (this->leaving || known == this->beliefs.Fronts().byName.end())
     return;
   PART_WARNING("presence") << "event=remove-dead front=" << aFront.name << " incarnation=" << aFront.incarnation
-                           << " failures=" << watched.failures << " beliefs_age_ms=" << Milliseconds(this->beliefs.Age());
+                           << " failures=" << watched.failures
+                           << " beliefs_age_ms=" << Milliseconds(this->beliefs.Age());
   this->store.Remove(
     ObjectKind::Front, aFront.name, known->second.revision, [this, aFront](Platform::WriteResult aResult) {
       PART_LOG("presence") << "event=removed-dead front=" << aFront.name << " outcome=" << ToString(aResult.outcome);
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -13,6 +13,8 @@
 static constexpr Duration kConnectTimeout = 400ms;
 /// Endpoints that could not be reached, tried for one request besides its attempts: nothing was sent to them.
 static constexpr unsigned kMostConnectFailures = 4;
+/// A request waits this part of its time for an endpoint that may take it; then its caller does better to come back.
+static constexpr unsigned kEndpointWaitShare = 4;
 static constexpr unsigned kMostStageRestarts = 2;
 /// Answers up to this size are held until they are whole, so that a broken one can be replaced.
 static constexpr std::size_t kHeldAnswerBytes = 256 * 1024;
@@ -73,11 +75,9 @@
 EndpointQuery
 ProxiedRequest::Query() const
 {
-  return { this->target,
-           this->AffinityKey(),
-           this->tried,
-           this->service.settings.name,
-           this->service.settings.dataCenter };
+  return {
+    this->target, this->AffinityKey(), this->tried, this->service.settings.name, this->service.settings.dataCenter
+  };
 }
 
 void
@@ -97,11 +97,10 @@
     if (auto const request = self.lock())
       request->End(RequestOutcome::CallerGone, 0, "caller-gone");
   };
-  this->deadlineTimer =
-    this->service.clock.Schedule(this->deadline - this->service.clock.Now(), [self] {
-      if (auto const request = self.lock())
-        request->OnDeadline();
-    });
+  this->deadlineTimer = this->service.clock.Schedule(this->deadline - this->service.clock.Now(), [self] {
+    if (auto const request = self.lock())
+      request->OnDeadline();
+  });
   if (this->route.stages.empty()) {
     this->TryEndpoint();
     return;
@@ -251,12 +250,32 @@
     chosen = this->plannedEndpoint;
   else
     chosen = ChooseEndpoint(view, this->Query(), now);
-  if (!chosen) {
-    this->service.waiting.push_back(this->weak_from_this());
-    this->service.ScheduleReview();
+  if (chosen) {
+    this->Send(*chosen);
+    return;
+  }
+  if (this->waitingSince == MonotonicTime())
+    this->waitingSince = now;
+  bool const hopeless = !HasUntried(view, this->Query());
+  if (!this->tried.empty() && hopeless) {
+    this->GiveUpOnEndpoints("no-other-endpoint");
+    return;
+  }
+  if (now - this->waitingSince > (this->deadline - this->exchange->Received()) / kEndpointWaitShare) {
+    this->GiveUpOnEndpoints("no-endpoint");
     return;
   }
-  this->Send(*chosen);
+  this->service.waiting.push_back(this->weak_from_this());
+  this->service.ScheduleReview();
+}
+
+void
+ProxiedRequest::GiveUpOnEndpoints(std::string_view aReason)
+{
+  if (this->mayHaveRun || this->answerBegun)
+    this->Fail(502, aReason);
+  else
+    this->Refuse(aReason, kRetryAfterNoEndpoint);
 }
 
 void
@@ -311,7 +330,8 @@
   this->service.clock.Cancel(this->stallTimer);
   if (!this->IsRepeatable() || this->ended)
     return;
-  auto const patience = this->headSeen ? kStallTime : std::max<Duration>(kStallTime, this->route.targetLatency * kFirstAnswerPatience);
+  auto const patience =
+    this->headSeen ? kStallTime : std::max<Duration>(kStallTime, this->route.targetLatency * kFirstAnswerPatience);
   auto const self = this->weak_from_this();
   this->stallTimer = this->service.clock.Schedule(patience, [self] {
     if (auto const request = self.lock())
@@ -370,6 +390,8 @@
     this->AfterFailedAttempt(foreign ? "foreign-answer" : "answer-not-the-endpoints");
     return;
   }
+  if (aHead.status >= 500 && !this->answerBegun && this->RepeatAfterError())
+    return;
   this->WatchForStall();
   this->forwarding = true;
   bool const resumed = this->answerBegun;
@@ -389,6 +411,38 @@
     this->heldHead = aHead;
 }
 
+bool
+ProxiedRequest::RepeatAfterError()
+{
+  ++this->attempts;
+  if (!this->IsRepeatable() || !this->MayRepeat()) {
+    // The endpoint's own error is the answer.
+    --this->attempts;
+    return false;
+  }
+  auto const keep = this->shared_from_this();
+  this->discarding = true;
+  this->call.Abandon();
+  this->NoteEndpoint(AttemptHealth::Failed);
+  this->mayHaveRun = true;
+  this->SendAgain("endpoint-error");
+  return true;
+}
+
+void
+ProxiedRequest::SendAgain(std::string_view aCause)
+{
+  PART_LOG("request") << "id=" << this->facts.requestId << " decision=send-again cause=" << aCause
+                      << " endpoint=" << this->endpoint << " attempts=" << this->attempts;
+  this->tried.push_back(this->endpoint);
+  // A stream goes on from its last whole event; bytes of a later one are made anew.
+  this->events.partial.clear();
+  if (this->stages && this->resultsReleased)
+    this->RestartStages(aCause);
+  else
+    this->TryEndpoint();
+}
+
 void
 ProxiedRequest::OnNotRun(Platform::EndpointAnswer const& aAnswer)
 {
@@ -398,11 +452,8 @@
     this->RestartStages("results-gone");
     return;
   }
-  this->tried.push_back(this->endpoint);
   if (this->MayRepeat()) {
-    PART_LOG("request") << "id=" << this->facts.requestId << " decision=send-again cause=not-run endpoint="
-                        << this->endpoint << " attempts=" << this->attempts;
-    this->TryEndpoint();
+    this->SendAgain("not-run");
     return;
   }
   if (this->mayHaveRun || this->answerBegun)
@@ -430,18 +481,11 @@
   PART_LOG("request") << "id=" << this->facts.requestId << " decision=attempt-failed cause=" << aCause
                       << " endpoint=" << this->endpoint << " attempts=" << this->attempts
                       << " may_have_run=" << this->mayHaveRun << " begun=" << this->answerBegun;
-  this->tried.push_back(this->endpoint);
   bool const repeatable = this->IsRepeatable() || !this->mayHaveRun;
-  if (!repeatable || !this->MayRepeat()) {
-    this->Fail(502, aCause);
-    return;
-  }
-  // A stream goes on from its last whole event; bytes of a later one are made anew.
-  this->events.partial.clear();
-  if (this->stages && this->resultsReleased)
-    this->RestartStages(aCause);
+  if (repeatable && this->MayRepeat())
+    this->SendAgain(aCause);
   else
-    this->TryEndpoint();
+    this->Fail(502, aCause);
 }
 
 void
@@ -512,13 +556,11 @@
   if (aEnd == CallEnd::NotSent) {
     this->tried.push_back(this->endpoint);
     if (++this->connectFailures <= kMostConnectFailures && this->service.clock.Now() < this->deadline) {
-      PART_LOG("request") << "id=" << this->facts.requestId << " decision=other-endpoint cause=not-connected endpoint="
-                          << this->endpoint;
+      PART_LOG("request") << "id=" << this->facts.requestId
+                          << " decision=other-endpoint cause=not-connected endpoint=" << this->endpoint;
       this->TryEndpoint();
-    } else if (this->mayHaveRun || this->answerBegun) {
-      this->Fail(502, "no-endpoint-reached");
     } else {
-      this->Refuse("no-endpoint-reached", kRetryAfterNoEndpoint);
+      this->GiveUpOnEndpoints("no-endpoint-reached");
     }
     return;
   }
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -59,6 +59,9 @@
   void OnAttemptEnd(CallEnd aEnd);
   void OnNotRun(Platform::EndpointAnswer const& aAnswer);
   void AfterFailedAttempt(std::string_view aCause);
+  bool RepeatAfterError();
+  void SendAgain(std::string_view aCause);
+  void GiveUpOnEndpoints(std::string_view aReason);
   bool MayRepeat();
   void NoteEndpoint(AttemptHealth aHealth);
   void WatchForStall();
@@ -84,6 +87,8 @@
   int rank{ 0 };
   MonotonicTime due{};
   MonotonicTime deadline{};
+  /// When it first found no endpoint.
+  MonotonicTime waitingSince{};
   TimerId deadlineTimer{ 0 };
   TimerId stallTimer{ 0 };
 
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -21,7 +21,11 @@
 }
 
 static void
-RespondOwn(Exchange& aExchange, unsigned aStatus, std::string const& aId, std::string_view aReason, std::optional<Duration> aRetryAfter)
+RespondOwn(Exchange& aExchange,
+           unsigned aStatus,
+           std::string const& aId,
+           std::string_view aReason,
+           std::optional<Duration> aRetryAfter)
 {
   aExchange.Respond(Platform::EncodeOwnResponse(aStatus, aId, aRetryAfter), aReason);
 }
@@ -37,8 +41,8 @@
     auto const id = facts ? facts->requestId : std::string();
     this->metrics.CountEnd(RequestOutcome::Refused, aStatus);
     PART_LOG("request") << "id=" << id << " outcome=refused status=" << aStatus << " reason=" << aReason
-                        << " method=" << message.method << " table="
-                        << (this->beliefs.Table() ? this->beliefs.Table()->version : 0)
+                        << " method=" << message.method
+                        << " table=" << (this->beliefs.Table() ? this->beliefs.Table()->version : 0)
                         << " beliefs_age_ms=" << Milliseconds(this->beliefs.Age());
     RespondOwn(*aExchange, aStatus, id, aReason, aRetryAfter);
   };
@@ -67,7 +71,8 @@
   for (auto const& weak : waiting)
     if (auto request = weak.lock())
       requests.push_back(std::move(request));
-  std::ranges::stable_sort(requests, {}, [](auto const& aRequest) { return std::pair(aRequest->Rank(), aRequest->Received()); });
+  std::ranges::stable_sort(
+    requests, {}, [](auto const& aRequest) { return std::pair(aRequest->Rank(), aRequest->Received()); });
   for (auto const& request : requests)
     request->TryEndpoint();
 }
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -57,7 +57,8 @@
   for (auto& [service, pool] : this->pools) {
     auto const& rule = RuleOf(*table, service);
     auto const limits = rule.stage.value_or(pool.limits);
-    this->Carry(service, UpdatePool(pool, limits, UsableEntries(this->beliefs.Endpoints(), service), this->clock.Now()));
+    this->Carry(service,
+                UpdatePool(pool, limits, UsableEntries(this->beliefs.Endpoints(), service), this->clock.Now()));
   }
 }
 
@@ -66,8 +67,9 @@
 {
   auto* const pool = this->handedOver ? nullptr : this->PoolOf(aOrder.service);
   if (pool == nullptr) {
-    this->clock.Schedule(Duration::zero(),
-                         [aDone = std::move(aDone)] { aDone({ 0, StageEnd::Moved, {}, Duration::zero() }); });
+    this->clock.Schedule(Duration::zero(), [aDone = std::move(aDone)] {
+      aDone({ 0, StageEnd::Moved, {}, Duration::zero() });
+    });
     return [] {};
   }
   auto const service = aOrder.service;
@@ -186,7 +188,8 @@
       PART_WARNING("stages") << "event=call-failed service=" << aService
                              << " endpoint=" << running->second.call.endpoint << " status=" << aStatus
                              << " end=" << ToString(aEnd) << " pieces=" << running->second.call.pieces.size()
-                             << " first_request=" << pool.orders.at(running->second.call.pieces[0].order).order.requestId;
+                             << " first_request="
+                             << pool.orders.at(running->second.call.pieces[0].order).order.requestId;
   }
   this->Carry(aService, OnCallEnd(pool, aCall, end, results, this->clock.Now()));
 }
--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -19,7 +19,10 @@
 }
 
 bool
-MaySendCold(SelectionView const& aView, EndpointBelief const& aEndpoint, std::string const& aOwnName, MonotonicTime aNow)
+MaySendCold(SelectionView const& aView,
+            EndpointBelief const& aEndpoint,
+            std::string const& aOwnName,
+            MonotonicTime aNow)
 {
   if (!IsAmongOwners(aView.fronts, aEndpoint.entry.id, aOwnName, kColdSenders))
     return false;
@@ -75,10 +78,8 @@
   auto const cost = [&](EndpointBelief const* aEndpoint) {
     bool const connected = aView.hasConnection && aView.hasConnection(aEndpoint->entry.address);
     bool const near = aEndpoint->entry.dataCenter == aQuery.ownDataCenter;
-    return std::tuple(aEndpoint->outstanding,
-                      connected ? 0 : 1,
-                      near ? 0 : 1,
-                      ~RendezvousWeight(aQuery.ownName, aEndpoint->entry.id));
+    return std::tuple(
+      aEndpoint->outstanding, connected ? 0 : 1, near ? 0 : 1, ~RendezvousWeight(aQuery.ownName, aEndpoint->entry.id));
   };
   return *std::ranges::min_element(aCandidates, {}, cost);
 }
@@ -97,6 +98,18 @@
   return chosen->entry.id;
 }
 
+bool
+HasUntried(SelectionView const& aView, EndpointQuery const& aQuery)
+{
+  auto const pool = aView.endpoints.idsByService.find(aQuery.service);
+  if (pool == aView.endpoints.idsByService.end())
+    return false;
+  return std::ranges::any_of(pool->second, [&](auto const& aId) {
+    return IsUsable(aView.endpoints, aView.endpoints.byId.at(aId)) &&
+           std::ranges::find(aQuery.excluded, aId) == aQuery.excluded.end();
+  });
+}
+
 void
 OnSend(EndpointSet& aSet, std::string const& aId, MonotonicTime aNow)
 {
--- a/Libraries/LibServing/EndpointSelection.h
+++ b/Libraries/LibServing/EndpointSelection.h
@@ -46,9 +46,16 @@
 std::optional<std::string>
 ChooseEndpoint(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow);
 
+/// Whether an endpoint that is not excluded may serve the query now or soon.
+bool
+HasUntried(SelectionView const& aView, EndpointQuery const& aQuery);
+
 /// Whether this front may send one more request to a cold endpoint now.
 bool
-MaySendCold(SelectionView const& aView, EndpointBelief const& aEndpoint, std::string const& aOwnName, MonotonicTime aNow);
+MaySendCold(SelectionView const& aView,
+            EndpointBelief const& aEndpoint,
+            std::string const& aOwnName,
+            MonotonicTime aNow);
 
 /// Notes a send; to be called at the last instant before it.
 void
--- a/Libraries/LibServing/EndpointSet.cpp
+++ b/Libraries/LibServing/EndpointSet.cpp
@@ -29,8 +29,8 @@
   belief.removeAt.reset();
   if (!added && belief.entry == aEntry)
     return EntryNews::Unchanged;
-  bool const restarted = !added && (belief.entry.incarnation != aEntry.incarnation ||
-                                    belief.entry.address != aEntry.address);
+  bool const restarted =
+    !added && (belief.entry.incarnation != aEntry.incarnation || belief.entry.address != aEntry.address);
   if (!added && belief.entry.service != aEntry.service)
     aSet.idsByService[belief.entry.service].erase(aEntry.id);
   aSet.idsByService[aEntry.service].insert(aEntry.id);
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -92,7 +92,10 @@
 }
 
 StageDecisions
-UpdatePool(StagePool& aPool, StageLimits const& aLimits, std::vector<EndpointEntry> const& aEndpoints, MonotonicTime aNow)
+UpdatePool(StagePool& aPool,
+           StageLimits const& aLimits,
+           std::vector<EndpointEntry> const& aEndpoints,
+           MonotonicTime aNow)
 {
   aPool.limits = aLimits;
   for (auto& [id, endpoint] : aPool.endpoints)
@@ -138,8 +141,8 @@
   if (rate <= 0)
     return 1s;
   // Work that runs now keeps the endpoints for half of a call on average.
-  bool const busy = std::ranges::all_of(
-    aPool.endpoints, [&](auto const& aEntry) { return aEntry.second.calls >= aPool.limits.slots; });
+  bool const busy =
+    std::ranges::all_of(aPool.endpoints, [&](auto const& aEntry) { return aEntry.second.calls >= aPool.limits.slots; });
   auto const running = busy ? CallTime(aPool.limits, aPool.limits.batch) / 2 : Duration::zero();
   return running + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
 }
@@ -250,7 +253,10 @@
 }
 
 static std::vector<StagePiece>
-TakePieces(StagePool& aPool, StageEndpoint const& aEndpoint, std::vector<StageOrderId> const& aOrder, MonotonicTime aNow)
+TakePieces(StagePool& aPool,
+           StageEndpoint const& aEndpoint,
+           std::vector<StageOrderId> const& aOrder,
+           MonotonicTime aNow)
 {
   std::vector<StagePiece> pieces;
   auto room = aPool.limits.resultRoom - std::min(aPool.limits.resultRoom, aEndpoint.reservedBytes);
@@ -333,7 +339,8 @@
       free.push_back(&endpoint);
   if (free.empty())
     return decisions;
-  std::ranges::sort(free, {}, [](auto const* aEndpoint) { return std::pair(aEndpoint->slowness >= kSlow, aEndpoint->reservedBytes); });
+  std::ranges::sort(
+    free, {}, [](auto const* aEndpoint) { return std::pair(aEndpoint->slowness >= kSlow, aEndpoint->reservedBytes); });
   auto const order = ServiceOrder(aPool, aNow);
   for (auto* endpoint : free) {
     if (endpoint->slowness >= kSlow && OthersKeepUp(aPool, waiting))
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -170,7 +170,10 @@
 
 /// Takes the service's limits and its usable endpoints.
 StageDecisions
-UpdatePool(StagePool& aPool, StageLimits const& aLimits, std::vector<EndpointEntry> const& aEndpoints, MonotonicTime aNow);
+UpdatePool(StagePool& aPool,
+           StageLimits const& aLimits,
+           std::vector<EndpointEntry> const& aEndpoints,
+           MonotonicTime aNow);
 
 struct SubmitOutcome
 {
--- a/Tests/LibServing/StagePoolTests.cpp
+++ b/Tests/LibServing/StagePoolTests.cpp
@@ -42,8 +42,8 @@
 {
   std::vector<PieceResult> results;
   for (auto const& piece : aCall.pieces)
-    results.push_back({ PieceEnd::Made,
-                        aCall.address + "/" + std::to_string(piece.order) + "-" + std::to_string(piece.segment) });
+    results.push_back(
+      { PieceEnd::Made, aCall.address + "/" + std::to_string(piece.order) + "-" + std::to_string(piece.segment) });
   return results;
 }
 
--- /dev/null
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -0,0 +1,240 @@
+#include "PlatformWorld.h"
+
+namespace Hornbeam::Testing {
+
+using namespace Gateway;
+using nlohmann::json;
+
+/// Worlds of one process take ports one after the other; the tests run one process at a time on these.
+static unsigned portsTaken = 0;
+static constexpr unsigned kFirstPort = 21000;
+static constexpr unsigned kPortsPerFront = 5;
+
+PlatformWorld::PlatformWorld(unsigned aFronts)
+  : ended(aFronts, false)
+{
+  this->base = kFirstPort + portsTaken;
+  portsTaken += 60;
+  this->nextPort = this->base + aFronts * kPortsPerFront;
+  this->store = std::make_unique<StandInStore>(this->loop.Embedded(), this->clock, this->NextAddress());
+}
+
+std::string
+PlatformWorld::AddressOf(unsigned aFront, unsigned aPort) const
+{
+  return "127.0.0.1:" + std::to_string(this->base + aFront * kPortsPerFront + aPort);
+}
+
+std::string
+PlatformWorld::NextAddress()
+{
+  return "127.0.0.1:" + std::to_string(this->nextPort++);
+}
+
+StandInEndpoint&
+PlatformWorld::AddEndpoint(EndpointKind aKind, std::string const& aService, std::string const& aDataCenter)
+{
+  auto const id = "i-" + aService + "-" + std::to_string(this->endpoints.size());
+  this->endpoints.push_back(
+    std::make_unique<StandInEndpoint>(this->loop.Embedded(), this->clock, aKind, id, this->NextAddress()));
+  this->Enter(*this->endpoints.back(), aService, "ready", aDataCenter);
+  return *this->endpoints.back();
+}
+
+void
+PlatformWorld::Enter(StandInEndpoint const& aEndpoint, std::string const& aService, std::string const& aState, std::string const& aDataCenter)
+{
+  this->store->Put("servers",
+                   aEndpoint.Id(),
+                   { { "service", aService },
+                     { "address", aEndpoint.Address() },
+                     { "zone", aDataCenter },
+                     { "version", "v1" },
+                     { "slots", 8 },
+                     { "state", aState },
+                     { "cold_remaining_ms", 0 },
+                     { "born", 1 },
+                     { "sequence", 4 } });
+}
+
+static json
+RouteOf(std::string const& aPrefix, std::string const& aType, std::string const& aService)
+{
+  return { { "name", "r" + aPrefix },    { "host", "h.example" },          { "path_prefix", aPrefix },
+           { "type", aType },            { "timeout_ms", 3000 },           { "target_latency_ms", 1000 },
+           { "priority", 1 },            { "service", aService },          { "max_attempts", 2 },
+           { "public", false } };
+}
+
+json
+PlatformWorld::TableOf(std::uint64_t aVersion) const
+{
+  auto once = RouteOf("/plain/", "unsafe", "ledger");
+  auto safe = RouteOf("/safe/", "safe", "ledger");
+  auto model = RouteOf("/model/", "streaming", "model");
+  model["resumable"] = true;
+  model["session_affinity"] = true;
+  model["target_itl_ms"] = 300;
+  auto staged = model;
+  staged["name"] = "staged";
+  staged["path_prefix"] = "/staged/";
+  staged["phases"] = json::array({ { { "service", "encode" }, { "after", json::array() }, { "size_bytes", 1000 } },
+                                   { { "service", "rank" }, { "after", { 0 } }, { "size_bytes", 1000 } } });
+  json const segments{ { "slots", 1 },       { "queue", 2 },         { "batch", 4 },        { "call_ms", 20.0 },
+                       { "item_ms", 1.0 },   { "headroom_mb", 1.0 }, { "handle_ttl_s", 4.0 } };
+  json const services = json::array(
+    { { { "name", "ledger" }, { "max_connections", 100 } },
+      { { "name", "model" }, { "max_connections", 100 }, { "cold_start_s", 2.0 }, { "cold_per_s", 10.0 }, { "engine", { { "slots", 16 } } } },
+      { { "name", "encode" }, { "max_connections", 100 }, { "segments", segments } },
+      { { "name", "rank" }, { "max_connections", 100 }, { "segments", segments } } });
+  return { { "version", aVersion },
+           { "route_table", json::array({ once, safe, model, staged }) },
+           { "services", services },
+           { "limits",
+             { { "max_header_bytes", 8192 },
+               { "max_body_bytes", 65536 },
+               { "header_timeout_ms", 400 },
+               { "idle_timeout_ms", 5000 } } },
+           { "tenants", json::array({ { { "name", "account-1" }, { "api_keys", json::array({ "key-1" }) } } }) } };
+}
+
+void
+PlatformWorld::PutTable(std::uint64_t aVersion)
+{
+  this->store->Put("config", "main", this->TableOf(aVersion));
+}
+
+void
+PlatformWorld::Start()
+{
+  if (!this->store->Has("config", "main"))
+    this->PutTable(1);
+  for (unsigned index = 0; index < this->ended.size(); ++index)
+    this->StartFront(index);
+}
+
+void
+PlatformWorld::StartFront(unsigned aFront)
+{
+  GatewaySettings settings;
+  settings.name = "front-" + std::to_string(aFront);
+  settings.dataCenter = "a";
+  settings.region = "r";
+  settings.callerAddress = this->AddressOf(aFront, 0);
+  settings.readinessAddress = this->AddressOf(aFront, 1);
+  settings.directoryAddress = this->AddressOf(aFront, 2);
+  settings.peerAddress = this->AddressOf(aFront, 3);
+  settings.metricsAddress = this->AddressOf(aFront, 4);
+  settings.storeAddress = this->store->Address();
+  settings.seeds = { this->AddressOf(0, 3) };
+  settings.retries.slack = 50;
+  settings.cold = { 1.5, 5 };
+  this->fronts.push_back(
+    std::make_unique<GatewayFront>(settings, this->loop, [this, aFront] { this->ended[aFront] = true; }));
+  VERIFY(this->fronts.back()->Open());
+  this->fronts.back()->Start();
+}
+
+bool
+PlatformWorld::RunUntil(std::function<bool()> const& aCondition, Duration aTime)
+{
+  auto const limit = this->clock.Now() + aTime;
+  // The loop sleeps until something happens; a timer bounds each sleep.
+  while (!aCondition() && this->clock.Now() < limit) {
+    bool turned = false;
+    auto const timer = this->clock.Schedule(2ms, [&turned] { turned = true; });
+    this->loop.RunUntil([&] { return turned || aCondition(); });
+    this->clock.Cancel(timer);
+  }
+  return aCondition();
+}
+
+void
+PlatformWorld::RunFor(Duration aTime)
+{
+  this->RunUntil([] { return false; }, aTime);
+}
+
+std::shared_ptr<CallerAnswer>
+PlatformWorld::Send(unsigned aFront, CallerRequest const& aRequest, CallHandle* aHandle)
+{
+  auto const answer = std::make_shared<CallerAnswer>();
+  auto const began = this->clock.Now();
+  OutgoingCall call;
+  call.address = this->AddressOf(aFront, 0);
+  call.timeout = aRequest.patience + 2s;
+  call.request.method = aRequest.method;
+  call.request.target = aRequest.target;
+  call.request.body = aRequest.body;
+  call.request.fields = { { "Host", "h.example" },
+                          { "Hornbeamfront-Request-Id", aRequest.id },
+                          { "Hornbeamfront-Deadline-Ms", std::to_string(Milliseconds(aRequest.patience)) },
+                          { "Authorization", "Bearer " + aRequest.key } };
+  call.request.fields.insert(call.request.fields.end(), aRequest.more.begin(), aRequest.more.end());
+  CallEvents events;
+  events.onHead = [answer](ResponseHead const& aHead) {
+    answer->status = aHead.status;
+    answer->fields = aHead.fields;
+  };
+  events.onBody = [answer](std::string aPiece) { answer->body += aPiece; };
+  events.onEnd = [this, answer, began](CallEnd aEnd) {
+    answer->ended = true;
+    answer->end = aEnd;
+    answer->took = this->clock.Now() - began;
+  };
+  auto const handle = this->callers.Send(std::move(call), std::move(events), Reuse::Fresh);
+  if (aHandle != nullptr)
+    *aHandle = handle;
+  return answer;
+}
+
+CallerAnswer
+PlatformWorld::Call(unsigned aFront, CallerRequest const& aRequest)
+{
+  auto const answer = this->Send(aFront, aRequest);
+  this->RunUntil([&] { return answer->ended; }, aRequest.patience + 3s);
+  return *answer;
+}
+
+CallerAnswer
+PlatformWorld::Ask(unsigned aFront, unsigned aPort, std::string const& aTarget)
+{
+  auto const answer = std::make_shared<CallerAnswer>();
+  OutgoingCall call;
+  call.address = this->AddressOf(aFront, aPort);
+  call.request.method = "GET";
+  call.request.target = aTarget;
+  call.request.fields = { { "Host", "front" } };
+  CallEvents events;
+  events.onHead = [answer](ResponseHead const& aHead) { answer->status = aHead.status; };
+  events.onBody = [answer](std::string aPiece) { answer->body += aPiece; };
+  events.onEnd = [answer](CallEnd aEnd) {
+    answer->ended = true;
+    answer->end = aEnd;
+  };
+  this->callers.Send(std::move(call), std::move(events), Reuse::Fresh);
+  this->RunUntil([&] { return answer->ended; });
+  return *answer;
+}
+
+std::string
+PlatformWorld::SendRaw(unsigned aFront, std::string const& aBytes, Duration aTime)
+{
+  std::string received;
+  bool done = false;
+  std::shared_ptr<TcpStream> stream;
+  stream = TcpStream::Connect(this->loop.Embedded(), this->AddressOf(aFront, 0), {}, [&](bool aConnected) {
+    if (aConnected)
+      stream->Write(aBytes);
+  });
+  StreamEvents events;
+  events.onData = [&](std::string_view aData) { received += aData; };
+  events.onEnd = [&](StreamEnd) { done = true; };
+  stream->Listen(std::move(events));
+  this->RunUntil([&] { return done; }, aTime);
+  stream->Reset();
+  this->RunFor(2ms);
+  return received;
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -0,0 +1,153 @@
+#include "StandInEndpoint.h"
+#include <nlohmann/json.hpp>
+
+namespace Hornbeam::Testing {
+
+using namespace Gateway;
+using nlohmann::json;
+
+StandInEndpoint::StandInEndpoint(uv_loop_t& aLoop,
+                                 Clock& aClock,
+                                 EndpointKind aKind,
+                                 std::string aId,
+                                 std::string aAddress)
+  : clock(aClock)
+  , kind(aKind)
+  , id(std::move(aId))
+  , address(std::move(aAddress))
+  , entry(aLoop, aClock, [this](std::shared_ptr<Exchange> aExchange) { this->Handle(aExchange); })
+{
+  VERIFY(this->entry.Open(this->address));
+}
+
+static std::string
+FieldOf(Exchange const& aExchange, std::string_view aName)
+{
+  auto const* const found = FindField(aExchange.Request().fields, aName);
+  return found == nullptr ? "" : *found;
+}
+
+void
+StandInEndpoint::Handle(std::shared_ptr<Exchange> const& aExchange)
+{
+  auto const& request = aExchange->Request();
+  auto const expected = FieldOf(*aExchange, "Hornbeamfront-Expected-Instance");
+  if (!expected.empty() && expected != this->id) {
+    aExchange->Respond({ 421, { { "Hornbeamfront-Instance-Id", this->id } } }, "");
+    return;
+  }
+  if (this->kind == EndpointKind::Stage) {
+    if (request.target == "/stage-free")
+      this->FreePieces(aExchange);
+    else
+      this->MakePieces(aExchange);
+    return;
+  }
+  auto const number = this->seen.size();
+  this->seen.push_back({ FieldOf(*aExchange, "Hornbeamfront-Request-Id"),
+                         request.method,
+                         request.target,
+                         request.body,
+                         request.fields,
+                         this->clock.Now() });
+  auto const fault = this->faultOf ? this->faultOf(number) : EndpointFault::None;
+  aExchange->onCallerGone = [this] { ++this->callersGone; };
+  if (fault == EndpointFault::Full) {
+    aExchange->Respond({ 503, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
+    return;
+  }
+  if (fault == EndpointFault::InputsGone) {
+    aExchange->Respond({ 409, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
+    return;
+  }
+  if (fault == EndpointFault::Silent)
+    return;
+  this->clock.Schedule(this->workTime, [this, aExchange, fault] {
+    if (this->kind == EndpointKind::Model)
+      this->Stream(aExchange, fault);
+    else
+      this->AnswerPlain(aExchange, fault);
+  });
+}
+
+static ResponseHead
+HeadFor(Exchange const& aExchange, unsigned aStatus, std::string aType, EndpointFault aFault)
+{
+  auto const requestId = aFault == EndpointFault::ForeignAnswer ? "another" : FieldOf(aExchange, "Hornbeamfront-Request-Id");
+  return { aStatus,
+           { { "Content-Type", std::move(aType) },
+             { "Hornbeamfront-Request-Id", requestId },
+             { "Hornbeamfront-Response-Signature", "signed" } } };
+}
+
+void
+StandInEndpoint::AnswerPlain(std::shared_ptr<Exchange> const& aExchange, EndpointFault aFault)
+{
+  switch (aFault) {
+    case EndpointFault::LostAnswer:
+      return aExchange->BreakOff();
+    case EndpointFault::BreakOff:
+      aExchange->BeginStream(HeadFor(*aExchange, 200, "text/plain", aFault));
+      aExchange->SendPiece("half");
+      this->clock.Schedule(5ms, [aExchange] { aExchange->BreakOff(); });
+      return;
+    case EndpointFault::Error:
+      return aExchange->Respond(HeadFor(*aExchange, 500, "text/plain", aFault), "error of " + this->id);
+    default:
+      return aExchange->Respond(HeadFor(*aExchange, 200, "text/plain", aFault), "answer of " + this->id);
+  }
+}
+
+void
+StandInEndpoint::Stream(std::shared_ptr<Exchange> const& aExchange, EndpointFault aFault)
+{
+  if (aFault == EndpointFault::LostAnswer)
+    return aExchange->BreakOff();
+  aExchange->BeginStream(HeadFor(*aExchange, 200, "text/event-stream", aFault));
+  auto const last = FieldOf(*aExchange, "Last-Event-Id");
+  this->SendEvent(aExchange, last.empty() ? 1 : unsigned(std::stoul(last)) + 1, aFault);
+}
+
+void
+StandInEndpoint::SendEvent(std::shared_ptr<Exchange> const& aExchange, unsigned aEvent, EndpointFault aFault)
+{
+  if (aFault == EndpointFault::BreakOff && aEvent == 3) {
+    aExchange->SendPiece("id: 3\ndata: ha");
+    this->clock.Schedule(5ms, [aExchange] { aExchange->BreakOff(); });
+    return;
+  }
+  if (aEvent > this->events) {
+    aExchange->EndStream();
+    return;
+  }
+  aExchange->SendPiece("id: " + std::to_string(aEvent) + "\ndata: t" + std::to_string(aEvent) + "\n\n");
+  this->clock.Schedule(3ms, [this, aExchange, aEvent, aFault] { this->SendEvent(aExchange, aEvent + 1, aFault); });
+}
+
+void
+StandInEndpoint::MakePieces(std::shared_ptr<Exchange> const& aExchange)
+{
+  auto const body = json::parse(aExchange->Request().body, nullptr, false);
+  this->batchSizes.push_back(body["items"].size());
+  this->clock.Schedule(this->workTime, [this, aExchange, body] {
+    json items = json::array();
+    for (auto const& item : body["items"]) {
+      auto const handle = this->address + "/" + std::to_string(++this->made);
+      this->heldResults.insert(handle);
+      items.push_back({ { "handle_id", handle } });
+      this->seen.push_back({ item["id"].get<std::string>(), "", "", item.dump(), {}, this->clock.Now() });
+    }
+    aExchange->Respond({ 200, { { "Content-Type", "application/json" } } }, json{ { "items", items } }.dump());
+  });
+}
+
+void
+StandInEndpoint::FreePieces(std::shared_ptr<Exchange> const& aExchange)
+{
+  auto const body = json::parse(aExchange->Request().body, nullptr, false);
+  for (auto const& handle : body["handle_ids"])
+    this->heldResults.erase(handle.get<std::string>());
+  aExchange->Respond({ 200, {} }, "{}");
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/StandInStore.cpp
@@ -0,0 +1,213 @@
+#include "StandInStore.h"
+
+namespace Hornbeam::Testing {
+
+using namespace Gateway;
+using nlohmann::json;
+
+StandInStore::StandInStore(uv_loop_t& aLoop, Clock& aClock, std::string aAddress)
+  : clock(aClock)
+  , address(std::move(aAddress))
+  , entry(aLoop, aClock, [this](std::shared_ptr<Exchange> aExchange) { this->Handle(aExchange); })
+{
+  VERIFY(this->entry.Open(this->address));
+}
+
+static void
+Respond(Exchange& aExchange, unsigned aStatus, json const& aBody)
+{
+  aExchange.Respond({ aStatus, { { "Content-Type", "application/json" } } }, aBody.dump());
+}
+
+json
+StandInStore::Whole(std::string const& aName, Object const& aObject)
+{
+  json const metadata{ { "name", aName },          { "revision", aObject.revision },     { "created", 1 },
+                       { "finalizers", json::array() }, { "deleting", false } };
+  return { { "metadata", metadata }, { "spec", aObject.spec }, { "status", nullptr } };
+}
+
+void
+StandInStore::Change(std::string const& aKind, std::string const& aName, json aSpec)
+{
+  auto& object = this->objects[aKind][aName];
+  object.spec = std::move(aSpec);
+  object.revision = ++this->revision;
+  this->history.push_back({ aKind, Whole(aName, object), false, this->revision });
+}
+
+void
+StandInStore::Erase(std::string const& aKind, std::string const& aName)
+{
+  auto const found = this->objects[aKind].find(aName);
+  if (found == this->objects[aKind].end())
+    return;
+  found->second.revision = ++this->revision;
+  this->history.push_back({ aKind, Whole(aName, found->second), true, this->revision });
+  this->objects[aKind].erase(found);
+}
+
+void
+StandInStore::Put(std::string const& aKind, std::string const& aName, json aSpec)
+{
+  this->Change(aKind, aName, std::move(aSpec));
+  this->WakeWatches();
+}
+
+void
+StandInStore::Remove(std::string const& aKind, std::string const& aName)
+{
+  this->Erase(aKind, aName);
+  this->WakeWatches();
+}
+
+bool
+StandInStore::Has(std::string const& aKind, std::string const& aName) const
+{
+  auto const found = this->objects.find(aKind);
+  return found != this->objects.end() && found->second.contains(aName);
+}
+
+void
+StandInStore::PutInGap(std::string const& aKind, std::string const& aName, json aSpec)
+{
+  this->CutWatches();
+  this->Change(aKind, aName, std::move(aSpec));
+  // A watch that begins now would wait for events that are already forgotten.
+  this->history.clear();
+  this->clock.Schedule(150ms, [this] { this->DropHistory(); });
+}
+
+void
+StandInStore::DropHistory()
+{
+  this->history.clear();
+  this->historyFrom = this->revision;
+}
+
+void
+StandInStore::CutWatches()
+{
+  auto const cut = std::move(this->waiting);
+  this->waiting.clear();
+  for (auto const& watch : cut)
+    watch.exchange->BreakOff();
+}
+
+void
+StandInStore::WakeWatches()
+{
+  auto const woken = std::move(this->waiting);
+  this->waiting.clear();
+  for (auto const& watch : woken)
+    if (!this->AnswerWatch(watch))
+      this->waiting.push_back(watch);
+}
+
+bool
+StandInStore::AnswerWatch(Waiting const& aWaiting)
+{
+  if (aWaiting.since < this->historyFrom) {
+    Respond(*aWaiting.exchange, 410, { { "error", "history is gone" } });
+    return true;
+  }
+  json events = json::array();
+  for (auto const& event : this->history)
+    if (event.kind == aWaiting.kind && event.revision > aWaiting.since)
+      events.push_back({ { "deleted", event.removed }, { "object", event.object } });
+  if (events.empty())
+    return false;
+  Respond(*aWaiting.exchange, 200, { { "events", events }, { "as_of", this->revision } });
+  return true;
+}
+
+void
+StandInStore::Handle(std::shared_ptr<Exchange> const& aExchange)
+{
+  ++this->calls;
+  switch (this->behavior) {
+    case StoreBehavior::Refusing:
+      return Respond(*aExchange, 503, json::object());
+    case StoreBehavior::Resetting:
+      return aExchange->BreakOff();
+    case StoreBehavior::Silent:
+      // The exchange is kept without an answer.
+      this->waiting.push_back({ aExchange, "none", this->revision });
+      return;
+    case StoreBehavior::Well:
+      break;
+  }
+  auto const& request = aExchange->Request();
+  auto const question = request.target.find('?');
+  auto path = request.target.substr(0, question).substr(std::string("/objects/").size());
+  std::map<std::string, std::string> query;
+  auto rest = question == std::string::npos ? std::string() : request.target.substr(question + 1);
+  while (!rest.empty()) {
+    auto const end = std::min(rest.find('&'), rest.size());
+    auto const item = rest.substr(0, end);
+    rest.erase(0, end + 1);
+    query[item.substr(0, item.find('='))] = item.substr(item.find('=') + 1);
+  }
+  auto const slash = path.find('/');
+  auto const kind = path.substr(0, slash);
+  auto const name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  if (request.method != "GET")
+    return this->HandleWrite(*aExchange, kind, name);
+  if (query.contains("watch"))
+    return this->HandleWatch(aExchange, kind, std::stoull(query["watch"]));
+  this->HandleList(*aExchange, kind, query["after"]);
+}
+
+void
+StandInStore::HandleList(Exchange& aExchange, std::string const& aKind, std::string const& aAfter)
+{
+  json items = json::array();
+  auto const& all = this->objects[aKind];
+  auto next = all.upper_bound(aAfter);
+  for (; next != all.end() && items.size() < this->pageSize; ++next)
+    items.push_back(Whole(next->first, next->second));
+  Respond(aExchange, 200, { { "items", items }, { "has_more", next != all.end() }, { "as_of", this->revision } });
+}
+
+void
+StandInStore::HandleWatch(std::shared_ptr<Exchange> const& aExchange, std::string const& aKind, std::uint64_t aSince)
+{
+  Waiting const watch{ aExchange, aKind, aSince };
+  if (!this->AnswerWatch(watch))
+    this->waiting.push_back(watch);
+}
+
+void
+StandInStore::HandleWrite(Exchange& aExchange, std::string const& aKind, std::string const& aName)
+{
+  auto const& request = aExchange.Request();
+  auto const body = json::parse(request.body, nullptr, false);
+  auto const name = aName.empty() ? body["metadata"]["name"].get<std::string>() : aName;
+  auto const known = this->objects[aKind].find(name);
+  bool const exists = known != this->objects[aKind].end();
+  std::uint64_t expected = 0;
+  if (auto const position = request.target.find("revision="); position != std::string::npos)
+    expected = std::stoull(request.target.substr(position + 9));
+  else if (body.is_object() && body["metadata"].contains("revision"))
+    expected = body["metadata"]["revision"].get<std::uint64_t>();
+  if (request.method == "POST" ? exists : (exists && expected != 0 && known->second.revision != expected))
+    return Respond(aExchange, 409, Whole(name, known->second));
+  if (request.method != "POST" && !exists)
+    return Respond(aExchange, 404, json::object());
+  if (request.method == "DELETE")
+    this->Erase(aKind, name);
+  else
+    this->Change(aKind, name, body["spec"]);
+  bool const lost = this->answersToLose > 0;
+  if (lost) {
+    --this->answersToLose;
+    aExchange.BreakOff();
+  } else if (request.method == "DELETE") {
+    Respond(aExchange, 200, json::object());
+  } else {
+    Respond(aExchange, 200, Whole(name, this->objects[aKind][name]));
+  }
+  this->WakeWatches();
+}
+
+}
