LibGateway: Never refuse after an answer has begun

The same path could have told 'not run' of a request that may have run. Change: one function ends a request; it refuses only where nothing has run and no answer has begun, and breaks off or fails otherwise. A test with the raw bytes failed before.

--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -220,10 +220,7 @@
   for (unsigned stage = 0; stage < this->stages->rules.size(); ++stage)
     needed = std::max(needed, TimeAfterStage(*this->stages, stage, *this->table) + kFirstEventTime);
   if (++this->stageRestarts > kMostStageRestarts || this->service.clock.Now() + needed > this->deadline) {
-    if (this->answerBegun || this->mayHaveRun)
-      this->Fail(502, aCause);
-    else
-      this->Refuse(aCause, kRetryAfterNoEndpoint);
+    this->Refuse(aCause, kRetryAfterNoEndpoint);
     return;
   }
   PART_LOG("request") << "id=" << this->facts.requestId << " decision=restart-stages cause=" << aCause
@@ -258,26 +255,17 @@
     this->waitingSince = now;
   bool const hopeless = !HasUntried(view, this->Query());
   if (!this->tried.empty() && hopeless) {
-    this->GiveUpOnEndpoints("no-other-endpoint");
+    this->Refuse("no-other-endpoint", kRetryAfterNoEndpoint);
     return;
   }
   if (now - this->waitingSince > (this->deadline - this->exchange->Received()) / kEndpointWaitShare) {
-    this->GiveUpOnEndpoints("no-endpoint");
+    this->Refuse("no-endpoint", kRetryAfterNoEndpoint);
     return;
   }
   this->service.waiting.push_back(this->weak_from_this());
   this->service.ScheduleReview();
 }
 
-void
-ProxiedRequest::GiveUpOnEndpoints(std::string_view aReason)
-{
-  if (this->mayHaveRun || this->answerBegun)
-    this->Fail(502, aReason);
-  else
-    this->Refuse(aReason, kRetryAfterNoEndpoint);
-}
-
 void
 ProxiedRequest::Send(std::string const& aEndpoint)
 {
@@ -456,10 +444,7 @@
     this->SendAgain("not-run");
     return;
   }
-  if (this->mayHaveRun || this->answerBegun)
-    this->Fail(502, "endpoint-refused-after-attempt");
-  else
-    this->Refuse("endpoint-refused", kLeastRetryAfter);
+  this->Refuse("endpoint-refused", kLeastRetryAfter);
 }
 
 bool
@@ -560,7 +545,7 @@
                           << " decision=other-endpoint cause=not-connected endpoint=" << this->endpoint;
       this->TryEndpoint();
     } else {
-      this->GiveUpOnEndpoints("no-endpoint-reached");
+      this->Refuse("no-endpoint-reached", kRetryAfterNoEndpoint);
     }
     return;
   }
@@ -589,8 +574,7 @@
 {
   if (this->ended)
     return;
-  bool const sent = this->attempting || this->mayHaveRun;
-  if (this->answerBegun || sent)
+  if (this->attempting || this->mayHaveRun || this->answerBegun)
     this->Fail(504, "deadline");
   else
     this->Refuse("deadline", kLeastRetryAfter);
@@ -601,6 +585,11 @@
 {
   if (this->ended)
     return;
+  // The refusal would promise that nothing ran.
+  if (this->mayHaveRun || this->answerBegun) {
+    this->Fail(502, aReason);
+    return;
+  }
   auto const retryAfter = std::max(kLeastRetryAfter, aRetryAfter);
   this->exchange->Respond(Platform::EncodeOwnResponse(503, this->facts.requestId, retryAfter), aReason);
   this->End(RequestOutcome::Refused, 503, aReason);
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -61,7 +61,6 @@
   void AfterFailedAttempt(std::string_view aCause);
   bool RepeatAfterError();
   void SendAgain(std::string_view aCause);
-  void GiveUpOnEndpoints(std::string_view aReason);
   bool MayRepeat();
   void NoteEndpoint(AttemptHealth aHealth);
   void WatchForStall();
@@ -72,6 +71,7 @@
   void FinishAnswer();
 
   void OnDeadline();
+  /// Ends the request with the promise that it has not run, or with a failure where it may have.
   void Refuse(std::string_view aReason, Duration aRetryAfter);
   void Fail(unsigned aStatus, std::string_view aReason);
   void End(RequestOutcome aOutcome, unsigned aStatus, std::string_view aReason);
--- a/Tests/LibExchange/ExchangeTests.cpp
+++ b/Tests/LibExchange/ExchangeTests.cpp
@@ -104,10 +104,11 @@
   EXPECT_EQ(RawServer("no http at all\r\n\r\n", Ending::Keep).Call().end, CallEnd::Broken);
   EXPECT_EQ(RawServer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", Ending::Close).Call().end,
             CallEnd::Broken);
-  EXPECT_EQ(RawServer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Ending::Keep)
-              .Call()
-              .end,
-            CallEnd::Broken);
+  EXPECT_EQ(
+    RawServer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Ending::Keep)
+      .Call()
+      .end,
+    CallEnd::Broken);
   EXPECT_EQ(RawServer("", Ending::Keep).Call("GET", 100ms).end, CallEnd::TimedOut);
 }
 
@@ -128,10 +129,12 @@
 
 TEST(ConnectionPool, SkipsInformationalAnswersAndBodiesOfHead)
 {
-  RawServer server("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Ending::Keep);
-  auto const result = server.Call();
-  EXPECT_EQ(result.status, 200U);
-  EXPECT_EQ(result.body, "ok");
+  {
+    RawServer server("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Ending::Keep);
+    auto const result = server.Call();
+    EXPECT_EQ(result.status, 200U);
+    EXPECT_EQ(result.body, "ok");
+  }
   RawServer head("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", Ending::Keep);
   EXPECT_EQ(head.Call("HEAD").end, CallEnd::Complete);
 }
--- a/Tests/Platform/PlatformTests.cpp
+++ b/Tests/Platform/PlatformTests.cpp
@@ -20,7 +20,8 @@
   void WaitUntilReady(unsigned aFronts)
   {
     for (unsigned front = 0; front < aFronts; ++front)
-      EXPECT_TRUE(this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-" + std::to_string(front)); }));
+      EXPECT_TRUE(
+        this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-" + std::to_string(front)); }));
     this->world.RunFor(50ms);
   }
 
@@ -137,8 +138,11 @@
 
 TEST(Platform, RepeatsSafeRequestsElsewhere)
 {
-  for (auto const fault : { EndpointFault::LostAnswer, EndpointFault::BreakOff, EndpointFault::ForeignAnswer,
-                            EndpointFault::Full, EndpointFault::Error }) {
+  for (auto const fault : { EndpointFault::LostAnswer,
+                            EndpointFault::BreakOff,
+                            EndpointFault::ForeignAnswer,
+                            EndpointFault::Full,
+                            EndpointFault::Error }) {
     PlainWorld plain(1, 2);
     std::size_t total = 0;
     for (auto const& endpoint : plain.world.endpoints)
@@ -189,7 +193,8 @@
   ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
   auto const answer = world.Call(0, Model());
   EXPECT_EQ(answer.end, CallEnd::Complete);
-  EXPECT_EQ(answer.body, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\nid: 4\ndata: t4\n\nid: 5\ndata: t5\n\n");
+  EXPECT_EQ(answer.body,
+            "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\nid: 4\ndata: t4\n\nid: 5\ndata: t5\n\n");
   EXPECT_EQ(total, 2U);
 }
 
@@ -210,7 +215,8 @@
     request.id = "r" + std::to_string(index);
     answers.push_back(world.Send(index % 3, request));
   }
-  ASSERT_TRUE(world.RunUntil([&] { return std::ranges::all_of(answers, [](auto const& aAnswer) { return aAnswer->ended; }); }));
+  ASSERT_TRUE(
+    world.RunUntil([&] { return std::ranges::all_of(answers, [](auto const& aAnswer) { return aAnswer->ended; }); }));
   for (auto const& answer : answers)
     EXPECT_EQ(answer->status, 200U) << answer->body;
   EXPECT_EQ(model.seen.size(), 9U);
@@ -224,6 +230,32 @@
   EXPECT_TRUE(world.RunUntil([&] { return encode.heldResults.empty() && rank.heldResults.empty(); }, 1s));
 }
 
+TEST(Platform, BreaksOffABegunAnswerThatCannotGoOn)
+{
+  PlatformWorld world(1);
+  auto& encode = world.AddEndpoint(EndpointKind::Stage, "encode");
+  world.AddEndpoint(EndpointKind::Stage, "rank");
+  world.AddEndpoint(EndpointKind::Model, "model");
+  world.AddEndpoint(EndpointKind::Model, "model");
+  for (auto const& endpoint : world.endpoints)
+    endpoint->faultOf = [&](std::size_t) {
+      world.store->Remove("servers", encode.Id());
+      return EndpointFault::BreakOff;
+    };
+  world.Start();
+  ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
+  auto const answer = world.SendRaw(0,
+                                    "POST /staged/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n"
+                                    "Hornbeamfront-Request-Id: r1\r\nHornbeamfront-Deadline-Ms: 800\r\n"
+                                    "Hornbeamfront-Chunks: 2,3\r\nHornbeamfront-Chunk-Key: k\r\n"
+                                    "Content-Length: 0\r\n\r\n",
+                                    1500ms);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  EXPECT_NE(answer.find("data: t2"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("HTTP/1.1", 8), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("\r\n0\r\n"), std::string::npos) << answer;
+}
+
 TEST(Platform, MakesResultsAgainThatAreGone)
 {
   PlatformWorld world(1);
@@ -265,7 +297,8 @@
   std::vector<std::shared_ptr<CallerAnswer>> answers;
   for (int index = 0; index < 6; ++index)
     answers.push_back(world.Send(0, Safe("s" + std::to_string(index))));
-  EXPECT_TRUE(world.RunUntil([&] { return std::ranges::all_of(answers, [](auto const& aAnswer) { return aAnswer->ended; }); }));
+  EXPECT_TRUE(
+    world.RunUntil([&] { return std::ranges::all_of(answers, [](auto const& aAnswer) { return aAnswer->ended; }); }));
   EXPECT_FALSE(world.endpoints[0]->seen.empty());
 }
 
@@ -399,8 +432,14 @@
     ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-" + std::to_string(front)); }));
   world.RunFor(50ms);
   // The same id comes back as another process: it is cold.
-  world.store->Put("servers", model.Id(), { { "service", "model" }, { "address", model.Address() }, { "zone", "a" },
-                                            { "state", "ready" }, { "cold_remaining_ms", 2000 }, { "born", 2 } });
+  world.store->Put("servers",
+                   model.Id(),
+                   { { "service", "model" },
+                     { "address", model.Address() },
+                     { "zone", "a" },
+                     { "state", "ready" },
+                     { "cold_remaining_ms", 2000 },
+                     { "born", 2 } });
   world.RunFor(50ms);
   std::vector<std::shared_ptr<CallerAnswer>> answers;
   for (unsigned index = 0; index < 120; ++index) {
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -42,7 +42,10 @@
 }
 
 void
-PlatformWorld::Enter(StandInEndpoint const& aEndpoint, std::string const& aService, std::string const& aState, std::string const& aDataCenter)
+PlatformWorld::Enter(StandInEndpoint const& aEndpoint,
+                     std::string const& aService,
+                     std::string const& aState,
+                     std::string const& aDataCenter)
 {
   this->store->Put("servers",
                    aEndpoint.Id(),
@@ -60,9 +63,9 @@
 static json
 RouteOf(std::string const& aPrefix, std::string const& aType, std::string const& aService)
 {
-  return { { "name", "r" + aPrefix },    { "host", "h.example" },          { "path_prefix", aPrefix },
-           { "type", aType },            { "timeout_ms", 3000 },           { "target_latency_ms", 1000 },
-           { "priority", 1 },            { "service", aService },          { "max_attempts", 2 },
+  return { { "name", "r" + aPrefix }, { "host", "h.example" }, { "path_prefix", aPrefix },
+           { "type", aType },         { "timeout_ms", 3000 },  { "target_latency_ms", 1000 },
+           { "priority", 1 },         { "service", aService }, { "max_attempts", 2 },
            { "public", false } };
 }
 
@@ -80,13 +83,16 @@
   staged["path_prefix"] = "/staged/";
   staged["phases"] = json::array({ { { "service", "encode" }, { "after", json::array() }, { "size_bytes", 1000 } },
                                    { { "service", "rank" }, { "after", { 0 } }, { "size_bytes", 1000 } } });
-  json const segments{ { "slots", 1 },       { "queue", 2 },         { "batch", 4 },        { "call_ms", 20.0 },
-                       { "item_ms", 1.0 },   { "headroom_mb", 1.0 }, { "handle_ttl_s", 4.0 } };
-  json const services = json::array(
-    { { { "name", "ledger" }, { "max_connections", 100 } },
-      { { "name", "model" }, { "max_connections", 100 }, { "cold_start_s", 2.0 }, { "cold_per_s", 10.0 }, { "engine", { { "slots", 16 } } } },
-      { { "name", "encode" }, { "max_connections", 100 }, { "segments", segments } },
-      { { "name", "rank" }, { "max_connections", 100 }, { "segments", segments } } });
+  json const segments{ { "slots", 1 },     { "queue", 2 },         { "batch", 4 },         { "call_ms", 20.0 },
+                       { "item_ms", 1.0 }, { "headroom_mb", 1.0 }, { "handle_ttl_s", 4.0 } };
+  json const services = json::array({ { { "name", "ledger" }, { "max_connections", 100 } },
+                                      { { "name", "model" },
+                                        { "max_connections", 100 },
+                                        { "cold_start_s", 2.0 },
+                                        { "cold_per_s", 10.0 },
+                                        { "engine", { { "slots", 16 } } } },
+                                      { { "name", "encode" }, { "max_connections", 100 }, { "segments", segments } },
+                                      { { "name", "rank" }, { "max_connections", 100 }, { "segments", segments } } });
   return { { "version", aVersion },
            { "route_table", json::array({ once, safe, model, staged }) },
            { "services", services },
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -40,13 +40,18 @@
   void StartFront(unsigned aFront);
 
   StandInEndpoint& AddEndpoint(EndpointKind aKind, std::string const& aService, std::string const& aDataCenter = "a");
-  void Enter(StandInEndpoint const& aEndpoint, std::string const& aService, std::string const& aState, std::string const& aDataCenter = "a");
+  void Enter(StandInEndpoint const& aEndpoint,
+             std::string const& aService,
+             std::string const& aState,
+             std::string const& aDataCenter = "a");
 
   /// Puts the table; aVersion grows.
   void PutTable(std::uint64_t aVersion);
   nlohmann::json TableOf(std::uint64_t aVersion) const;
 
-  std::shared_ptr<CallerAnswer> Send(unsigned aFront, CallerRequest const& aRequest, Gateway::CallHandle* aHandle = nullptr,
+  std::shared_ptr<CallerAnswer> Send(unsigned aFront,
+                                     CallerRequest const& aRequest,
+                                     Gateway::CallHandle* aHandle = nullptr,
                                      Gateway::Reuse aReuse = Gateway::Reuse::Fresh);
 
   /// Sends bytes as they are and collects what comes back until the connection ends or aTime has passed.
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -73,7 +73,8 @@
 static ResponseHead
 HeadFor(Exchange const& aExchange, unsigned aStatus, std::string aType, EndpointFault aFault)
 {
-  auto const requestId = aFault == EndpointFault::ForeignAnswer ? "another" : FieldOf(aExchange, "Hornbeamfront-Request-Id");
+  auto const requestId =
+    aFault == EndpointFault::ForeignAnswer ? "another" : FieldOf(aExchange, "Hornbeamfront-Request-Id");
   return { aStatus,
            { { "Content-Type", std::move(aType) },
              { "Hornbeamfront-Request-Id", requestId },
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -22,8 +22,11 @@
 json
 StandInStore::Whole(std::string const& aName, Object const& aObject)
 {
-  json const metadata{ { "name", aName },          { "revision", aObject.revision },     { "created", 1 },
-                       { "finalizers", json::array() }, { "deleting", false } };
+  json const metadata{ { "name", aName },
+                       { "revision", aObject.revision },
+                       { "created", 1 },
+                       { "finalizers", json::array() },
+                       { "deleting", false } };
   return { { "metadata", metadata }, { "spec", aObject.spec }, { "status", nullptr } };
 }
 
