LibServing: Count results until they are freed; wait for the near data centre by bytes

The wait follows the bytes that would cross, inputs included, and is never more than a quarter of the time to spare; a later stage is made next to its inputs.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -27,7 +27,7 @@
             char const* aMessage,
             std::size_t aLength) override
   {
-    auto const second = std::time_t(aTime->tm_sec + 60 * aTime->tm_min);
+    int const second = aTime->tm_sec + 60 * aTime->tm_min;
     if (second != this->currentSecond) {
       this->currentSecond = second;
       this->linesThisSecond = 0;
@@ -72,7 +72,7 @@
   }
 
   std::string waiting;
-  std::time_t currentSecond{ -1 };
+  int currentSecond{ -1 };
   std::uint32_t linesThisSecond{ 0 };
   std::uint64_t dropped{ 0 };
 };
--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -43,6 +43,7 @@
   std::ranges::sort(found, std::greater());
   found.resize(std::min(found.size(), kMostAddresses));
   std::vector<std::string> result;
+  result.reserve(found.size());
   for (auto& [weight, address] : found)
     result.push_back(std::move(address));
   return result;
--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -28,6 +28,7 @@
   order.later = Duration(aWire.getLaterUs());
   order.pieceBytes = aWire.getPieceBytes();
   order.dataCenter = aWire.getDataCenter().cStr();
+  order.crossingBytes = aWire.getCrossingBytes();
   order.key = aWire.getKey().cStr();
   for (auto const input : aWire.getInputs())
     order.inputs.emplace_back(input.cStr());
@@ -57,6 +58,7 @@
   aWire.setLaterUs(order.later.count());
   aWire.setPieceBytes(order.pieceBytes);
   aWire.setDataCenter(order.dataCenter);
+  aWire.setCrossingBytes(order.crossingBytes);
   aWire.setKey(order.key);
   WriteTexts(order.inputs, aWire.initInputs(unsigned(order.inputs.size())));
 }
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -17,6 +17,7 @@
   dataCenter @9 :Text;
   key @10 :Text;
   inputs @11 :List(Text);
+  crossingBytes @12 :UInt64;
 }
 
 enum StageEnd {
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -55,7 +55,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(97751ad7cba74fe4, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(97751ad7cba74fe4, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -287,6 +287,8 @@
   inline bool hasInputs() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getInputs() const;
 
+  inline  ::uint64_t getCrossingBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -372,6 +374,9 @@
   inline void adoptInputs(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownInputs();
 
+  inline  ::uint64_t getCrossingBytes();
+  inline void setCrossingBytes( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1547,6 +1552,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StageOrder::Reader::getCrossingBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageOrder::Builder::getCrossingBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setCrossingBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Hornbeam::Wire::StageEnd StageResult::Reader::getEnd() const {
   return _reader.getDataField< ::Hornbeam::Wire::StageEnd>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -13,8 +13,8 @@
 class SettingsReader
 {
 public:
-  SettingsReader(YAML::Node aRoot, std::vector<std::string>& aFaults)
-    : root(std::move(aRoot))
+  SettingsReader(YAML::Node const& aRoot, std::vector<std::string>& aFaults)
+    : root(aRoot)
     , faults(aFaults)
   {
   }
@@ -64,7 +64,7 @@
       if (ParseAddress(address))
         result.push_back(address);
       else
-        this->faults.push_back(aPath + ": " + address + " is no address with a port");
+        this->faults.push_back(aPath + ": each item needs an address with a port");
     }
     return result;
   }
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -17,9 +17,9 @@
 static constexpr unsigned kEndpointWaitShare = 4;
 static constexpr unsigned kMostStageRestarts = 2;
 /// Answers up to this size are held until they are whole, so that a broken one can be replaced.
-static constexpr std::size_t kHeldAnswerBytes = 256 * 1024;
+static constexpr std::size_t kHeldAnswerBytes = 262144;
 /// Unsent bytes towards a slow caller at which reading from the endpoint pauses.
-static constexpr std::size_t kCallerBacklog = 128 * 1024;
+static constexpr std::size_t kCallerBacklog = 131072;
 static constexpr Duration kLeastRetryAfter = 200ms;
 static constexpr Duration kRetryAfterNoEndpoint = 500ms;
 
@@ -128,6 +128,20 @@
     this->TryEndpoint();
 }
 
+std::string
+ProxiedRequest::BestDataCenter(unsigned aStage, std::vector<std::string> const& aInputs) const
+{
+  auto const& endpoints = this->service.beliefs.Endpoints();
+  // The inputs are read by each piece and weigh more than the results.
+  if (!aInputs.empty()) {
+    auto const before = this->stages->rules[aStage].after.front();
+    auto const address = aInputs.front().substr(0, aInputs.front().find('/'));
+    return DataCenterAt(endpoints, this->stages->rules[before].service, address);
+  }
+  auto const planned = endpoints.byId.find(this->plannedEndpoint);
+  return planned == endpoints.byId.end() ? "" : planned->second.entry.dataCenter;
+}
+
 void
 ProxiedRequest::StartStage(unsigned aStage)
 {
@@ -150,10 +164,9 @@
   order.order.later = TimeAfterStage(plan, aStage, *this->table) + kFirstEventTime;
   order.order.pieceBytes = plan.rules[aStage].resultBytes;
   order.order.key = this->facts.stageKey;
-  order.order.inputs = std::move(inputs);
-  auto const planned = this->service.beliefs.Endpoints().byId.find(this->plannedEndpoint);
-  if (planned != this->service.beliefs.Endpoints().byId.end())
-    order.order.dataCenter = planned->second.entry.dataCenter;
+  order.order.inputs = inputs;
+  order.order.dataCenter = this->BestDataCenter(aStage, order.order.inputs);
+  order.order.crossingBytes = BytesMoved(plan, aStage);
   auto const self = this->weak_from_this();
   auto const done = [self, aStage](StageResult aResult) {
     if (auto const request = self.lock())
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -48,6 +48,7 @@
 
   void StartStages();
   void StartStage(unsigned aStage);
+  std::string BestDataCenter(unsigned aStage, std::vector<std::string> const& aInputs) const;
   void OnStageResult(unsigned aStage, StageResult aResult);
   void RestartStages(std::string_view aCause);
   void ReleaseResults();
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -3,8 +3,8 @@
 
 namespace Hornbeam::Gateway {
 
-/// Results are freed together after this; their memory is needed within a call's time (200 ms).
-static constexpr Duration kFreeDelay = 15ms;
+/// Results are freed together after this. Waiting calls need their memory, and requests end some milliseconds apart.
+static constexpr Duration kFreeDelay = 5ms;
 /// How often waiting orders are looked at without an event: for other data centres, pauses and deadlines.
 static constexpr Duration kTickInterval = 50ms;
 static constexpr Duration kFreeTimeout = 1s;
@@ -88,7 +88,7 @@
 {
   auto* const pool = this->PoolOf(aService);
   if (pool != nullptr)
-    this->Carry(aService, ReleaseResults(*pool, aHandles, this->clock.Now()));
+    this->Carry(aService, ReleaseResults(aHandles));
 }
 
 void
@@ -105,7 +105,7 @@
   for (auto const& call : aDecisions.calls)
     this->StartCall(aService, call);
   for (auto& [address, handles] : aDecisions.frees) {
-    auto& list = this->frees[address];
+    auto& list = this->frees[{ aService, address }];
     std::ranges::move(handles, std::back_inserter(list));
   }
   if (!this->frees.empty() && !this->freesScheduled) {
@@ -200,18 +200,22 @@
   this->freesScheduled = false;
   auto const frees = std::move(this->frees);
   this->frees.clear();
-  for (auto const& [address, handles] : frees) {
+  for (auto const& [place, handles] : frees) {
     ++this->usage.frees;
+    auto const& [service, address] = place;
     OutgoingCall call;
     call.address = address;
     call.timeout = kFreeTimeout;
     call.request = Platform::EncodeStageFree(address, handles);
     CallEvents events;
-    events.onEnd = [address = address, count = handles.size()](CallEnd aEnd) {
+    events.onEnd = [this, service = service, address = address, handles = handles](CallEnd aEnd) {
+      if (aEnd == CallEnd::Complete) {
+        this->Carry(service, OnResultsFreed(this->pools.at(service), handles, this->clock.Now()));
+        return;
+      }
       // The results' stated lifetime frees them then.
-      if (aEnd != CallEnd::Complete)
-        PART_WARNING("stages") << "event=free-failed address=" << address << " results=" << count
-                               << " end=" << ToString(aEnd);
+      PART_WARNING("stages") << "event=free-failed address=" << address << " results=" << handles.size()
+                             << " end=" << ToString(aEnd);
     };
     this->connections.Send(std::move(call), std::move(events));
   }
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -48,8 +48,8 @@
   ConnectionPool& connections;
   std::map<std::string, StagePool> pools;
   std::map<std::pair<std::string, StageOrderId>, StageDone> waiting;
-  /// Results to be freed, by address; sent together after a moment.
-  std::map<std::string, std::vector<std::string>> frees;
+  /// Results to be freed, by service and address; sent together after a moment.
+  std::map<std::pair<std::string, std::string>, std::vector<std::string>> frees;
   bool freesScheduled{ false };
   bool tickScheduled{ false };
   bool handedOver{ false };
--- a/Libraries/LibServing/EndpointSet.cpp
+++ b/Libraries/LibServing/EndpointSet.cpp
@@ -98,6 +98,18 @@
     belief.coldUntil = std::max(belief.coldUntil, belief.ejectedUntil + aColdTime);
 }
 
+std::string
+DataCenterAt(EndpointSet const& aSet, std::string const& aService, std::string const& aAddress)
+{
+  auto const pool = aSet.idsByService.find(aService);
+  if (pool == aSet.idsByService.end())
+    return "";
+  for (auto const& id : pool->second)
+    if (auto const& entry = aSet.byId.at(id).entry; entry.address == aAddress)
+      return entry.dataCenter;
+  return "";
+}
+
 bool
 IsUsable(EndpointSet const& aSet, EndpointBelief const& aEndpoint)
 {
--- a/Libraries/LibServing/EndpointSet.h
+++ b/Libraries/LibServing/EndpointSet.h
@@ -87,6 +87,10 @@
 void
 OnAttemptEnd(EndpointSet& aSet, std::string const& aId, AttemptHealth aHealth, Duration aColdTime, MonotonicTime aNow);
 
+/// The data centre of the endpoint at an address; empty when none is known.
+std::string
+DataCenterAt(EndpointSet const& aSet, std::string const& aService, std::string const& aAddress);
+
 /// Whether it may be sent anything, ejected or not.
 bool
 IsUsable(EndpointSet const& aSet, EndpointBelief const& aEndpoint);
--- a/Libraries/LibServing/RequestStages.cpp
+++ b/Libraries/LibServing/RequestStages.cpp
@@ -115,6 +115,16 @@
   return held;
 }
 
+std::size_t
+BytesMoved(RequestStages const& aStages, unsigned aStage)
+{
+  std::size_t const pieces = aStages.pieces[aStage];
+  std::size_t bytes = pieces * aStages.rules[aStage].resultBytes;
+  for (auto const before : aStages.rules[aStage].after)
+    bytes += pieces * aStages.pieces[before] * aStages.rules[before].resultBytes;
+  return bytes;
+}
+
 Duration
 TimeAfterStage(RequestStages const& aStages, unsigned aStage, ServingTable const& aTable)
 {
--- a/Libraries/LibServing/RequestStages.h
+++ b/Libraries/LibServing/RequestStages.h
@@ -45,6 +45,10 @@
 void
 RestartStages(RequestStages& aStages);
 
+/// What the pieces of a stage read and make, in bytes; each piece reads all inputs.
+std::size_t
+BytesMoved(RequestStages const& aStages, unsigned aStage);
+
 /// How long the stages after aStage take when nothing waits.
 Duration
 TimeAfterStage(RequestStages const& aStages, unsigned aStage, ServingTable const& aTable);
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -4,8 +4,12 @@
 
 namespace Hornbeam::Gateway {
 
-/// How long a piece waits for an endpoint of its own data centre before another may take it.
-static constexpr Duration kLocalityWait = 200ms;
+/// How long an order waits for an endpoint of its own data centre before another may take its pieces, for each megabyte
+/// that would cross. A megabyte that crosses costs about a thousandth of a large request; longer waits (50 ms) cost
+/// more in late answers than the crossings, see docs/MEASUREMENTS.md.
+static constexpr Duration kLocalityWaitPerMegabyte = 25ms;
+/// The part of the time to spare that may be spent on that wait.
+static constexpr int kLocalitySlackShare = 4;
 /// A call is given up after this multiple of its expected time, and not before the least time.
 static constexpr double kCallPatience = 4;
 static constexpr Duration kLeastCallTimeout = 1200ms;
@@ -65,28 +69,26 @@
 }
 
 static void
-FreeResult(StagePool& aPool, std::string const& aHandle, StageDecisions& aDecisions)
+FreeResult(std::string const& aHandle, StageDecisions& aDecisions)
 {
   aDecisions.frees[AddressOf(aHandle)].push_back(aHandle);
-  auto const found = aPool.held.find(aHandle);
-  if (found == aPool.held.end())
-    return;
-  auto const endpoint = aPool.endpoints.find(found->second.endpoint);
+}
+
+static void
+ForgetResult(StagePool& aPool, HeldResult const& aResult)
+{
+  auto const endpoint = aPool.endpoints.find(aResult.endpoint);
   if (endpoint != aPool.endpoints.end())
-    endpoint->second.reservedBytes -= std::min(endpoint->second.reservedBytes, found->second.bytes);
-  aPool.held.erase(found);
+    endpoint->second.reservedBytes -= std::min(endpoint->second.reservedBytes, aResult.bytes);
 }
 
 static void
 ExpireResults(StagePool& aPool, MonotonicTime aNow)
 {
   std::erase_if(aPool.held, [&](auto const& aEntry) {
-    auto const& result = aEntry.second;
-    if (result.expires > aNow)
+    if (aEntry.second.expires > aNow)
       return false;
-    auto const endpoint = aPool.endpoints.find(result.endpoint);
-    if (endpoint != aPool.endpoints.end())
-      endpoint->second.reservedBytes -= std::min(endpoint->second.reservedBytes, result.bytes);
+    ForgetResult(aPool, aEntry.second);
     return true;
   });
 }
@@ -161,7 +163,7 @@
   }
   for (auto const& handle : pending.handles)
     if (!handle.empty())
-      FreeResult(aPool, handle, aDecisions);
+      FreeResult(handle, aDecisions);
   pending.handles.clear();
   pending.waiting.clear();
   if (!pending.cancelled)
@@ -198,40 +200,46 @@
 }
 
 StageDecisions
-ReleaseResults(StagePool& aPool, std::vector<std::string> const& aHandles, MonotonicTime aNow)
+ReleaseResults(std::vector<std::string> const& aHandles)
 {
   StageDecisions decisions;
   for (auto const& handle : aHandles)
-    FreeResult(aPool, handle, decisions);
-  Append(decisions, Schedule(aPool, aNow));
+    FreeResult(handle, decisions);
   return decisions;
 }
 
+StageDecisions
+OnResultsFreed(StagePool& aPool, std::vector<std::string> const& aHandles, MonotonicTime aNow)
+{
+  for (auto const& handle : aHandles) {
+    auto const found = aPool.held.find(handle);
+    if (found == aPool.held.end())
+      continue;
+    ForgetResult(aPool, found->second);
+    aPool.held.erase(found);
+  }
+  return Schedule(aPool, aNow);
+}
+
 /// Orders with waiting pieces, the next to be served first. Those that can no longer be on time come after all that
 /// can: serving them costs the others their time.
 static std::vector<StageOrderId>
 ServiceOrder(StagePool const& aPool, MonotonicTime aNow)
 {
-  struct Key
-  {
-    bool late;
-    int rank;
-    MonotonicTime target;
-    StageOrderId id;
-    auto operator<=>(Key const&) const = default;
-  };
+  // Late ones last, then by rank, then by the time at which the first answer is due.
+  using Key = std::tuple<bool, int, MonotonicTime, StageOrderId>;
   std::vector<Key> keys;
   for (auto const& [id, pending] : aPool.orders) {
     if (pending.waiting.empty() || pending.cancelled)
       continue;
     auto const ready = aNow + CallTime(aPool.limits, pending.waiting.size()) + pending.order.later;
-    keys.push_back({ ready > pending.order.target, pending.order.rank, pending.order.target, id });
+    keys.emplace_back(ready > pending.order.target, pending.order.rank, pending.order.target, id);
   }
   std::ranges::sort(keys);
   std::vector<StageOrderId> result;
   result.reserve(keys.size());
   for (auto const& key : keys)
-    result.push_back(key.id);
+    result.push_back(std::get<StageOrderId>(key));
   return result;
 }
 
@@ -252,6 +260,14 @@
   }
 }
 
+static Duration
+LocalityWait(StagePool const& aPool, PendingOrder const& aPending, MonotonicTime aNow)
+{
+  auto const bySize = kLocalityWaitPerMegabyte * std::int64_t(aPending.order.crossingBytes) / 1'000'000;
+  auto const ready = aNow + CallTime(aPool.limits, aPending.waiting.size()) + aPending.order.later;
+  return std::clamp<Duration>((aPending.order.target - ready) / kLocalitySlackShare, Duration::zero(), bySize);
+}
+
 static std::vector<StagePiece>
 TakePieces(StagePool& aPool,
            StageEndpoint const& aEndpoint,
@@ -267,7 +283,7 @@
         continue;
       auto& pending = found->second;
       bool const near = pending.order.dataCenter.empty() || pending.order.dataCenter == aEndpoint.entry.dataCenter;
-      if (near != aNear || (!near && aNow - pending.submitted < kLocalityWait))
+      if (near != aNear || (!near && aNow - pending.submitted < LocalityWait(aPool, pending, aNow)))
         continue;
       while (!pending.waiting.empty() && pieces.size() < aPool.limits.batch && pending.order.pieceBytes <= room) {
         room -= pending.order.pieceBytes;
@@ -398,7 +414,7 @@
     if (aEndpoint != nullptr)
       aPool.held[aResult.handle] = { aEndpoint->entry.id, bytes, expires };
     if (pending.cancelled) {
-      FreeResult(aPool, aResult.handle, aDecisions);
+      FreeResult(aResult.handle, aDecisions);
       return;
     }
     pending.handles[aPiece.segment] = aResult.handle;
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -27,8 +27,10 @@
   /// What the request still needs after this stage when nothing waits.
   Duration later{ 0 };
   std::size_t pieceBytes{ 0 };
-  /// Where the results will be read; results that cross data centres are slow and priced.
+  /// Where the pieces are best made, next to their inputs or to the reader of their results.
   std::string dataCenter;
+  /// What crosses between data centres, inputs and results together, when all pieces are made elsewhere.
+  std::size_t crossingBytes{ 0 };
   /// What the pieces of a first stage are made from.
   std::string key;
   /// Results that the pieces of a later stage are made from.
@@ -196,9 +198,13 @@
           std::vector<PieceResult> const& aResults,
           MonotonicTime aNow);
 
-/// The request has read these results or no longer needs them.
+/// The request has read these results or no longer needs them. Their memory counts as taken until OnResultsFreed().
 StageDecisions
-ReleaseResults(StagePool& aPool, std::vector<std::string> const& aHandles, MonotonicTime aNow);
+ReleaseResults(std::vector<std::string> const& aHandles);
+
+/// An endpoint has freed these results.
+StageDecisions
+OnResultsFreed(StagePool& aPool, std::vector<std::string> const& aHandles, MonotonicTime aNow);
 
 /// Starts what can be started and gives up what came too late.
 StageDecisions
--- a/Meta/hornbeamfront.sh
+++ b/Meta/hornbeamfront.sh
@@ -31,7 +31,7 @@
 }
 
 check_lint() {
-  git ls-files 'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp' |
+  git ls-files 'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp' 'platform/*.cpp' |
     xargs -P "$(nproc)" -n 4 clang-tidy -p Build --quiet 2>/dev/null
 }
 
