LibGateway: Fetch changes together; guard dropped peer connections

A watch now pauses for 400 ms after events; the platform's bounds are 2 s and more. Suspected: an order whose connection was dropped between being found and being used. Guarded, and two tests of peers that go away or stay silent; they passed before the guard as well, so the cause is not proved.

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -251,8 +251,10 @@
       }));
   }
 
+  /// Throws, which becomes a failed promise, when the connection was dropped after it had been found.
   static Wire::GatewayPeer::Client ClientOf(Connection& aConnection)
   {
+    KJ_REQUIRE(aConnection.client.get() != nullptr, "the connection was dropped");
     return aConnection.client->bootstrap().castAs<Wire::GatewayPeer>();
   }
 
@@ -350,9 +352,9 @@
   };
   auto promise = kj::evalNow([&] {
     return self->Connect(aAddress).then([=](std::shared_ptr<Connection> aConnection) {
+      auto request = Implementation::ClientOf(*aConnection).makeStageRequest();
       aConnection->openOrders[id] = [finish] { finish(std::nullopt); };
       self->Probe(aAddress);
-      auto request = Implementation::ClientOf(*aConnection).makeStageRequest();
       WriteOrder(aOrder, request.initOrder(), self->loop.RuntimeClock().Now());
       return request.send().then([](auto&& aResponse) {
         auto const wire = aResponse.getResult();
--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -8,6 +8,9 @@
 /// A watch that begins this soon after a cut is no longer than this: when the store drops its history just after, the
 /// watch hears of no change. Specifications/StoreWatch.pml shows why.
 static constexpr Duration kCutMemory = 1s;
+/// Changes that come soon after others are fetched together: each answer is a priced call of each front. What an
+/// operator changes must be in force within two seconds, and a leaving endpoint be heeded as soon.
+static constexpr Duration kPauseAfterEvents = 400ms;
 static constexpr Duration kFirstBackOff = 100ms;
 /// The table must be in force two seconds after the store's acknowledgement once the store is back.
 static constexpr Duration kLongestBackOff = 800ms;
@@ -96,7 +99,10 @@
     else
       this->events.onChanged(std::move(event.object));
   }
-  this->Watch();
+  if (aAnswer.events.empty())
+    this->Watch();
+  else
+    this->clock.Schedule(kPauseAfterEvents, [this] { this->Watch(); });
 }
 
 }
--- /dev/null
+++ b/Tests/LibGateway/FrontPeersTests.cpp
@@ -0,0 +1,104 @@
+#include <LibExchange/LibExchange.h>
+#include <LibGateway/FrontPeers.h>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace Hornbeam::Gateway {
+
+static constexpr char kAddress[] = "127.0.0.1:20981";
+
+static FrontPeerHandlers
+SilentHandlers()
+{
+  FrontPeerHandlers handlers;
+  handlers.makeStage = [](RemoteOrder, StageDone) { return [] {}; };
+  handlers.releaseResults = [](std::string const&, std::vector<std::string> const&) {};
+  handlers.incarnation = [] { return std::int64_t(7); };
+  handlers.knownObjects = [] { return std::vector<KnownObject>(); };
+  return handlers;
+}
+
+static void
+Turn(EventLoop& aLoop, Duration aTime)
+{
+  bool due = false;
+  aLoop.RuntimeClock().Schedule(aTime, [&] { due = true; });
+  aLoop.RunUntil([&] { return due; });
+}
+
+TEST(FrontPeers, EndsOrdersOfAPeerThatGoesAwayAtAnyMoment)
+{
+  Clock clock(ClockMode::Running);
+  EventLoop loop(clock);
+  FrontPeers caller(loop);
+  std::minstd_rand random(7);
+  unsigned sent = 0;
+  unsigned ended = 0;
+  auto const order = [&] {
+    ++sent;
+    RemoteOrder remote;
+    remote.service = "encode";
+    remote.order.deadline = clock.Now() + 1s;
+    caller.MakeStage(kAddress, remote, [&](std::optional<StageResult> aResult) {
+      EXPECT_FALSE(aResult);
+      ++ended;
+    });
+  };
+  for (int index = 0; index < 150; ++index) {
+    auto peer = std::make_unique<FrontPeers>(loop);
+    ASSERT_TRUE(peer->Listen(kAddress, SilentHandlers()));
+    order();
+    caller.Ping(kAddress, [](std::optional<std::int64_t>) {});
+    Turn(loop, Duration(random() % 3000));
+    // The peer's connections break; orders are sent before, while and after the caller notices.
+    peer.reset();
+    for (int more = 0; more < 4; ++more) {
+      order();
+      Turn(loop, Duration(random() % 200));
+    }
+    bool done = false;
+    clock.Schedule(2s, [&] { done = true; });
+    loop.RunUntil([&] { return ended == sent || done; });
+    ASSERT_EQ(ended, sent);
+  }
+}
+
+TEST(FrontPeers, EndsOrdersOfASilentPeer)
+{
+  Clock clock(ClockMode::Running);
+  EventLoop loop(clock);
+  std::vector<std::shared_ptr<TcpStream>> streams;
+  TcpListener silent(loop.Embedded(), {}, [&](std::shared_ptr<TcpStream> aStream) {
+    aStream->Listen({});
+    streams.push_back(std::move(aStream));
+  });
+  ASSERT_TRUE(silent.Open("127.0.0.1:20982"));
+  FrontPeers caller(loop);
+  unsigned sent = 0;
+  unsigned ended = 0;
+  // Several probes are under way, so that one of them fails just when an order is on its way to the connection.
+  std::function<void()> order = [&] {
+    if (sent >= 4000)
+      return;
+    ++sent;
+    RemoteOrder remote;
+    remote.service = "encode";
+    remote.order.deadline = clock.Now() + 1s;
+    caller.MakeStage("127.0.0.1:20982", remote, [&](std::optional<StageResult> aResult) {
+      EXPECT_FALSE(aResult);
+      ++ended;
+    });
+    caller.Ping("127.0.0.1:20982", [&](std::optional<std::int64_t>) { order(); });
+    clock.Schedule(Duration(500), order);
+  };
+  for (int index = 0; index < 5; ++index)
+    order();
+  Turn(loop, 4s);
+  EXPECT_EQ(ended, sent);
+  for (auto const& stream : streams)
+    stream->Reset();
+  silent.Close();
+  Turn(loop, 5ms);
+}
+
+}
