--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -31,6 +31,14 @@
   return recent < ColdShare(aView.cold, RuleOf(aView.table, aEndpoint.entry.service).coldRate);
 }
 
+/// The requests that this front may have at one endpoint: its part of the connections that the endpoint accepts.
+static unsigned
+ConnectionShare(SelectionView const& aView, std::string const& aService)
+{
+  auto const fronts = std::max<std::size_t>(1, aView.fronts.byName.size());
+  return std::max(1U, unsigned(RuleOf(aView.table, aService).maxConnections / fronts));
+}
+
 static std::vector<EndpointBelief const*>
 Candidates(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow)
 {
@@ -39,11 +47,14 @@
   auto const pool = aView.endpoints.idsByService.find(aQuery.service);
   if (pool == aView.endpoints.idsByService.end())
     return {};
+  auto const share = ConnectionShare(aView, aQuery.service);
   bool const mayBeCold = RuleOf(aView.table, aQuery.service).coldRate > 0;
   for (auto const& id : pool->second) {
     auto const& belief = aView.endpoints.byId.at(id);
     if (!IsUsable(aView.endpoints, belief) || std::ranges::find(aQuery.excluded, id) != aQuery.excluded.end())
       continue;
+    if (belief.outstanding >= share)
+      continue;
     if (mayBeCold && belief.coldUntil > aNow && !MaySendCold(aView, belief, aQuery.ownName, aNow))
       continue;
     (belief.ejectedUntil > aNow ? ejected : sound).push_back(&belief);
