--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -1,7 +1,7 @@
 #include "FrontPeers.h"
 #include "Gateway.capnp.h"
-#include <capnp/rpc-twoparty.h>
-#include <netinet/tcp.h>
+#include <LibRpc/LibRpc.h>
+#include <set>
 
 namespace Hornbeam::Gateway {
 
@@ -10,8 +10,6 @@
 static constexpr Duration kProbeTimeout = 700ms;
 static constexpr Duration kProbeInterval = 300ms;
 static constexpr Duration kFetchTimeout = 2s;
-/// Unacknowledged bytes end a connection after this.
-static constexpr int kUnacknowledgedMs = 1000;
 
 namespace {
 
@@ -141,152 +139,46 @@
 
 }
 
-/// The client side of one connection.
-struct FrontPeers::Connection
-{
-  kj::Own<kj::AsyncIoStream> stream;
-  kj::Own<capnp::TwoPartyClient> client;
-  /// Orders that wait for their result, and how to end them when the connection fails.
-  std::map<std::uint64_t, std::function<void()>> openOrders;
-  bool probing{ false };
-};
-
-struct FrontPeers::Implementation : public kj::TaskSet::ErrorHandler
+struct FrontPeers::Implementation
 {
   explicit Implementation(EventLoop& aLoop)
     : loop(aLoop)
-    , tasks(*this)
-  {
-  }
-
-  void taskFailed(kj::Exception&& aException) override
+    , connections(aLoop)
   {
-    PART_WARNING("peers") << "event=task-failed reason=\"" << aException.getDescription().cStr() << "\"";
-  }
-
-  static void SetUpStream(kj::AsyncIoStream& aStream)
-  {
-    int const on = 1;
-    aStream.setsockopt(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    aStream.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs, sizeof(kUnacknowledgedMs));
-  }
-
-  kj::Promise<std::shared_ptr<Connection>> Connect(std::string const& aAddress)
-  {
-    auto const found = this->connections.find(aAddress);
-    if (found != this->connections.end())
-      return found->second;
-    auto& timer = this->loop.Io().provider->getTimer();
-    auto connected =
-      this->loop.Io().provider->getNetwork().parseAddress(aAddress).then([](kj::Own<kj::NetworkAddress> aParsed) {
-        auto promise = aParsed->connect();
-        return promise.attach(kj::mv(aParsed));
-      });
-    return timer.timeoutAfter(kProbeTimeout.count() * kj::MICROSECONDS, kj::mv(connected))
-      .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) {
-        // Two calls may have begun to connect; the connection that came first serves both.
-        auto& connection = this->connections[aAddress];
-        if (!connection) {
-          connection = std::make_shared<Connection>();
-          connection->stream = kj::mv(aStream);
-          SetUpStream(*connection->stream);
-          connection->client = kj::heap<capnp::TwoPartyClient>(*connection->stream);
-          this->DropWhenClosed(aAddress, connection);
-        }
-        return connection;
-      });
-  }
-
-  void DropWhenClosed(std::string const& aAddress, std::weak_ptr<Connection> const& aConnection)
-  {
-    this->tasks.add(aConnection.lock()->client->onDisconnect().then([this, aAddress, aConnection] {
-      auto const found = this->connections.find(aAddress);
-      if (found != this->connections.end() && found->second == aConnection.lock())
-        this->Drop(aAddress);
-      this->loop.Wake();
-    }));
-  }
-
-  /// Closes a connection at the next turn of the loop: its own callbacks may be running now.
-  void Drop(std::string const& aAddress)
-  {
-    auto const found = this->connections.find(aAddress);
-    if (found == this->connections.end())
-      return;
-    auto const connection = found->second;
-    this->connections.erase(found);
-    auto const open = std::move(connection->openOrders);
-    connection->openOrders.clear();
-    this->loop.RuntimeClock().Schedule(Duration::zero(), [connection, open] {
-      for (auto const& [id, fail] : open)
-        fail();
-      // Cap'n Proto throws when it is told to shut down a connection that the peer has closed.
-      kj::runCatchingExceptions([&] { connection->client = nullptr; });
-      kj::runCatchingExceptions([&] { connection->stream = nullptr; });
-    });
-  }
-
-  /// Runs one call within a time. aCall makes the promise of its result from the client.
-  template<typename Result, typename Call>
-  void Run(std::string const& aAddress, Duration aTimeout, Call aCall, std::function<void(std::optional<Result>)> aDone)
-  {
-    auto& timer = this->loop.Io().provider->getTimer();
-    auto const done = std::make_shared<std::function<void(std::optional<Result>)>>(std::move(aDone));
-    // A connection that has just broken throws when it is used; evalNow makes that a failed promise.
-    auto result = kj::evalNow([&] {
-      return this->Connect(aAddress).then([aCall = kj::mv(aCall)](std::shared_ptr<Connection> aConnection) mutable {
-        return aCall(ClientOf(*aConnection));
-      });
-    });
-    auto promise = timer.timeoutAfter(aTimeout.count() * kj::MICROSECONDS, kj::mv(result));
-    this->tasks.add(promise.then(
-      [this, done](Result&& aResult) {
-        (*done)(std::move(aResult));
-        this->loop.Wake();
-      },
-      [this, done, aAddress](kj::Exception&&) {
-        this->Drop(aAddress);
-        (*done)(std::nullopt);
-        this->loop.Wake();
-      }));
-  }
-
-  /// Throws, which becomes a failed promise, when the connection was dropped after it had been found.
-  static Wire::GatewayPeer::Client ClientOf(Connection& aConnection)
-  {
-    KJ_REQUIRE(aConnection.client.get() != nullptr, "the connection was dropped");
-    return aConnection.client->bootstrap().castAs<Wire::GatewayPeer>();
   }
 
   static auto PingCall()
   {
-    return [](Wire::GatewayPeer::Client aClient) {
+    return [](Wire::GatewayPeer::Client& aClient) {
       return aClient.pingRequest().send().then(
         [](auto&& aResponse) { return std::int64_t(aResponse.getIncarnation()); });
     };
   }
 
+  /// Probes a connection for as long as orders are open on it.
   void Probe(std::string const& aAddress)
   {
-    auto const found = this->connections.find(aAddress);
-    if (found == this->connections.end() || found->second->probing)
+    if (!this->probed.insert(aAddress).second)
       return;
-    found->second->probing = true;
     this->loop.RuntimeClock().Schedule(kProbeInterval, [this, aAddress] {
-      auto const connection = this->connections.find(aAddress);
-      if (connection == this->connections.end())
-        return;
-      connection->second->probing = false;
-      if (connection->second->openOrders.empty())
+      this->probed.erase(aAddress);
+      auto const* const connection = this->connections.Find(aAddress);
+      if (connection == nullptr || connection->whenDropped.empty())
         return;
-      this->Run<std::int64_t>(
-        aAddress, kProbeTimeout, PingCall(), [this, aAddress](std::optional<std::int64_t> aAnswer) {
-          if (aAnswer)
-            this->Probe(aAddress);
-        });
+      this->connections.Run<std::int64_t>(aAddress, kProbeTimeout, PingCall(), [this, aAddress](auto aAnswer) {
+        if (aAnswer)
+          this->Probe(aAddress);
+      });
     });
   }
 
+  /// The order needs the connection no more.
+  void Detach(std::string const& aAddress, std::uint64_t aOrder)
+  {
+    if (auto* const connection = this->connections.Find(aAddress))
+      connection->whenDropped.erase(aOrder);
+  }
+
   /// Forgets an order's promise at the next turn: it may be running now.
   void Forget(std::uint64_t aOrder)
   {
@@ -295,12 +187,12 @@
 
   EventLoop& loop;
   FrontPeerHandlers handlers;
-  std::map<std::string, std::shared_ptr<Connection>> connections;
+  RpcConnections<Wire::GatewayPeer> connections;
+  std::set<std::string> probed;
   std::map<std::uint64_t, kj::Promise<void>> orders;
   std::uint64_t lastOrder{ 0 };
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::Own<capnp::TwoPartyServer> server;
-  kj::TaskSet tasks;
 };
 
 FrontPeers::FrontPeers(EventLoop& aLoop)
@@ -315,18 +207,9 @@
 {
   auto& self = *this->implementation;
   self.handlers = std::move(aHandlers);
-  // KJ reports an address that is taken by an exception; outcomes are values here.
-  auto const failure = kj::runCatchingExceptions([&] {
-    auto address = self.loop.Io().provider->getNetwork().parseAddress(aAddress).wait(self.loop.Io().waitScope);
-    self.receiver = address->listen();
-  });
-  KJ_IF_MAYBE (exception, failure) {
-    PART_WARNING("peers") << "event=cannot-listen address=" << aAddress << " reason=\""
-                          << exception->getDescription().cStr() << "\"";
+  if (!ListenForRpc(self.loop, aAddress, kj::heap<PeerServer>(self.loop, self.handlers), self.receiver, self.server))
     return false;
-  }
-  self.server = kj::heap<capnp::TwoPartyServer>(kj::heap<PeerServer>(self.loop, self.handlers));
-  self.tasks.add(self.server->listen(*self.receiver));
+  self.connections.Tasks().add(self.server->listen(*self.receiver));
   return true;
 }
 
@@ -340,9 +223,7 @@
   auto const id = ++self->lastOrder;
   auto const done = std::make_shared<std::function<void(std::optional<StageResult>)>>(std::move(aDone));
   auto const finish = [self, id, done, aAddress](std::optional<StageResult> aResult) {
-    auto const connection = self->connections.find(aAddress);
-    if (connection != self->connections.end())
-      connection->second->openOrders.erase(id);
+    self->Detach(aAddress, id);
     self->Forget(id);
     if (auto const action = std::move(*done)) {
       *done = nullptr;
@@ -351,9 +232,9 @@
     self->loop.Wake();
   };
   auto promise = kj::evalNow([&] {
-    return self->Connect(aAddress).then([=](std::shared_ptr<Connection> aConnection) {
-      auto request = Implementation::ClientOf(*aConnection).makeStageRequest();
-      aConnection->openOrders[id] = [finish] { finish(std::nullopt); };
+    return self->connections.Connect(aAddress).then([=](auto aConnection) {
+      auto request = self->connections.ClientOf(*aConnection).makeStageRequest();
+      aConnection->whenDropped[id] = [finish] { finish(std::nullopt); };
       self->Probe(aAddress);
       WriteOrder(aOrder, request.initOrder(), self->loop.RuntimeClock().Now());
       return request.send().then([](auto&& aResponse) {
@@ -369,16 +250,14 @@
   });
   auto settled = promise.then([finish](StageResult&& aResult) { finish(std::move(aResult)); },
                               [finish, self, aAddress](kj::Exception&&) {
-                                self->Drop(aAddress);
+                                self->connections.Drop(aAddress);
                                 finish(std::nullopt);
                               });
   self->orders.emplace(id, settled.eagerlyEvaluate(nullptr));
   self->loop.Wake();
   return [self, id, done, aAddress] {
     *done = nullptr;
-    auto const connection = self->connections.find(aAddress);
-    if (connection != self->connections.end())
-      connection->second->openOrders.erase(id);
+    self->Detach(aAddress, id);
     self->Forget(id);
     self->loop.Wake();
   };
@@ -390,22 +269,21 @@
                            std::vector<std::string> const& aHandles)
 {
   ++this->calls;
-  auto call = [aService, aHandles](Wire::GatewayPeer::Client aClient) {
+  auto call = [aService, aHandles](Wire::GatewayPeer::Client& aClient) {
     auto request = aClient.releaseResultsRequest();
     request.setService(aService);
     WriteTexts(aHandles, request.initHandles(unsigned(aHandles.size())));
     return request.send().then([](auto&&) { return true; });
   };
-  this->implementation->Run<bool>(aAddress, kFetchTimeout, kj::mv(call), [](std::optional<bool>) {});
-  this->implementation->loop.Wake();
+  this->implementation->connections.Run<bool>(aAddress, kFetchTimeout, kj::mv(call), [](std::optional<bool>) {});
 }
 
 void
 FrontPeers::Ping(std::string const& aAddress, std::function<void(std::optional<std::int64_t>)> aDone)
 {
   ++this->calls;
-  this->implementation->Run<std::int64_t>(aAddress, kProbeTimeout, Implementation::PingCall(), std::move(aDone));
-  this->implementation->loop.Wake();
+  this->implementation->connections.Run<std::int64_t>(
+    aAddress, kProbeTimeout, Implementation::PingCall(), std::move(aDone));
 }
 
 void
@@ -413,7 +291,7 @@
                               std::function<void(std::optional<std::vector<KnownObject>>)> aDone)
 {
   ++this->calls;
-  auto call = [](Wire::GatewayPeer::Client aClient) {
+  auto call = [](Wire::GatewayPeer::Client& aClient) {
     return aClient.knownObjectsRequest().send().then([](auto&& aResponse) {
       std::vector<KnownObject> objects;
       for (auto const object : aResponse.getObjects())
@@ -421,8 +299,8 @@
       return objects;
     });
   };
-  this->implementation->Run<std::vector<KnownObject>>(aAddress, kFetchTimeout, kj::mv(call), std::move(aDone));
-  this->implementation->loop.Wake();
+  this->implementation->connections.Run<std::vector<KnownObject>>(
+    aAddress, kFetchTimeout, kj::mv(call), std::move(aDone));
 }
 
 }
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -64,7 +64,6 @@
   std::uint64_t Calls() const { return this->calls; }
 
 private:
-  struct Connection;
   struct Implementation;
 
   std::unique_ptr<Implementation> implementation;
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -1,6 +1,6 @@
 #include "PeerNetwork.h"
 #include "WireFormat.h"
-#include <capnp/rpc-twoparty.h>
+#include <LibRpc/LibRpc.h>
 
 namespace Hornbeam {
 
@@ -71,108 +71,19 @@
 
 }
 
-/// The client side of one connection.
-struct PeerNetwork::Connection
-{
-  kj::Own<kj::AsyncIoStream> stream;
-  kj::Own<capnp::TwoPartyClient> client;
-};
-
-struct PeerNetwork::Implementation : public kj::TaskSet::ErrorHandler
+struct PeerNetwork::Implementation
 {
   explicit Implementation(EventLoop& aLoop)
     : loop(aLoop)
-    , tasks(*this)
-  {
-  }
-
-  void taskFailed(kj::Exception&& aException) override
-  {
-    PART_WARNING("peers") << "a task failed: " << aException.getDescription().cStr();
-  }
-
-  /// The connection to an address, being made or made.
-  kj::Promise<Wire::Front::Client> Connect(std::string const& aAddress)
-  {
-    auto const found = this->connections.find(aAddress);
-    if (found != this->connections.end())
-      return Wire::Front::Client(found->second->client->bootstrap().castAs<Wire::Front>());
-    return this->loop.Io()
-      .provider->getNetwork()
-      .parseAddress(aAddress)
-      .then([](kj::Own<kj::NetworkAddress> aParsed) {
-        auto promise = aParsed->connect();
-        return promise.attach(kj::mv(aParsed));
-      })
-      .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) {
-        // Two calls may have begun to connect; the connection that came first serves both.
-        auto& connection = this->connections[aAddress];
-        if (!connection) {
-          connection = std::make_shared<Connection>();
-          connection->stream = kj::mv(aStream);
-          connection->client = kj::heap<capnp::TwoPartyClient>(*connection->stream);
-          this->DropWhenClosed(aAddress, connection);
-        }
-        return Wire::Front::Client(connection->client->bootstrap().castAs<Wire::Front>());
-      });
-  }
-
-  /// Forgets a connection as soon as the peer has closed it, so that no call uses it afterwards.
-  void DropWhenClosed(std::string const& aAddress, std::weak_ptr<Connection> const& aConnection)
-  {
-    this->tasks.add(aConnection.lock()->client->onDisconnect().then([this, aAddress, aConnection] {
-      auto const found = this->connections.find(aAddress);
-      if (found != this->connections.end() && found->second == aConnection.lock())
-        this->Drop(aAddress);
-      this->loop.Wake();
-    }));
-  }
-
-  /// Closes a connection at the next turn of the loop: its own callbacks may be running now.
-  void Drop(std::string const& aAddress)
+    , connections(aLoop)
   {
-    auto const found = this->connections.find(aAddress);
-    if (found == this->connections.end())
-      return;
-    auto const connection = found->second;
-    this->connections.erase(found);
-    // Cap'n Proto throws when it is told to shut down a connection that the peer has closed.
-    this->loop.RuntimeClock().Schedule(Duration::zero(), [connection] {
-      kj::runCatchingExceptions([&] { connection->client = nullptr; });
-      kj::runCatchingExceptions([&] { connection->stream = nullptr; });
-    });
-  }
-
-  /// Runs one call within a time. aCall makes the promise of its result from the client.
-  template<typename Result, typename Call>
-  void Run(std::string const& aAddress, Duration aTimeout, Call aCall, std::function<void(std::optional<Result>)> aDone)
-  {
-    auto& timer = this->loop.Io().provider->getTimer();
-    auto const done = std::make_shared<std::function<void(std::optional<Result>)>>(std::move(aDone));
-    // A connection that has just broken throws when it is used; evalNow makes that a failed promise.
-    auto result = kj::evalNow([&] {
-      return this->Connect(aAddress).then(
-        [aCall = kj::mv(aCall)](Wire::Front::Client aClient) mutable { return aCall(aClient); });
-    });
-    auto promise = timer.timeoutAfter(aTimeout.count() * kj::MICROSECONDS, kj::mv(result));
-    this->tasks.add(promise.then(
-      [this, done](Result&& aResult) {
-        (*done)(std::move(aResult));
-        this->loop.Wake();
-      },
-      [this, done, aAddress](kj::Exception&&) {
-        this->Drop(aAddress);
-        (*done)(std::nullopt);
-        this->loop.Wake();
-      }));
   }
 
   EventLoop& loop;
   PeerHandlers handlers;
-  std::map<std::string, std::shared_ptr<Connection>> connections;
+  RpcConnections<Wire::Front> connections;
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::Own<capnp::TwoPartyServer> server;
-  kj::TaskSet tasks;
 };
 
 PeerNetwork::PeerNetwork(EventLoop& aLoop)
@@ -187,20 +98,10 @@
 {
   auto& self = *this->implementation;
   self.handlers = std::move(aHandlers);
-  bool bound = false;
-  // KJ reports an address that is taken by an exception; outcomes are values here.
-  auto const failure = kj::runCatchingExceptions([&] {
-    auto address = self.loop.Io().provider->getNetwork().parseAddress(aAddress).wait(self.loop.Io().waitScope);
-    self.receiver = address->listen();
-    bound = true;
-  });
-  KJ_IF_MAYBE (exception, failure) {
-    PART_WARNING("peers") << "cannot listen on " << aAddress << ": " << exception->getDescription().cStr();
+  if (!ListenForRpc(self.loop, aAddress, kj::heap<FrontServer>(self.loop, self.handlers), self.receiver, self.server))
     return false;
-  }
-  self.server = kj::heap<capnp::TwoPartyServer>(kj::heap<FrontServer>(self.loop, self.handlers));
-  self.tasks.add(self.server->listen(*self.receiver));
-  return bound;
+  self.connections.Tasks().add(self.server->listen(*self.receiver));
+  return true;
 }
 
 PeerPort
@@ -216,7 +117,7 @@
       WriteHeartbeat(aHeartbeat, request.initMessage());
       return request.send().then([](auto&& aResponse) { return ReadHeartbeat(aResponse.getAnswer()); });
     };
-    self->Run<Heartbeat>(aPeer.peerAddress, kCallTimeout, kj::mv(call), std::move(aDone));
+    self->connections.Run<Heartbeat>(aPeer.peerAddress, kCallTimeout, kj::mv(call), std::move(aDone));
   };
   port.requestGrants = [self, counts](Member const& aPeer, GrantBatch const& aBatch, auto aDone) {
     ++counts->grantBatches;
@@ -232,7 +133,7 @@
         return answer;
       });
     };
-    self->Run<GrantBatchAnswer>(aPeer.peerAddress, kCallTimeout, kj::mv(call), std::move(aDone));
+    self->connections.Run<GrantBatchAnswer>(aPeer.peerAddress, kCallTimeout, kj::mv(call), std::move(aDone));
   };
   port.fetchTable = [self, counts](Member const& aPeer, auto aDone) {
     ++counts->tableFetches;
@@ -240,7 +141,7 @@
       return aClient.fetchTableRequest().send().then(
         [](auto&& aResponse) { return std::string(aResponse.getTable().cStr()); });
     };
-    self->Run<std::string>(aPeer.peerAddress, kCallTimeout, kj::mv(call), std::move(aDone));
+    self->connections.Run<std::string>(aPeer.peerAddress, kCallTimeout, kj::mv(call), std::move(aDone));
   };
   port.forward = [self, counts](Member const& aPeer, ForwardedRequest const& aRequest, Duration aTimeout, auto aDone) {
     ++counts->forwards;
@@ -251,7 +152,7 @@
       wire.setBody(aRequest.body);
       return request.send().then([](auto&& aResponse) { return std::string(aResponse.getAnswer().cStr()); });
     };
-    self->Run<std::string>(aPeer.peerAddress, aTimeout, kj::mv(call), std::move(aDone));
+    self->connections.Run<std::string>(aPeer.peerAddress, aTimeout, kj::mv(call), std::move(aDone));
   };
   port.recallGrant = [self](Member const& aPeer, std::string const& aKey) {
     auto call = [aKey](Wire::Front::Client& aClient) {
@@ -259,7 +160,7 @@
       request.initKeys(1).set(0, aKey);
       return request.send().then([](auto&&) { return true; });
     };
-    self->Run<bool>(aPeer.peerAddress, kCallTimeout, kj::mv(call), [](std::optional<bool>) {});
+    self->connections.Run<bool>(aPeer.peerAddress, kCallTimeout, kj::mv(call), [](std::optional<bool>) {});
   };
   return port;
 }
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -32,7 +32,6 @@
   PeerUsage const& Usage() const { return this->usage; }
 
 private:
-  struct Connection;
   struct Implementation;
 
   std::unique_ptr<Implementation> implementation;
--- /dev/null
+++ b/Libraries/LibRpc/LibRpc.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/// LibRpc: Cap'n Proto RPC connections between our processes, on the loop of LibCore.
+
+#include "RpcConnections.h"
--- /dev/null
+++ b/Libraries/LibRpc/RpcConnections.cpp
@@ -0,0 +1,26 @@
+#include "RpcConnections.h"
+
+namespace Hornbeam {
+
+bool
+ListenForRpc(EventLoop& aLoop,
+             std::string const& aAddress,
+             capnp::Capability::Client aInterface,
+             kj::Own<kj::ConnectionReceiver>& aReceiver,
+             kj::Own<capnp::TwoPartyServer>& aServer)
+{
+  // KJ reports an address that is taken by an exception; outcomes are values here.
+  auto const failure = kj::runCatchingExceptions([&] {
+    auto address = aLoop.Io().provider->getNetwork().parseAddress(aAddress).wait(aLoop.Io().waitScope);
+    aReceiver = address->listen();
+  });
+  KJ_IF_MAYBE (exception, failure) {
+    PART_WARNING("peers") << "event=cannot-listen address=" << aAddress << " reason=\""
+                          << exception->getDescription().cStr() << "\"";
+    return false;
+  }
+  aServer = kj::heap<capnp::TwoPartyServer>(kj::mv(aInterface));
+  return true;
+}
+
+}
--- a/Tests/LibServing/ServingTests.cpp
+++ b/Tests/LibServing/ServingTests.cpp
@@ -97,7 +97,9 @@
       for (auto const& [name, belief] : deployment.fronts.byName) {
         auto const [view, added] = views.try_emplace(name, deployment.endpoints);
         bool const old = std::hash<std::string>()(name) % 2 == 0;
-        SelectionView const selection{ view->second, old ? deployment.fronts : other, deployment.table, { 1.5, 5 }, nullptr };
+        SelectionView const selection{
+          view->second, old ? deployment.fronts : other, deployment.table, { 1.5, 5 }, nullptr
+        };
         if (!MaySendCold(selection, view->second.byId.at("e0"), name, time))
           continue;
         OnSend(view->second, "e0", time);
@@ -204,7 +206,9 @@
 
 TEST(RequestStages, RunsStagesInOrderAndFreesWhatNobodyReads)
 {
-  std::vector<StageRule> const rules{ { "roll", {}, 100 }, { "roll", {}, 10 }, { "stock", { 1 }, 10 }, { "gate", { 2 }, 1 } };
+  std::vector<StageRule> const rules{
+    { "roll", {}, 100 }, { "roll", {}, 10 }, { "stock", { 1 }, 10 }, { "gate", { 2 }, 1 }
+  };
   EXPECT_FALSE(PlanStages(rules, { 1, 1 }));
   auto stages = *PlanStages(rules, { 0, 1, 2, 3 });
   EXPECT_EQ(StartableStages(stages), (std::vector<unsigned>{ 1 }));
