LibServing: Refuse a stage's order at once when its end passes the deadline

Change: an order whose expected end (the work that goes before it, its own call, what follows) passes its deadline ends on submission, with the wait as Retry-After. The wait counts only orders that go before it, so a late order does not hold up one that can be on time. A test of that load failed before the count took orders of equal urgency.

--- a/Libraries/LibRpc/RpcConnections.h
+++ b/Libraries/LibRpc/RpcConnections.h
@@ -44,13 +44,11 @@
     auto const found = this->connections.find(aAddress);
     if (found != this->connections.end())
       return found->second;
-    auto connected = this->loop.Io()
-                       .provider->getNetwork()
-                       .parseAddress(aAddress)
-                       .then([](kj::Own<kj::NetworkAddress> aParsed) {
-                         auto promise = aParsed->connect();
-                         return promise.attach(kj::mv(aParsed));
-                       });
+    auto connected =
+      this->loop.Io().provider->getNetwork().parseAddress(aAddress).then([](kj::Own<kj::NetworkAddress> aParsed) {
+        auto promise = aParsed->connect();
+        return promise.attach(kj::mv(aParsed));
+      });
     return this->Timer()
       .timeoutAfter(kConnectTimeout.count() * kj::MICROSECONDS, kj::mv(connected))
       .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) {
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -1,6 +1,7 @@
 #include "StagePool.h"
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace Hornbeam::Gateway {
 
@@ -132,12 +133,24 @@
   return UsableEndpoints(aPool) * aPool.limits.slots * aPool.limits.batch / std::max(0.001, full.count());
 }
 
+/// Orders are served by this: those that can no longer be on time after all that can, as serving them costs the others
+/// their time; then by rank; then by the time at which the first answer is due.
+using ServiceKey = std::tuple<bool, int, MonotonicTime>;
+
+static ServiceKey
+KeyOf(StagePool const& aPool, StageOrder const& aOrder, std::size_t aPieces, MonotonicTime aNow)
+{
+  auto const ready = aNow + CallTime(aPool.limits, aPieces) + aOrder.later;
+  return { ready > aOrder.target, aOrder.rank, aOrder.target };
+}
+
 Duration
-ExpectedWait(StagePool const& aPool, int aRank)
+ExpectedWait(StagePool const& aPool, StageOrder const& aOrder, MonotonicTime aNow)
 {
+  auto const own = KeyOf(aPool, aOrder, aOrder.pieces, aNow);
   double ahead = 0;
   for (auto const& [id, pending] : aPool.orders)
-    if (pending.order.rank <= aRank)
+    if (!pending.waiting.empty() && KeyOf(aPool, pending.order, pending.waiting.size(), aNow) <= own)
       ahead += double(pending.waiting.size());
   double const rate = PiecesPerSecond(aPool);
   if (rate <= 0)
@@ -177,6 +190,13 @@
 SubmitOrder(StagePool& aPool, StageOrder aOrder, MonotonicTime aNow)
 {
   auto const id = ++aPool.lastOrder;
+  auto const wait = ExpectedWait(aPool, aOrder, aNow);
+  if (aNow + wait + CallTime(aPool.limits, std::min(aOrder.pieces, aPool.limits.batch)) + aOrder.later >
+      aOrder.deadline) {
+    StageDecisions decisions;
+    decisions.results.push_back({ id, StageEnd::Late, {}, wait });
+    return { id, std::move(decisions) };
+  }
   auto& pending = aPool.orders[id];
   pending.submitted = aNow;
   pending.handles.resize(aOrder.pieces);
@@ -221,25 +241,19 @@
   return Schedule(aPool, aNow);
 }
 
-/// Orders with waiting pieces, the next to be served first. Those that can no longer be on time come after all that
-/// can: serving them costs the others their time.
+/// Orders with waiting pieces, the next to be served first.
 static std::vector<StageOrderId>
 ServiceOrder(StagePool const& aPool, MonotonicTime aNow)
 {
-  // Late ones last, then by rank, then by the time at which the first answer is due.
-  using Key = std::tuple<bool, int, MonotonicTime, StageOrderId>;
-  std::vector<Key> keys;
-  for (auto const& [id, pending] : aPool.orders) {
-    if (pending.waiting.empty() || pending.cancelled)
-      continue;
-    auto const ready = aNow + CallTime(aPool.limits, pending.waiting.size()) + pending.order.later;
-    keys.emplace_back(ready > pending.order.target, pending.order.rank, pending.order.target, id);
-  }
+  std::vector<std::pair<ServiceKey, StageOrderId>> keys;
+  for (auto const& [id, pending] : aPool.orders)
+    if (!pending.waiting.empty() && !pending.cancelled)
+      keys.emplace_back(KeyOf(aPool, pending.order, pending.waiting.size(), aNow), id);
   std::ranges::sort(keys);
   std::vector<StageOrderId> result;
   result.reserve(keys.size());
-  for (auto const& key : keys)
-    result.push_back(std::get<StageOrderId>(key));
+  for (auto const& [key, id] : keys)
+    result.push_back(id);
   return result;
 }
 
@@ -255,7 +269,7 @@
       late.push_back(id);
   }
   for (auto const id : late) {
-    auto const wait = ExpectedWait(aPool, aPool.orders.at(id).order.rank);
+    auto const wait = ExpectedWait(aPool, aPool.orders.at(id).order, aNow);
     EndOrder(aPool, id, StageEnd::Late, wait, aDecisions);
   }
 }
@@ -427,7 +441,7 @@
     return;
   switch (aResult.end) {
     case PieceEnd::Late:
-      return EndOrder(aPool, aPiece.order, StageEnd::Late, ExpectedWait(aPool, pending.order.rank), aDecisions);
+      return EndOrder(aPool, aPiece.order, StageEnd::Late, ExpectedWait(aPool, pending.order, aNow), aDecisions);
     case PieceEnd::InputGone:
       return EndOrder(aPool, aPiece.order, StageEnd::InputsGone, Duration::zero(), aDecisions);
     case PieceEnd::NoRoom:
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -183,6 +183,8 @@
   StageDecisions decisions;
 };
 
+/// An order whose deadline passes before its expected end is given up at once: its caller can come back in time, and
+/// the pool's work is not thrown away.
 SubmitOutcome
 SubmitOrder(StagePool& aPool, StageOrder aOrder, MonotonicTime aNow);
 
@@ -214,8 +216,8 @@
 StageDecisions
 HandOver(StagePool& aPool);
 
-/// How long a new order of this rank would wait for its turn.
+/// How long an order would wait for its turn behind those that go before it.
 Duration
-ExpectedWait(StagePool const& aPool, int aRank);
+ExpectedWait(StagePool const& aPool, StageOrder const& aOrder, MonotonicTime aNow);
 
 }
--- a/Tests/LibServing/StagePoolTests.cpp
+++ b/Tests/LibServing/StagePoolTests.cpp
@@ -133,6 +133,27 @@
   EXPECT_EQ(submitted.decisions.results[0].end, StageEnd::Late);
 }
 
+TEST(StagePool, RefusesAtOnceUnderOverloadAndTellsWhenToComeBack)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  unsigned refused = 0;
+  // Eight times what one endpoint makes: 8 pieces in 360 ms.
+  for (int index = 0; index < 60; ++index) {
+    auto order = Order("r" + std::to_string(index), 3);
+    order.pieceBytes = 1000;
+    auto const submitted = SubmitOrder(pool, order, kStart);
+    for (auto const& result : submitted.decisions.results) {
+      EXPECT_EQ(result.end, StageEnd::Late);
+      EXPECT_GE(result.retryAfter, 5s);
+      ++refused;
+    }
+  }
+  // 6 s of work are 133 pieces.
+  EXPECT_GE(refused, 60U - 46U);
+  EXPECT_LE(refused, 60U - 38U);
+  EXPECT_EQ(pool.orders.size(), 60U - refused);
+}
+
 TEST(StagePool, FreesResultsOfACancelledOrderWhenTheyCome)
 {
   auto pool = PoolOf({ Entry("e1", "a") });
