--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -115,6 +115,12 @@
                           { "cold_ms", std::max<std::int64_t>(0, Milliseconds(belief.coldUntil - now)) },
                           { "ejected_ms", std::max<std::int64_t>(0, Milliseconds(belief.ejectedUntil - now)) },
                           { "outstanding", belief.outstanding } });
+  auto& pools = result["stage_pools"] = json::array();
+  for (auto const& [service, pool] : this->stageOwner.Pools())
+    pools.push_back({ { "service", service },
+                      { "orders", pool.orders.size() },
+                      { "running_calls", pool.running.size() },
+                      { "results_held", pool.held.size() } });
   auto& fronts = result["fronts"] = json::array();
   for (auto const& [name, belief] : this->beliefs.Fronts().byName)
     fronts.push_back({ { "name", name },
--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -193,6 +193,7 @@
   std::uint64_t lastOrder{ 0 };
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::Own<capnp::TwoPartyServer> server;
+  kj::Promise<void> serving{ nullptr };
 };
 
 FrontPeers::FrontPeers(EventLoop& aLoop)
@@ -209,10 +210,19 @@
   self.handlers = std::move(aHandlers);
   if (!ListenForRpc(self.loop, aAddress, kj::heap<PeerServer>(self.loop, self.handlers), self.receiver, self.server))
     return false;
-  self.connections.Tasks().add(self.server->listen(*self.receiver));
+  self.serving = self.server->listen(*self.receiver).eagerlyEvaluate(nullptr);
   return true;
 }
 
+void
+FrontPeers::StopListening()
+{
+  auto& self = *this->implementation;
+  self.serving = nullptr;
+  self.server = nullptr;
+  self.receiver = nullptr;
+}
+
 CancelAction
 FrontPeers::MakeStage(std::string const& aAddress,
                       RemoteOrder const& aOrder,
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -46,6 +46,9 @@
   /// False when the address could not be bound.
   bool Listen(std::string const& aAddress, FrontPeerHandlers aHandlers);
 
+  /// Closes the listening socket and all connections that were accepted.
+  void StopListening();
+
   /// aDone gets nothing when the peer failed. It does not run after the returned action.
   CancelAction MakeStage(std::string const& aAddress,
                          RemoteOrder const& aOrder,
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -20,6 +20,9 @@
   /// Stops in order: callers and peers are sent elsewhere, open requests are served, then the process ends.
   void BeginDraining();
 
+  /// Takes no calls of other fronts any more, as a front that they cannot reach.
+  void StopPeers() { this->peers.StopListening(); }
+
   /// Takes what may change while the process runs from the settings file.
   void Reload(GatewaySettings const& aSettings);
 
--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -11,6 +11,9 @@
 /// more failures, in case it has died since.
 static constexpr unsigned kFailuresToRemoveAgain = 12;
 static constexpr std::size_t kFrontsWatched = 2;
+/// After a call to the store without an answer this front may be the one that is cut off; probes that failed meanwhile
+/// tell nothing of their fronts.
+static constexpr Duration kDoubtTime = 3s;
 static constexpr Duration kEnterRetry = 500ms;
 /// How long a front that starts waits for the store before it asks its peers.
 static constexpr Duration kPeerPatience = 700ms;
@@ -129,8 +132,14 @@
 PresenceService::OnProbeFailed(FrontEntry const& aFront)
 {
   auto& watched = this->watched[aFront.name];
-  ++watched.failures;
   SuspectFront(this->beliefs.Fronts(), aFront.name, this->clock.Now());
+  if (!this->beliefs.StoreIsReached())
+    this->doubtUntil = this->clock.Now() + kDoubtTime;
+  if (this->clock.Now() < this->doubtUntil) {
+    watched.failures = 0;
+    return;
+  }
+  ++watched.failures;
   if (watched.failures % kFailuresToRemoveAgain == kFailuresToRemove)
     this->RemoveDead(aFront);
 }
@@ -149,9 +158,8 @@
     ObjectKind::Front, aFront.name, known->second.revision, [this, aFront](Platform::WriteResult aResult) {
       PART_LOG("presence") << "event=removed-dead front=" << aFront.name << " outcome=" << ToString(aResult.outcome);
       using Platform::StoreOutcome;
-      // Without an answer the next failed probe tries again.
       if (aResult.outcome == StoreOutcome::Refused || aResult.outcome == StoreOutcome::Unknown)
-        this->watched[aFront.name].failures = 0;
+        this->doubtUntil = this->clock.Now() + kDoubtTime;
     });
 }
 
--- a/Libraries/LibGateway/PresenceService.h
+++ b/Libraries/LibGateway/PresenceService.h
@@ -40,6 +40,8 @@
   bool entered{ false };
   bool leaving{ false };
   unsigned seedsAsked{ 0 };
+  /// Until then this front may be the one that is cut off, and judges nobody.
+  MonotonicTime doubtUntil{};
   struct Watched
   {
     std::int64_t incarnation{ 0 };
--- a/Tests/Platform/PlatformTests.cpp
+++ b/Tests/Platform/PlatformTests.cpp
@@ -417,6 +417,23 @@
   EXPECT_EQ(world.Call(1, Safe()).status, 200U);
 }
 
+TEST(Platform, DoesNotRemoveOtherFrontsWhileItMayBeCutOffItself)
+{
+  PlainWorld plain(2);
+  plain.world.RunFor(500ms);
+  auto& store = *plain.world.store;
+  // The neighbour cannot be reached, and the store does not answer either.
+  store.behavior = StoreBehavior::Silent;
+  plain.world.fronts[1]->StopPeers();
+  plain.world.RunFor(2500ms);
+  store.behavior = StoreBehavior::Well;
+  store.CutWatches();
+  plain.world.RunFor(1200ms);
+  EXPECT_EQ(store.removals, 0U);
+  // It is removed once the store answers again and probes go on failing; as it lives, it enters itself again.
+  EXPECT_TRUE(plain.world.RunUntil([&] { return store.removals == 1; }, 6s));
+}
+
 TEST(Platform, DrainsInOrder)
 {
   PlainWorld plain(2);
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -219,9 +219,10 @@
     return Respond(aExchange, 409, Whole(name, known->second));
   if (request.method != "POST" && !exists)
     return Respond(aExchange, 404, json::object());
-  if (request.method == "DELETE")
+  if (request.method == "DELETE") {
+    ++this->removals;
     this->Erase(aKind, name);
-  else
+  } else
     this->Change(aKind, name, body["spec"]);
   bool const lost = this->answersToLose > 0;
   if (lost) {
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -45,6 +45,8 @@
   unsigned answersToLose{ 0 };
   std::size_t pageSize{ 50 };
   std::uint64_t calls{ 0 };
+  /// Objects removed by callers.
+  unsigned removals{ 0 };
 
 private:
   struct Object
