--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -22,7 +22,6 @@
 {
   if (this->ended || this->attempting)
     return;
-  // A route may have been given another service meanwhile; requests sent from now on follow the newest table.
   auto const now = this->service.clock.Now();
   auto const view = this->service.beliefs.View();
   auto const planned = view.endpoints.byId.find(this->plannedEndpoint);
