LibGateway: Take out dead state; end an attempt's count in one place

Found on reading the whole change: the flag 'discarding' could never be seen (an abandoned call tells nothing more), 'entered' and a service name were written and never read, and the count of requests at an endpoint was taken back in two places, which LibServing's OnLeave() does now beside OnSend(). Behaviour is unchanged, no test was touched.

--- a/Libraries/LibGateway/GatewayNames.h
+++ b/Libraries/LibGateway/GatewayNames.h
@@ -15,6 +15,5 @@
 inline constexpr char kProxy[] = "proxy";
 inline constexpr char kDirectory[] = "directory";
 inline constexpr char kMetrics[] = "metrics";
-inline constexpr char kDraining[] = "draining";
 
 }
--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -67,7 +67,6 @@
   PART_LOG("presence") << "event=enter outcome=" << ToString(aResult.outcome) << " incarnation=" << this->incarnation;
   if (aResult.outcome == Platform::StoreOutcome::Done && aResult.object)
     ApplyFront(this->beliefs.Fronts(), this->self, aResult.object->revision);
-  this->entered = this->entered || aResult.outcome == Platform::StoreOutcome::Done;
   if (this->leaving) {
     this->Leave();
     return;
--- a/Libraries/LibGateway/PresenceService.h
+++ b/Libraries/LibGateway/PresenceService.h
@@ -37,7 +37,6 @@
   FrontEntry self;
   std::int64_t incarnation;
   bool entering{ false };
-  bool entered{ false };
   bool leaving{ false };
   unsigned seedsAsked{ 0 };
   /// Until then this front may be the one that is cut off, and judges nobody.
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -61,7 +61,6 @@
   this->attempting = true;
   this->headSeen = false;
   this->forwarding = false;
-  this->discarding = false;
   this->heldHead.reset();
   this->heldBody.clear();
   Platform::EndpointOrder order;
@@ -134,9 +133,7 @@
   this->service.clock.Cancel(this->stallTimer);
   this->attempting = false;
   auto& endpoints = this->service.beliefs.Endpoints();
-  auto const found = endpoints.byId.find(this->endpoint);
-  if (found != endpoints.byId.end() && found->second.outstanding > 0)
-    --found->second.outstanding;
+  OnLeave(endpoints, this->endpoint);
   auto const coldTime = RuleOf(*this->table, this->target).coldTime;
   Gateway::OnAttemptEnd(endpoints, this->endpoint, aHealth, coldTime, this->service.clock.Now());
 }
@@ -152,7 +149,6 @@
   bool const foreign = answer.requestId != this->facts.requestId && !answer.notRun;
   bool const success = aHead.status / 100 == 2;
   if (answer.notRun || foreign || (success && (!answer.hasSignature || answer.encoded))) {
-    this->discarding = true;
     this->call.Abandon();
     if (answer.notRun) {
       this->OnNotRun(answer);
@@ -170,7 +166,6 @@
   this->forwarding = true;
   bool const resumed = this->answerBegun;
   if (resumed && !success) {
-    this->discarding = true;
     this->call.Abandon();
     this->NoteEndpoint(AttemptHealth::Failed);
     ++this->attempts;
@@ -195,7 +190,6 @@
     return false;
   }
   auto const keep = this->shared_from_this();
-  this->discarding = true;
   this->call.Abandon();
   this->NoteEndpoint(AttemptHealth::Failed);
   this->mayHaveRun = true;
@@ -262,7 +256,7 @@
 void
 ProxiedRequest::OnBody(std::string aPiece)
 {
-  if (this->ended || this->discarding || !this->forwarding)
+  if (this->ended || !this->forwarding)
     return;
   this->WatchForStall();
   // The endpoint has read the results that it was given.
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -278,9 +278,7 @@
   if (this->attempting) {
     this->call.Abandon();
     this->attempting = false;
-    auto const found = this->service.beliefs.Endpoints().byId.find(this->endpoint);
-    if (found != this->service.beliefs.Endpoints().byId.end() && found->second.outstanding > 0)
-      --found->second.outstanding;
+    OnLeave(this->service.beliefs.Endpoints(), this->endpoint);
   }
   if (aOutcome == RequestOutcome::BrokenOff)
     this->exchange->BreakOff();
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -106,8 +106,6 @@
   bool headSeen{ false };
   /// The response's head is good, so that its body goes to the caller.
   bool forwarding{ false };
-  /// The response is known to be useless: only its end is awaited.
-  bool discarding{ false };
   std::vector<std::string> tried;
   unsigned attempts{ 0 };
   unsigned connectFailures{ 0 };
--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -136,4 +136,12 @@
     belief.coldSends.pop_front();
 }
 
+void
+OnLeave(EndpointSet& aSet, std::string const& aId)
+{
+  auto const found = aSet.byId.find(aId);
+  if (found != aSet.byId.end() && found->second.outstanding > 0)
+    --found->second.outstanding;
+}
+
 }
--- a/Libraries/LibServing/EndpointSelection.h
+++ b/Libraries/LibServing/EndpointSelection.h
@@ -61,4 +61,8 @@
 void
 OnSend(EndpointSet& aSet, std::string const& aId, MonotonicTime aNow);
 
+/// The request is no longer at the endpoint, however it went.
+void
+OnLeave(EndpointSet& aSet, std::string const& aId);
+
 }
