LibGateway: Give a paused stream up only where it can go on

Cause: a stall on the last attempt that the route allows abandoned the stream and failed it, as the attempt under way was not counted; so did a stall with no other endpoint or with the retry share spent.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -115,16 +115,24 @@
 void
 ProxiedRequest::OnStall()
 {
-  if (this->ended || !this->attempting || this->attempts >= this->route.maxAttempts)
+  if (this->ended || !this->attempting)
     return;
   // Where another attempt is out of reach, a late answer is better than none.
   if (this->service.clock.Now() + this->route.targetLatency > this->deadline)
     return;
+  auto others = this->Query();
+  others.excluded.push_back(this->endpoint);
+  ++this->attempts;
+  if (!HasUntried(this->service.beliefs.View(), others) || !this->MayRepeat()) {
+    --this->attempts;
+    this->WatchForStall();
+    return;
+  }
+  auto const keep = this->shared_from_this();
   this->call.Abandon();
   this->NoteEndpoint(AttemptHealth::Failed);
   this->mayHaveRun = true;
-  ++this->attempts;
-  this->AfterFailedAttempt("stalled");
+  this->SendAgain("stalled");
 }
 
 void
--- a/Tests/Platform/PlatformTests.cpp
+++ b/Tests/Platform/PlatformTests.cpp
@@ -215,6 +215,59 @@
   EXPECT_EQ(total, 2U);
 }
 
+static std::string
+FiveEvents()
+{
+  return "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\nid: 4\ndata: t4\n\nid: 5\ndata: t5\n\n";
+}
+
+/// A caller that waits long enough for a paused stream to be given up and taken on by another endpoint.
+static CallerRequest
+PatientModel()
+{
+  auto request = Model();
+  request.patience = 10s;
+  return request;
+}
+
+TEST(Platform, TakesAPausedStreamOnElsewhere)
+{
+  PlatformWorld world(1);
+  world.AddEndpoint(EndpointKind::Model, "model");
+  world.AddEndpoint(EndpointKind::Model, "model");
+  std::size_t total = 0;
+  for (auto const& endpoint : world.endpoints)
+    endpoint->faultOf = [&](std::size_t) { return total++ == 0 ? EndpointFault::Pause : EndpointFault::None; };
+  world.endpoints[0]->pauseTime = world.endpoints[1]->pauseTime = 5s;
+  world.PutTable(1, 10s);
+  world.Start();
+  ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
+  auto const answer = world.Call(0, PatientModel());
+  EXPECT_EQ(answer.body, FiveEvents());
+  EXPECT_EQ(total, 2U);
+  EXPECT_LT(answer.took, 2500ms);
+}
+
+TEST(Platform, WaitsForAPausedStreamThatCannotGoOnElsewhere)
+{
+  PlatformWorld world(1);
+  world.AddEndpoint(EndpointKind::Model, "model");
+  world.AddEndpoint(EndpointKind::Model, "model");
+  // Both attempts that the route allows pause; the second one is the last.
+  for (auto const& endpoint : world.endpoints)
+    endpoint->faultOf = [](std::size_t) { return EndpointFault::Pause; };
+  world.PutTable(1, 10s);
+  world.Start();
+  ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
+  auto const answer = world.Call(0, PatientModel());
+  EXPECT_EQ(answer.end, CallEnd::Complete);
+  EXPECT_EQ(answer.body, FiveEvents());
+  // With no other endpoint the first attempt is the last.
+  world.store->Remove("servers", world.endpoints[1]->Id());
+  world.RunFor(1s);
+  EXPECT_EQ(world.Call(0, PatientModel()).body, FiveEvents());
+}
+
 TEST(Platform, RunsStagesOverAllFrontsAndFreesTheirResults)
 {
   PlatformWorld world(3);
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -105,9 +105,12 @@
 }
 
 void
-PlatformWorld::PutTable(std::uint64_t aVersion)
+PlatformWorld::PutTable(std::uint64_t aVersion, Duration aTimeout)
 {
-  this->store->Put("config", "main", this->TableOf(aVersion));
+  auto table = this->TableOf(aVersion);
+  for (auto& route : table["route_table"])
+    route["timeout_ms"] = Milliseconds(aTimeout);
+  this->store->Put("config", "main", std::move(table));
 }
 
 void
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -45,8 +45,8 @@
              std::string const& aState,
              std::string const& aDataCenter = "a");
 
-  /// Puts the table; aVersion grows.
-  void PutTable(std::uint64_t aVersion);
+  /// Puts the table; aVersion grows. aTimeout is that of all routes.
+  void PutTable(std::uint64_t aVersion, Duration aTimeout = 3s);
   nlohmann::json TableOf(std::uint64_t aVersion) const;
 
   std::shared_ptr<CallerAnswer> Send(unsigned aFront,
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -122,7 +122,8 @@
     return;
   }
   aExchange->SendPiece("id: " + std::to_string(aEvent) + "\ndata: t" + std::to_string(aEvent) + "\n\n");
-  this->clock.Schedule(3ms, [this, aExchange, aEvent, aFault] { this->SendEvent(aExchange, aEvent + 1, aFault); });
+  auto const gap = aFault == EndpointFault::Pause && aEvent % 2 == 0 ? this->pauseTime : 3ms;
+  this->clock.Schedule(gap, [this, aExchange, aEvent, aFault] { this->SendEvent(aExchange, aEvent + 1, aFault); });
 }
 
 void
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -39,6 +39,8 @@
   ForeignAnswer,
   /// Breaks off in the middle of the answer.
   BreakOff,
+  /// Pauses after every second event.
+  Pause,
   /// Answers nothing.
   Silent,
   /// Answers 500.
@@ -60,6 +62,8 @@
   std::function<EndpointFault(std::size_t)> faultOf;
   Duration workTime{ 5ms };
   unsigned events{ 5 };
+  /// Longer than the silence after which a front gives a stream up.
+  Duration pauseTime{ 1500ms };
   std::vector<SeenRequest> seen;
   std::vector<std::size_t> batchSizes;
   std::set<std::string> heldResults;
