--- a/Libraries/LibRpc/RpcConnections.h
+++ b/Libraries/LibRpc/RpcConnections.h
@@ -82,12 +82,11 @@
     this->connections.erase(found);
     auto const actions = std::move(connection->whenDropped);
     connection->whenDropped.clear();
-    this->loop.RuntimeClock().Schedule(Duration::zero(), [connection, actions] {
+    this->loop.RuntimeClock().Schedule(Duration::zero(), [&loop = this->loop, connection, actions] {
       for (auto const& [id, action] : actions)
         action();
-      // Cap'n Proto throws when it is told to shut down a connection that the peer has closed.
-      kj::runCatchingExceptions([&] { connection->client = nullptr; });
-      kj::runCatchingExceptions([&] { connection->stream = nullptr; });
+      // The actions release their promises at the next turn, and those still use the client.
+      loop.RuntimeClock().Schedule(Duration::zero(), [connection] { Close(*connection); });
     });
   }
 
@@ -135,6 +134,13 @@
     aStream.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs, sizeof(kUnacknowledgedMs));
   }
 
+  static void Close(Connection& aConnection)
+  {
+    // Cap'n Proto throws when it is told to shut down a connection that the peer has closed.
+    kj::runCatchingExceptions([&] { aConnection.client = nullptr; });
+    kj::runCatchingExceptions([&] { aConnection.stream = nullptr; });
+  }
+
   /// Forgets a connection as soon as the peer has closed it, so that no call uses it afterwards.
   void DropWhenClosed(std::string const& aAddress, std::weak_ptr<Connection> const& aConnection)
   {
