LibServing: Let strong machines own the stage pools

Cause: the owner of a stage pool was any front; on the grown fleet that is a machine of 0.12 cores and 10 Mbit/s, which receives every order of a service. A front's entry now says what part of a core it may use.

--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -106,6 +106,7 @@
   settings.name = reader.Text("name");
   settings.dataCenter = reader.Text("data_center");
   settings.region = reader.Text("region");
+  settings.cores = reader.Number("machine.cores", 0.001, 1024);
   settings.callerAddress = reader.Address("addresses.callers");
   settings.readinessAddress = reader.Address("addresses.readiness");
   settings.directoryAddress = reader.Address("addresses.directory");
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -14,6 +14,8 @@
   std::string name;
   std::string dataCenter;
   std::string region;
+  /// The part of a processor core that this front may use.
+  double cores{ 1 };
   std::string callerAddress;
   std::string readinessAddress;
   std::string directoryAddress;
--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -27,11 +27,9 @@
   // It only tells processes apart; a time of day that jumps does no harm.
   , incarnation(this->clock.WallNow().time_since_epoch().count())
 {
-  this->self = { this->settings.name,
-                 this->settings.callerAddress,
-                 this->settings.peerAddress,
-                 this->settings.dataCenter,
-                 this->incarnation };
+  this->self = { this->settings.name,        this->settings.callerAddress,
+                 this->settings.peerAddress, this->settings.dataCenter,
+                 this->incarnation,          this->settings.cores };
 }
 
 void
--- a/Libraries/LibServing/FrontSet.cpp
+++ b/Libraries/LibServing/FrontSet.cpp
@@ -5,6 +5,9 @@
 
 /// How long a front is passed over after a failed call; by then it has been removed from the store or has answered.
 static constexpr Duration kSuspicionTime = 3s;
+/// A front with this part of the strongest machine's processor, or more, may own something. Machines of one class
+/// differ by less.
+static constexpr double kOwnerShare = 0.5;
 
 void
 ApplyFront(FrontSet& aSet, FrontEntry const& aEntry, std::uint64_t aRevision)
@@ -35,10 +38,14 @@
 std::optional<FrontEntry>
 OwnerOf(FrontSet const& aSet, std::string const& aKey, MonotonicTime aNow)
 {
+  double strongest = 0;
+  for (auto const& [name, belief] : aSet.byName)
+    if (belief.suspectUntil <= aNow)
+      strongest = std::max(strongest, belief.entry.cores);
   FrontBelief const* best = nullptr;
   std::uint64_t bestWeight = 0;
   for (auto const& [name, belief] : aSet.byName) {
-    if (belief.suspectUntil > aNow)
+    if (belief.suspectUntil > aNow || belief.entry.cores < kOwnerShare * strongest)
       continue;
     auto const weight = RendezvousWeight(aKey, name);
     if (best != nullptr && weight <= bestWeight)
--- a/Libraries/LibServing/FrontSet.h
+++ b/Libraries/LibServing/FrontSet.h
@@ -17,6 +17,8 @@
   std::string dataCenter;
   /// Differs between processes that run under one name.
   std::int64_t incarnation{ 0 };
+  /// The part of a processor core that it may use; zero when it does not say.
+  double cores{ 0 };
 
   bool operator==(FrontEntry const&) const = default;
 };
@@ -46,7 +48,8 @@
 void
 TrustFront(FrontSet& aSet, std::string const& aName);
 
-/// The front that answers for a key now; empty when none is known. Fronts with other views may choose another one.
+/// The front that answers for a key now: one of the stronger machines that are trusted, as the work for a whole service
+/// can be more than a weak one bears. Empty when none is known. Fronts with other views may choose another one.
 std::optional<FrontEntry>
 OwnerOf(FrontSet const& aSet, std::string const& aKey, MonotonicTime aNow);
 
--- a/Tests/LibServing/ServingTests.cpp
+++ b/Tests/LibServing/ServingTests.cpp
@@ -189,6 +189,21 @@
   EXPECT_EQ(OwnerOf(deployment.fronts, "key", kStart + 10s)->name, owner->name);
 }
 
+// Pattern: a fleet of unequal machines, whose weak ones cannot carry the work of a whole service.
+TEST(FrontSet, LetsStrongMachinesOwnWhileOneIsTrusted)
+{
+  Deployment deployment(1, 12);
+  unsigned index = 0;
+  for (auto& [name, belief] : deployment.fronts.byName)
+    belief.entry.cores = index++ % 4 == 0 ? 0.5 : 0.12;
+  for (int key = 0; key < 20; ++key)
+    EXPECT_EQ(OwnerOf(deployment.fronts, "key" + std::to_string(key), kStart)->cores, 0.5);
+  for (auto& [name, belief] : deployment.fronts.byName)
+    if (belief.entry.cores == 0.5)
+      SuspectFront(deployment.fronts, name, kStart);
+  EXPECT_EQ(OwnerOf(deployment.fronts, "key", kStart + 1ms)->cores, 0.12);
+}
+
 TEST(FrontSet, WatchesTheNextFrontsAndMoreBehindSuspectedOnes)
 {
   Deployment deployment(1, 5);
