LibServing: Serve stage orders newest first under overload

Cause: orders were served by due time. Change: where not all orders of a rank can be on time, the newest go first; owners tell their backlog with each result, and fronts count it into what a request still needs; an order that cannot be on time is refused at once when the overload, forecast to last as long again as it has lasted, outlives its deadline; Retry-After follows that forecast.

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -100,6 +100,7 @@
         auto wireResult = aContext.getResults().initResult();
         wireResult.setEnd(static_cast<Wire::StageEnd>(aResult.end));
         wireResult.setRetryAfterUs(aResult.retryAfter.count());
+        wireResult.setBacklogUs(aResult.backlog.count());
         WriteTexts(aResult.handles, wireResult.initHandles(unsigned(aResult.handles.size())));
       })
       .attach(kj::defer(kj::mv(cancelUnlessEnded)));
@@ -252,6 +253,7 @@
         StageResult result;
         result.end = ReadEnd(wire.getEnd());
         result.retryAfter = Duration(wire.getRetryAfterUs());
+        result.backlog = Duration(wire.getBacklogUs());
         for (auto const handle : wire.getHandles())
           result.handles.emplace_back(handle.cStr());
         return result;
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -32,6 +32,7 @@
   end @0 :StageEnd;
   handles @1 :List(Text);
   retryAfterUs @2 :Int64;
+  backlogUs @3 :Int64;
 }
 
 # What a front that starts while the store is away takes over from its peers.
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -72,7 +72,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db4ac14a1a2326d3, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(db4ac14a1a2326d3, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -427,6 +427,8 @@
 
   inline  ::int64_t getRetryAfterUs() const;
 
+  inline  ::int64_t getBacklogUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -469,6 +471,9 @@
   inline  ::int64_t getRetryAfterUs();
   inline void setRetryAfterUs( ::int64_t value);
 
+  inline  ::int64_t getBacklogUs();
+  inline void setBacklogUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1632,6 +1637,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t StageResult::Reader::getBacklogUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StageResult::Builder::getBacklogUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StageResult::Builder::setBacklogUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t KnownObject::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -126,6 +126,14 @@
   return planned == endpoints.byId.end() ? "" : planned->second.entry.dataCenter;
 }
 
+Duration
+ProxiedRequest::TimeAfter(unsigned aStage) const
+{
+  auto const now = this->service.clock.Now();
+  auto const& backlogs = this->service.stages.Backlogs();
+  return TimeAfterStage(*this->stages, aStage, *this->table, backlogs, now) + kFirstEventTime;
+}
+
 void
 ProxiedRequest::StartStage(unsigned aStage)
 {
@@ -145,7 +153,7 @@
   order.order.rank = this->rank;
   order.order.target = this->due;
   order.order.deadline = this->deadline;
-  order.order.later = TimeAfterStage(plan, aStage, *this->table) + kFirstEventTime;
+  order.order.later = this->TimeAfter(aStage);
   order.order.pieceBytes = plan.rules[aStage].resultBytes;
   order.order.key = this->facts.stageKey;
   order.order.inputs = inputs;
@@ -215,7 +223,7 @@
   this->ReleaseResults();
   Duration needed = kFirstEventTime;
   for (unsigned stage = 0; stage < this->stages->rules.size(); ++stage)
-    needed = std::max(needed, TimeAfterStage(*this->stages, stage, *this->table) + kFirstEventTime);
+    needed = std::max(needed, this->TimeAfter(stage));
   if (++this->stageRestarts > kMostStageRestarts || this->service.clock.Now() + needed > this->deadline) {
     this->Refuse(aCause, kRetryAfterNoEndpoint);
     return;
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -49,6 +49,8 @@
   void StartStages();
   void StartStage(unsigned aStage);
   std::string BestDataCenter(unsigned aStage, std::vector<std::string> const& aInputs) const;
+  /// What the request needs after a stage.
+  Duration TimeAfter(unsigned aStage) const;
   void OnStageResult(unsigned aStage, StageResult aResult);
   void RestartStages(std::string_view aCause);
   void ReleaseResults();
--- a/Libraries/LibGateway/StageService.cpp
+++ b/Libraries/LibGateway/StageService.cpp
@@ -67,21 +67,25 @@
     SuspectFront(this->beliefs.Fronts(), aFront, this->clock.Now());
     this->clock.Schedule(kResendPause, [this, aPending] { this->Send(aPending); });
   };
+  auto const finish = [this, aPending](StageResult aResult) {
+    NoteBacklog(this->backlogs, aPending->order.service, aResult.backlog, this->clock.Now());
+    aPending->End(std::move(aResult));
+  };
   auto const owner = OwnerOf(this->beliefs.Fronts(), aPending->order.service, now);
   if (!owner || owner->name == this->settings.name) {
-    aPending->cancel = this->owner.Make(aPending->order, [aPending, again, this](StageResult aResult) {
+    aPending->cancel = this->owner.Make(aPending->order, [finish, again, this](StageResult aResult) {
       if (aResult.end == StageEnd::Moved)
         again(this->settings.name);
       else
-        aPending->End(std::move(aResult));
+        finish(std::move(aResult));
     });
     return;
   }
-  auto const onResult = [aPending, again, name = owner->name](std::optional<StageResult> aResult) {
+  auto const onResult = [finish, again, name = owner->name](std::optional<StageResult> aResult) {
     if (!aResult || aResult->end == StageEnd::Moved)
       again(name);
     else
-      aPending->End(std::move(*aResult));
+      finish(std::move(*aResult));
   };
   aPending->cancel = this->peers.MakeStage(owner->peerAddress, aPending->order, onResult);
 }
--- a/Libraries/LibGateway/StageService.h
+++ b/Libraries/LibGateway/StageService.h
@@ -15,6 +15,9 @@
 
   void Release(std::string const& aService, std::vector<std::string> const& aHandles);
 
+  /// What the owners said of their backlogs with their last results.
+  StageBacklogs const& Backlogs() const { return this->backlogs; }
+
 private:
   struct Pending;
   void Send(std::shared_ptr<Pending> const& aPending);
@@ -24,6 +27,7 @@
   Clock& clock;
   FrontPeers& peers;
   StageOwnerService& owner;
+  StageBacklogs backlogs;
 };
 
 }
--- a/Libraries/LibServing/RequestStages.cpp
+++ b/Libraries/LibServing/RequestStages.cpp
@@ -125,8 +125,27 @@
   return bytes;
 }
 
+void
+NoteBacklog(StageBacklogs& aBacklogs, std::string const& aService, Duration aBacklog, MonotonicTime aNow)
+{
+  aBacklogs.byService[aService] = { aBacklog, aNow };
+}
+
+Duration
+BacklogOf(StageBacklogs const& aBacklogs, std::string const& aService, MonotonicTime aNow)
+{
+  auto const found = aBacklogs.byService.find(aService);
+  if (found == aBacklogs.byService.end())
+    return Duration::zero();
+  return std::max<Duration>(Duration::zero(), found->second.backlog - (aNow - found->second.at));
+}
+
 Duration
-TimeAfterStage(RequestStages const& aStages, unsigned aStage, ServingTable const& aTable)
+TimeAfterStage(RequestStages const& aStages,
+               unsigned aStage,
+               ServingTable const& aTable,
+               StageBacklogs const& aBacklogs,
+               MonotonicTime aNow)
 {
   Duration longest{ 0 };
   for (unsigned later = aStage + 1; later < aStages.rules.size(); ++later) {
@@ -135,8 +154,9 @@
       continue;
     auto const& service = RuleOf(aTable, rule.service);
     auto const limits = service.stage.value_or(StageLimits{});
-    auto const own = limits.callTime + limits.pieceTime * std::int64_t(aStages.pieces[later]);
-    longest = std::max(longest, own + TimeAfterStage(aStages, later, aTable));
+    auto const work = limits.callTime + limits.pieceTime * std::int64_t(aStages.pieces[later]);
+    auto const own = work + BacklogOf(aBacklogs, rule.service, aNow);
+    longest = std::max(longest, own + TimeAfterStage(aStages, later, aTable, aBacklogs, aNow));
   }
   return longest;
 }
--- a/Libraries/LibServing/RequestStages.h
+++ b/Libraries/LibServing/RequestStages.h
@@ -49,8 +49,30 @@
 std::size_t
 BytesMoved(RequestStages const& aStages, unsigned aStage);
 
-/// How long the stages after aStage take when nothing waits.
+/// What this front last heard of the backlogs of stage pools.
+struct StageBacklogs
+{
+  struct Heard
+  {
+    Duration backlog{ 0 };
+    MonotonicTime at{};
+  };
+  std::map<std::string, Heard> byService;
+};
+
+void
+NoteBacklog(StageBacklogs& aBacklogs, std::string const& aService, Duration aBacklog, MonotonicTime aNow);
+
+/// A backlog is worked off at most as fast as time passes.
+Duration
+BacklogOf(StageBacklogs const& aBacklogs, std::string const& aService, MonotonicTime aNow);
+
+/// How long the stages after aStage take, with what waits there already.
 Duration
-TimeAfterStage(RequestStages const& aStages, unsigned aStage, ServingTable const& aTable);
+TimeAfterStage(RequestStages const& aStages,
+               unsigned aStage,
+               ServingTable const& aTable,
+               StageBacklogs const& aBacklogs,
+               MonotonicTime aNow);
 
 }
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -26,6 +26,10 @@
 static constexpr double kSlownessWeight = 0.4;
 /// An endpoint this much slower than expected gets work only when the others cannot keep up.
 static constexpr double kSlow = 2;
+/// Orders wait as long again as is expected: later arrivals go before them, and later stages have queues as well.
+static constexpr int kWaitReserve = 1;
+/// Overloads with a shorter gap between them are one.
+static constexpr Duration kOverloadGap = 1s;
 /// Results may outlive their stated time a little; memory counts as taken until then.
 static constexpr Duration kLifetimeMargin = 200ms;
 
@@ -170,7 +174,7 @@
     return;
   auto& pending = found->second;
   if (aEnd == StageEnd::Made) {
-    aDecisions.results.push_back({ aOrder, aEnd, std::move(pending.handles), Duration::zero() });
+    aDecisions.results.push_back({ aOrder, aEnd, std::move(pending.handles), Duration::zero(), aPool.backlog });
     aPool.orders.erase(found);
     return;
   }
@@ -180,21 +184,52 @@
   pending.handles.clear();
   pending.waiting.clear();
   if (!pending.cancelled)
-    aDecisions.results.push_back({ aOrder, aEnd, {}, aRetryAfter });
+    aDecisions.results.push_back({ aOrder, aEnd, {}, aRetryAfter, aPool.backlog });
   pending.cancelled = true;
   if (pending.underWay == 0)
     aPool.orders.erase(found);
 }
 
+static void
+NoteOverload(StagePool& aPool, MonotonicTime aNow)
+{
+  if (aNow - aPool.overloadSeen > kOverloadGap)
+    aPool.overloadBegan = aNow;
+  aPool.overloadSeen = aNow;
+}
+
+/// How long an overload will last: as long again as it has lasted.
+static Duration
+OverloadForecast(StagePool const& aPool, MonotonicTime aNow)
+{
+  if (aNow - aPool.overloadSeen > kOverloadGap)
+    return Duration::zero();
+  return aPool.overloadSeen - aPool.overloadBegan;
+}
+
+/// Whether an order that is expected to be ready at aReady, aReserve later at the worst, is not worth its place. What
+/// can no longer be on time gets its turn after the overload.
+static bool
+IsHopeless(StagePool const& aPool,
+           StageOrder const& aOrder,
+           MonotonicTime aReady,
+           Duration aReserve,
+           MonotonicTime aNow)
+{
+  bool const late = aReady + aReserve > aOrder.target;
+  return aReady + (late ? OverloadForecast(aPool, aNow) : Duration::zero()) > aOrder.deadline;
+}
+
 SubmitOutcome
 SubmitOrder(StagePool& aPool, StageOrder aOrder, MonotonicTime aNow)
 {
   auto const id = ++aPool.lastOrder;
   auto const wait = ExpectedWait(aPool, aOrder, aNow);
-  if (aNow + wait + CallTime(aPool.limits, std::min(aOrder.pieces, aPool.limits.batch)) + aOrder.later >
-      aOrder.deadline) {
+  auto const ready = aNow + wait + CallTime(aPool.limits, std::min(aOrder.pieces, aPool.limits.batch)) + aOrder.later;
+  if (IsHopeless(aPool, aOrder, ready, kWaitReserve * wait, aNow)) {
+    auto const retryAfter = std::max(wait, OverloadForecast(aPool, aNow));
     StageDecisions decisions;
-    decisions.results.push_back({ id, StageEnd::Late, {}, wait });
+    decisions.results.push_back({ id, StageEnd::Late, {}, retryAfter, aPool.backlog });
     return { id, std::move(decisions) };
   }
   auto& pending = aPool.orders[id];
@@ -241,15 +276,47 @@
   return Schedule(aPool, aNow);
 }
 
+/// Turns the ranks around in which not all can be on time: served by the time at which they are due, all of them would
+/// be late by a little; served newest first, those that are served are on time and have time left for later stages.
+static void
+PutNewestFirstUnderOverload(StagePool& aPool,
+                            std::vector<std::pair<ServiceKey, StageOrderId>>& aKeys,
+                            MonotonicTime aNow)
+{
+  double const rate = std::max(1.0, PiecesPerSecond(aPool));
+  double ahead = 0;
+  for (auto begin = aKeys.begin(); begin != aKeys.end();) {
+    auto const [late, rank, target] = begin->first;
+    if (late)
+      break;
+    bool overloaded = false;
+    auto end = begin;
+    for (; end != aKeys.end() && std::get<0>(end->first) == late && std::get<1>(end->first) == rank; ++end) {
+      auto const& pending = aPool.orders.at(end->second);
+      auto const wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
+      auto const ready = aNow + wait + CallTime(aPool.limits, pending.waiting.size()) + pending.order.later;
+      overloaded = overloaded || ready + kWaitReserve * wait > std::get<2>(end->first);
+      ahead += double(pending.waiting.size());
+    }
+    if (overloaded)
+      std::reverse(begin, end);
+    if (overloaded)
+      NoteOverload(aPool, aNow);
+    begin = end;
+  }
+  aPool.backlog = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
+}
+
 /// Orders with waiting pieces, the next to be served first.
 static std::vector<StageOrderId>
-ServiceOrder(StagePool const& aPool, MonotonicTime aNow)
+ServiceOrder(StagePool& aPool, MonotonicTime aNow)
 {
   std::vector<std::pair<ServiceKey, StageOrderId>> keys;
   for (auto const& [id, pending] : aPool.orders)
     if (!pending.waiting.empty() && !pending.cancelled)
       keys.emplace_back(KeyOf(aPool, pending.order, pending.waiting.size(), aNow), id);
   std::ranges::sort(keys);
+  PutNewestFirstUnderOverload(aPool, keys, aNow);
   std::vector<StageOrderId> result;
   result.reserve(keys.size());
   for (auto const& [key, id] : keys)
@@ -265,12 +332,13 @@
     if (pending.cancelled || pending.waiting.empty())
       continue;
     auto const pieces = std::min<std::size_t>(pending.waiting.size(), aPool.limits.batch);
-    if (aNow + CallTime(aPool.limits, pieces) + pending.order.later > pending.order.deadline)
+    auto const ready = aNow + CallTime(aPool.limits, pieces) + pending.order.later;
+    if (IsHopeless(aPool, pending.order, ready, Duration::zero(), aNow))
       late.push_back(id);
   }
   for (auto const id : late) {
     auto const wait = ExpectedWait(aPool, aPool.orders.at(id).order, aNow);
-    EndOrder(aPool, id, StageEnd::Late, wait, aDecisions);
+    EndOrder(aPool, id, StageEnd::Late, std::max(wait, OverloadForecast(aPool, aNow)), aDecisions);
   }
 }
 
@@ -361,8 +429,10 @@
   ExpireResults(aPool, aNow);
   GiveUpLate(aPool, aNow, decisions);
   auto waiting = WaitingPieces(aPool);
-  if (waiting == 0)
+  if (waiting == 0) {
+    aPool.backlog = {};
     return decisions;
+  }
   std::vector<StageEndpoint*> free;
   for (auto& [id, endpoint] : aPool.endpoints)
     if (!endpoint.leaving && endpoint.calls < aPool.limits.slots && endpoint.blockedUntil <= aNow)
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -61,6 +61,8 @@
   std::vector<std::string> handles;
   /// When an order that was too late may be tried again.
   Duration retryAfter{ 0 };
+  /// How long the pool needs for what waits there and can still be on time.
+  Duration backlog{ 0 };
 };
 
 struct StagePiece
@@ -168,6 +170,11 @@
   std::unordered_map<std::string, HeldResult> held;
   StageOrderId lastOrder{ 0 };
   StageCallId lastCall{ 0 };
+  /// How long it needs for the waiting orders that can still be on time, when it was last scheduled.
+  Duration backlog{ 0 };
+  /// Since when, and until when, not all of those could be on time.
+  MonotonicTime overloadBegan{};
+  MonotonicTime overloadSeen{};
 };
 
 /// Takes the service's limits and its usable endpoints.
--- /dev/null
+++ b/Tests/LibServing/StageLoad.cpp
@@ -0,0 +1,215 @@
+#include "StageLoad.h"
+
+namespace Hornbeam::Gateway {
+
+/// From the last stage's results to the first event of the model endpoint.
+static constexpr Duration kModelTime = 150ms;
+/// From a release to the endpoint's answer.
+static constexpr Duration kFreeTime = 8ms;
+/// One way between fronts and endpoints.
+static constexpr Duration kNetworkTime = 2ms;
+/// Callers come back once, no sooner than this, and not when less time is left.
+static constexpr Duration kLeastRetryAfter = 100ms;
+static constexpr Duration kLeastTimeToComeBack = 300ms;
+
+void
+StageLoad::AddService(std::string const& aService, StageLimits const& aLimits, unsigned aEndpoints)
+{
+  std::vector<EndpointEntry> entries;
+  for (unsigned index = 0; index < aEndpoints; ++index) {
+    EndpointEntry entry;
+    entry.id = aService + "-" + std::to_string(index);
+    entry.service = aService;
+    entry.address = entry.id;
+    entry.dataCenter = "a";
+    entries.push_back(entry);
+  }
+  UpdatePool(this->pools[aService], aLimits, entries, this->now);
+  auto& rule = this->table.services[aService];
+  rule.name = aService;
+  rule.stage = aLimits;
+}
+
+void
+StageLoad::At(MonotonicTime aWhen, std::function<void()> aAction)
+{
+  this->eventsDue.push({ aWhen, ++this->lastEvent, std::move(aAction) });
+}
+
+std::map<std::string, LoadCounts>
+StageLoad::Play(std::vector<LoadKind> const& aKinds, Duration aTime)
+{
+  auto const begin = this->now;
+  for (auto const& kind : aKinds) {
+    for (Duration time{ 0 }; time < aTime;) {
+      bool const inBurst = time >= kind.burstBegin && time < kind.burstEnd;
+      std::exponential_distribution<double> gap(kind.perSecond * (inBurst ? kind.burst : 1));
+      time += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(this->random)));
+      this->At(begin + time, [this, &kind] { this->Arrive(kind); });
+    }
+  }
+  for (Duration tick{ 0 }; tick < aTime + 10s; tick += 50ms)
+    this->At(begin + tick, [this] {
+      for (auto& [service, pool] : this->pools)
+        this->Carry(service, Schedule(pool, this->now));
+    });
+  while (!this->eventsDue.empty()) {
+    auto const event = this->eventsDue.top();
+    this->eventsDue.pop();
+    this->now = event.when;
+    event.action();
+  }
+  return this->counts;
+}
+
+void
+StageLoad::Arrive(LoadKind const& aKind)
+{
+  auto const request = std::make_shared<Request>();
+  request->kind = &aKind;
+  request->received = this->now;
+  ++this->counts[aKind.name].asked;
+  this->Begin(request);
+}
+
+void
+StageLoad::Begin(RequestPointer const& aRequest)
+{
+  aRequest->id = std::to_string(++this->lastRequest);
+  aRequest->began = this->now;
+  aRequest->stages = *PlanStages(aRequest->kind->stages, aRequest->kind->pieces);
+  this->StartStages(aRequest);
+}
+
+void
+StageLoad::StartStages(RequestPointer const& aRequest)
+{
+  for (auto const stage : StartableStages(aRequest->stages))
+    if (!aRequest->ended)
+      this->StartStage(aRequest, stage);
+  if (!aRequest->ended && AllComplete(aRequest->stages))
+    this->At(this->now + kModelTime, [this, aRequest] { this->Serve(aRequest); });
+}
+
+void
+StageLoad::StartStage(RequestPointer const& aRequest, unsigned aStage)
+{
+  auto& stages = aRequest->stages;
+  stages.started[aStage] = true;
+  auto const& service = stages.rules[aStage].service;
+  StageOrder order;
+  order.requestId = aRequest->id;
+  order.stage = aStage;
+  order.pieces = stages.pieces[aStage];
+  order.rank = aRequest->kind->rank;
+  order.target = aRequest->received + aRequest->kind->target;
+  order.deadline = aRequest->received + aRequest->kind->deadline;
+  order.later = TimeAfterStage(stages, aStage, this->table, this->backlogs, this->now) + kModelTime;
+  order.pieceBytes = stages.rules[aStage].resultBytes;
+  order.dataCenter = "a";
+  order.inputs = InputsOf(stages, aStage);
+  auto submitted = SubmitOrder(this->pools.at(service), std::move(order), this->now);
+  aRequest->open[aStage] = submitted.order;
+  this->waiting[{ service, submitted.order }] = { aRequest, aStage };
+  this->Carry(service, std::move(submitted.decisions));
+}
+
+void
+StageLoad::OnResult(RequestPointer const& aRequest, unsigned aStage, StageResult aResult)
+{
+  aRequest->open.erase(aStage);
+  NoteBacklog(this->backlogs, aRequest->stages.rules[aStage].service, aResult.backlog, this->now);
+  if (aRequest->ended)
+    return;
+  if (aResult.end != StageEnd::Made) {
+    this->Refuse(aRequest, aResult.retryAfter);
+    return;
+  }
+  this->Release(CompleteStage(aRequest->stages, aStage, std::move(aResult.handles)));
+  this->StartStages(aRequest);
+}
+
+void
+StageLoad::Carry(std::string const& aService, StageDecisions aDecisions)
+{
+  for (auto const& call : aDecisions.calls) {
+    auto const& limits = this->pools.at(aService).limits;
+    auto const work = limits.callTime + limits.pieceTime * std::int64_t(call.pieces.size());
+    this->At(this->now + work + 2 * kNetworkTime, [this, aService, call] { this->EndCall(aService, call); });
+  }
+  for (auto const& [address, handles] : aDecisions.frees)
+    this->At(this->now + kFreeTime, [this, aService, handles = handles] {
+      this->Carry(aService, OnResultsFreed(this->pools.at(aService), handles, this->now));
+    });
+  for (auto& result : aDecisions.results) {
+    auto const found = this->waiting.find({ aService, result.order });
+    if (found == this->waiting.end())
+      continue;
+    auto const [request, stage] = found->second;
+    this->waiting.erase(found);
+    this->At(this->now + kNetworkTime,
+             [this, request = request, stage = stage, result] { this->OnResult(request, stage, result); });
+  }
+}
+
+void
+StageLoad::EndCall(std::string const& aService, StageCall const& aCall)
+{
+  std::vector<PieceResult> results;
+  for (std::size_t index = 0; index < aCall.pieces.size(); ++index)
+    results.push_back({ PieceEnd::Made, aCall.address + "/" + std::to_string(++this->lastResult) });
+  this->Carry(aService, OnCallEnd(this->pools.at(aService), aCall.id, StageCallEnd::Answered, results, this->now));
+}
+
+void
+StageLoad::Release(std::map<std::string, std::vector<std::string>> const& aResults)
+{
+  for (auto const& [service, handles] : aResults)
+    this->Carry(service, ReleaseResults(handles));
+}
+
+void
+StageLoad::Serve(RequestPointer const& aRequest)
+{
+  auto& counts = this->counts[aRequest->kind->name];
+  bool const onTime = this->now - aRequest->received <= aRequest->kind->target;
+  ++(onTime ? counts.onTime : counts.late);
+  this->LetGo(aRequest);
+}
+
+void
+StageLoad::Refuse(RequestPointer const& aRequest, Duration aRetryAfter)
+{
+  auto& counts = this->counts[aRequest->kind->name];
+  ++counts.refusals;
+  counts.refusedAfter += this->now - aRequest->began;
+  for (unsigned stage = 0; stage < aRequest->stages.rules.size(); ++stage)
+    if (aRequest->stages.results[stage])
+      this->piecesInVain[aRequest->stages.rules[stage].service] += aRequest->stages.pieces[stage];
+  this->LetGo(aRequest);
+  auto const left = aRequest->received + aRequest->kind->deadline - this->now;
+  if (aRequest->cameBack || left < kLeastTimeToComeBack) {
+    ++counts.refused;
+    return;
+  }
+  auto again = std::make_shared<Request>();
+  again->kind = aRequest->kind;
+  again->received = aRequest->received;
+  again->cameBack = true;
+  this->At(this->now + std::clamp<Duration>(aRetryAfter, kLeastRetryAfter, left / 3),
+           [this, again] { this->Begin(again); });
+}
+
+void
+StageLoad::LetGo(RequestPointer const& aRequest)
+{
+  aRequest->ended = true;
+  this->Release(TakeHeldResults(aRequest->stages));
+  for (auto const& [stage, order] : aRequest->open) {
+    auto const& service = aRequest->stages.rules[stage].service;
+    this->waiting.erase({ service, order });
+    this->Carry(service, CancelOrder(this->pools.at(service), order, this->now));
+  }
+}
+
+}
