LibFront: Do not judge an endpoint by a resumed call

Cause: a call that goes on after tokens of an earlier attempt makes only the rest of an answer. Ruled out: a cancelled call that still runs (the log shows the raised limit before the call too many).

--- a/Libraries/LibFront/ActiveRequest.h
+++ b/Libraries/LibFront/ActiveRequest.h
@@ -10,6 +10,8 @@
   std::string endpoint;
   StageResponse response;
   MonotonicTime startedAt{};
+  /// It goes on after tokens of an earlier attempt.
+  bool resumed{ false };
   Duration timeout{ 0 };
   std::function<void()> abandon;
 };
--- a/Libraries/LibFront/RequestAttempts.cpp
+++ b/Libraries/LibFront/RequestAttempts.cpp
@@ -36,6 +36,7 @@
   attempt.timeout = this->AttemptTimeout(aRequest, aEndpoint);
   attempt.response.attempt = AttemptName(progress, self.name, self.incarnation);
   attempt.response.nextToken = progress.tokens.size();
+  attempt.resumed = !progress.tokens.empty();
   PART_LOG("routing") << "sent " << attempt.response.attempt << " (" << aEndpoint.pool << ") to " << aEndpoint.name
                       << ": " << aChoice.why << ".";
   StageCall call{ attempt.response.attempt,
@@ -109,12 +110,13 @@
   this->EndAttempt(aRequest, aEndpoint, result);
 }
 
+/// A resumed call makes the rest of an answer only; its short time does not show that the endpoint is fast, or warm.
 static CallVerdict
-VerdictOf(AttemptResult const& aResult)
+VerdictOf(AttemptResult const& aResult, bool aResumed)
 {
   switch (aResult.end) {
     case AttemptEnd::Succeeded:
-      return CallVerdict::Succeeded;
+      return aResumed ? CallVerdict::NoVerdict : CallVerdict::Succeeded;
     case AttemptEnd::Declined:
     case AttemptEnd::Lost:
       return CallVerdict::Failed;
@@ -129,6 +131,7 @@
 {
   auto const took = this->clock.Now() - aRequest->attempt->startedAt;
   auto const pool = aEndpoint.pool;
+  bool const resumed = aRequest->attempt->resumed;
   aRequest->attempt.reset();
   --this->outstanding[aEndpoint.name];
   this->usage.endpointTime[pool] += took;
@@ -140,10 +143,10 @@
                         << " failed: " << aResult.detail << ".";
   }
   if (this->settings.policy == RoutingPolicy::Adaptive)
-    this->grants.ReturnEndpointSlot(aEndpoint, VerdictOf(aResult), took);
+    this->grants.ReturnEndpointSlot(aEndpoint, VerdictOf(aResult, resumed), took);
   if (!succeeded)
     this->CountOutlier(aEndpoint);
-  else
+  else if (!resumed)
     ObserveService(this->estimates[pool], took);
   auto const step =
     OnAttemptEnded(aRequest->progress, aEndpoint.name, aResult, took, this->retryBudget, this->clock.Now());
--- a/Tests/LibServing/StageLoadTests.cpp
+++ b/Tests/LibServing/StageLoadTests.cpp
@@ -47,8 +47,8 @@
     EXPECT_GE(OnTime(PlayChain(part)), 0.99) << part;
 }
 
-// Pattern: more arrives for some seconds than a chain of stages bears. Served by due time, nearly all would be late by a
-// little (a tenth was on time at 1.5 of capacity); newest first, most of what can be served is on time.
+// Pattern: more arrives for some seconds than a chain of stages bears. Served by due time, nearly all would be late by
+// a little (a tenth was on time at 1.5 of capacity); newest first, most of what can be served is on time.
 TEST(StageLoad, ServesOnTimeWhatItCanUnderOverload)
 {
   for (double part : { 1.2, 1.5, 2.0 }) {
