--- a/Libraries/LibGateway/BeliefService.cpp
+++ b/Libraries/LibGateway/BeliefService.cpp
@@ -11,6 +11,7 @@
   , clock(aKernel.Find<Clock>(GatewayName::kClock))
   , store(aKernel.Find<StoreClient>(GatewayName::kStore))
   , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
+  , random(std::random_device{}())
 {
 }
 
@@ -36,6 +37,14 @@
     if (aKind == ObjectKind::Endpoint)
       this->OnReach(aReach);
   };
+  events.onFailure = [this, aKind] {
+    std::uniform_real_distribution<double> draw;
+    return OnStoreFailure(this->backOff, aKind, draw(this->random));
+  };
+  events.onAnswer = [this, aKind] {
+    for (auto const kind : OnStoreAnswer(this->backOff, aKind))
+      this->watches.at(kind)->Resume();
+  };
   auto& watch = this->watches[aKind];
   watch = std::make_unique<ObjectWatch>(this->store, this->clock, aKind, std::move(events));
   watch->Start();
--- a/Libraries/LibGateway/BeliefService.h
+++ b/Libraries/LibGateway/BeliefService.h
@@ -2,6 +2,8 @@
 
 #include "GatewaySettings.h"
 #include "ObjectWatch.h"
+#include "StoreBackOff.h"
+#include <random>
 
 namespace Hornbeam::Gateway {
 
@@ -60,6 +62,8 @@
   StoreClient& store;
   ConnectionPool& connections;
   std::map<ObjectKind, std::unique_ptr<ObjectWatch>> watches;
+  StoreBackOff backOff;
+  std::minstd_rand random;
   std::map<ObjectKind, std::map<std::string, std::string>> documents;
   std::shared_ptr<ServingTable const> table;
   EndpointSet endpoints;
--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -11,16 +11,12 @@
 /// Changes that come soon after others are fetched together: each answer is a priced call of each front. What an
 /// operator changes must be in force within two seconds, and a leaving endpoint be heeded as soon.
 static constexpr Duration kPauseAfterEvents = 400ms;
-static constexpr Duration kFirstBackOff = 100ms;
-/// The table must be in force two seconds after the store's acknowledgement once the store is back.
-static constexpr Duration kLongestBackOff = 800ms;
 
 ObjectWatch::ObjectWatch(StoreClient& aStore, Clock& aClock, ObjectKind aKind, ObjectWatchEvents aEvents)
   : store(aStore)
   , clock(aClock)
   , kind(aKind)
   , events(std::move(aEvents))
-  , random(std::random_device{}())
 {
 }
 
@@ -40,15 +36,31 @@
 }
 
 void
-ObjectWatch::Retry(std::string_view aWhat, Platform::StoreOutcome aOutcome, std::function<void()> aAction)
+ObjectWatch::OnAnswer()
+{
+  this->SetReach(StoreReach::Reached);
+  this->events.onAnswer();
+}
+
+void
+ObjectWatch::OnFailure(std::string_view aCall, Platform::StoreOutcome aOutcome)
 {
   this->SetReach(StoreReach::Lost);
-  this->backOff = std::clamp<Duration>(this->backOff * 2, kFirstBackOff, kLongestBackOff);
-  // Jitter keeps the fronts from coming back all at once.
-  auto const delay = this->backOff / 2 + this->backOff * std::int64_t(this->random() % 1000) / 2000;
-  PART_LOG("store") << "event=retry call=" << aWhat << " kind=" << ToString(this->kind)
+  auto const delay = this->events.onFailure();
+  PART_LOG("store") << "event=retry call=" << aCall << " kind=" << ToString(this->kind)
                     << " outcome=" << ToString(aOutcome) << " delay_ms=" << Milliseconds(delay);
-  this->clock.Schedule(delay, std::move(aAction));
+  this->retryTimer = this->clock.Schedule(delay, [this] { this->Resume(); });
+}
+
+void
+ObjectWatch::Resume()
+{
+  if (!this->retryTimer)
+    return;
+  this->clock.Cancel(*this->retryTimer);
+  this->retryTimer.reset();
+  // Not another watch: one that begins just before the store drops its history would hear nothing until it ends.
+  this->List();
 }
 
 void
@@ -56,12 +68,11 @@
 {
   this->store.List(this->kind, [this](Platform::ObjectList aAnswer) {
     if (aAnswer.outcome != Platform::StoreOutcome::Done) {
-      this->Retry("list", aAnswer.outcome, [this] { this->List(); });
+      this->OnFailure("list", aAnswer.outcome);
       return;
     }
-    this->backOff = {};
     this->revision = aAnswer.revision;
-    this->SetReach(StoreReach::Reached);
+    this->OnAnswer();
     this->events.onList(std::move(aAnswer.objects));
     this->Watch();
   });
@@ -86,12 +97,10 @@
       this->List();
       return;
     default:
-      // Not another watch: one that begins just before the store drops its history would hear nothing until it ends.
-      this->Retry("watch", aAnswer.outcome, [this] { this->List(); });
+      this->OnFailure("watch", aAnswer.outcome);
       return;
   }
-  this->backOff = {};
-  this->SetReach(StoreReach::Reached);
+  this->OnAnswer();
   this->revision = std::max(this->revision, aAnswer.revision);
   for (auto& event : aAnswer.events) {
     if (event.removed)
--- a/Libraries/LibGateway/ObjectWatch.h
+++ b/Libraries/LibGateway/ObjectWatch.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <platform/Platform.h>
-#include <random>
 
 namespace Hornbeam::Gateway {
 
@@ -24,6 +23,9 @@
   std::function<void(StoredObject)> onChanged;
   std::function<void(StoredObject)> onRemoved;
   std::function<void(StoreReach)> onReach;
+  /// A call failed; the time until the next one.
+  std::function<Duration()> onFailure;
+  std::function<void()> onAnswer;
 };
 
 /// Follows all objects of one kind: one list, then one long watch after the other.
@@ -36,6 +38,9 @@
 
   void Start() { this->List(); }
 
+  /// Asks at once if it waits after a failure.
+  void Resume();
+
   StoreReach Reach() const { return this->reach; }
 
   /// A watch of this front was cut: the store may be about to drop its history.
@@ -49,7 +54,8 @@
   void Watch();
   void OnEvents(Platform::ObjectEvents aAnswer);
   void SetReach(StoreReach aReach);
-  void Retry(std::string_view aWhat, Platform::StoreOutcome aOutcome, std::function<void()> aAction);
+  void OnAnswer();
+  void OnFailure(std::string_view aCall, Platform::StoreOutcome aOutcome);
 
   StoreClient& store;
   Clock& clock;
@@ -59,8 +65,8 @@
   MonotonicTime heardAt{};
   MonotonicTime cutAt{};
   std::uint64_t revision{ 0 };
-  Duration backOff{ 0 };
-  std::minstd_rand random;
+  /// Set while it waits after a failure.
+  std::optional<TimerId> retryTimer;
 };
 
 }
--- /dev/null
+++ b/Tests/LibGateway/StoreBackOffTests.cpp
@@ -0,0 +1,46 @@
+#include <LibGateway/StoreBackOff.h>
+#include <gtest/gtest.h>
+
+namespace Hornbeam::Gateway {
+
+using Platform::ObjectKind;
+
+static constexpr ObjectKind kKinds[] = { ObjectKind::ServingTable,
+                                         ObjectKind::Endpoint,
+                                         ObjectKind::DataCenterOut,
+                                         ObjectKind::Front };
+
+// Pattern: the store is away for some seconds and each watch of each front asks again.
+TEST(StoreBackOff, LetsOneWatchAskWhileTheStoreIsAway)
+{
+  StoreBackOff backOff;
+  std::map<ObjectKind, Duration> next;
+  for (auto const kind : kKinds)
+    next[kind] = OnStoreFailure(backOff, kind, 0.5);
+  unsigned calls = 0;
+  for (Duration time{ 0 }; time < 8s; time += 1ms)
+    for (auto& [kind, at] : next)
+      if (at == time) {
+        ++calls;
+        at = time + OnStoreFailure(backOff, kind, 0.5);
+      }
+  // One at most each 400 ms, and the others each 2 s.
+  EXPECT_LE(calls, 40U);
+  EXPECT_GE(calls, 10U);
+  auto const followers = OnStoreAnswer(backOff, ObjectKind::ServingTable);
+  EXPECT_EQ(followers.size(), 3U);
+  EXPECT_FALSE(followers.contains(ObjectKind::ServingTable));
+  EXPECT_TRUE(OnStoreAnswer(backOff, ObjectKind::Endpoint).empty());
+}
+
+TEST(StoreBackOff, BeginsAnewAfterAnAnswer)
+{
+  StoreBackOff backOff;
+  for (int index = 0; index < 6; ++index)
+    OnStoreFailure(backOff, ObjectKind::Front, 0);
+  EXPECT_EQ(OnStoreFailure(backOff, ObjectKind::Front, 0), 400ms);
+  OnStoreAnswer(backOff, ObjectKind::Front);
+  EXPECT_EQ(OnStoreFailure(backOff, ObjectKind::Endpoint, 0), 50ms);
+}
+
+}
