Tests: Add a fault soak of real fronts behind proxies

Real fronts as processes, their links to the store and to endpoints through a proxy that delays, resets, cuts one way and silences; signals that stop, kill, end and reload; a store that refuses, resets, is silent, forgets and loses answers; endpoints that fail, leave and start anew; data centres taken out; tables changed. Callers keep their connections until the process is gone. Checked: own whole answers, at most one run, no run behind a refusal, an answer in time, no closed connection without one, no input of another request, no process that ends by itself or ends too late, service and the newest table once all is well.

--- a/Tests/Platform/PlatformTests.cpp
+++ b/Tests/Platform/PlatformTests.cpp
@@ -400,14 +400,14 @@
 TEST(Platform, FindsATableWrittenWhileTheHistoryWasDropped)
 {
   PlainWorld plain;
-  plain.world.store->PutInGap("config", "main", plain.world.TableOf(9));
+  plain.world.store->PutInGap("config", "main", StandInTable(9));
   EXPECT_TRUE(plain.world.RunUntil([&] { return VersionAt(plain.world, 0) == 9; }, 1500ms));
 }
 
 TEST(Platform, FindsATableWrittenBetweenItsListAndTheDropOfTheHistory)
 {
   PlainWorld plain;
-  plain.world.store->PutAfterCut("config", "main", plain.world.TableOf(9), 140ms);
+  plain.world.store->PutAfterCut("config", "main", StandInTable(9), 140ms);
   EXPECT_TRUE(plain.world.RunUntil([&] { return VersionAt(plain.world, 0) == 9; }, 1800ms));
 }
 
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -47,70 +47,13 @@
                      std::string const& aState,
                      std::string const& aDataCenter)
 {
-  this->store->Put("servers",
-                   aEndpoint.Id(),
-                   { { "service", aService },
-                     { "address", aEndpoint.Address() },
-                     { "zone", aDataCenter },
-                     { "version", "v1" },
-                     { "slots", 8 },
-                     { "state", aState },
-                     { "cold_remaining_ms", 0 },
-                     { "born", 1 },
-                     { "sequence", 4 } });
-}
-
-static json
-RouteOf(std::string const& aPrefix, std::string const& aType, std::string const& aService)
-{
-  return { { "name", "r" + aPrefix }, { "host", "h.example" }, { "path_prefix", aPrefix },
-           { "type", aType },         { "timeout_ms", 3000 },  { "target_latency_ms", 1000 },
-           { "priority", 1 },         { "service", aService }, { "max_attempts", 2 },
-           { "public", false } };
-}
-
-json
-PlatformWorld::TableOf(std::uint64_t aVersion) const
-{
-  auto once = RouteOf("/plain/", "unsafe", "ledger");
-  auto safe = RouteOf("/safe/", "safe", "ledger");
-  auto model = RouteOf("/model/", "streaming", "model");
-  model["resumable"] = true;
-  model["session_affinity"] = true;
-  model["target_itl_ms"] = 300;
-  auto staged = model;
-  staged["name"] = "staged";
-  staged["path_prefix"] = "/staged/";
-  staged["phases"] = json::array({ { { "service", "encode" }, { "after", json::array() }, { "size_bytes", 1000 } },
-                                   { { "service", "rank" }, { "after", { 0 } }, { "size_bytes", 1000 } } });
-  json const segments{ { "slots", 1 },     { "queue", 2 },         { "batch", 4 },         { "call_ms", 20.0 },
-                       { "item_ms", 1.0 }, { "headroom_mb", 1.0 }, { "handle_ttl_s", 4.0 } };
-  json const services = json::array({ { { "name", "ledger" }, { "max_connections", 100 } },
-                                      { { "name", "model" },
-                                        { "max_connections", 100 },
-                                        { "cold_start_s", 2.0 },
-                                        { "cold_per_s", 10.0 },
-                                        { "engine", { { "slots", 16 } } } },
-                                      { { "name", "encode" }, { "max_connections", 100 }, { "segments", segments } },
-                                      { { "name", "rank" }, { "max_connections", 100 }, { "segments", segments } } });
-  return { { "version", aVersion },
-           { "route_table", json::array({ once, safe, model, staged }) },
-           { "services", services },
-           { "limits",
-             { { "max_header_bytes", 8192 },
-               { "max_body_bytes", 65536 },
-               { "header_timeout_ms", 400 },
-               { "idle_timeout_ms", 5000 } } },
-           { "tenants", json::array({ { { "name", "account-1" }, { "api_keys", json::array({ "key-1" }) } } }) } };
+  this->store->Put("servers", aEndpoint.Id(), StandInEntry(aService, aEndpoint.PublicAddress(), aState, aDataCenter));
 }
 
 void
 PlatformWorld::PutTable(std::uint64_t aVersion, Duration aTimeout)
 {
-  auto table = this->TableOf(aVersion);
-  for (auto& route : table["route_table"])
-    route["timeout_ms"] = Milliseconds(aTimeout);
-  this->store->Put("config", "main", std::move(table));
+  this->store->Put("config", "main", StandInTable(aVersion, aTimeout));
 }
 
 void
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -2,6 +2,7 @@
 
 #include "StandInEndpoint.h"
 #include "StandInStore.h"
+#include "StandInTable.h"
 #include <LibGateway/LibGateway.h>
 #include <LibGateway/ProxyService.h>
 
@@ -47,7 +48,6 @@
 
   /// Puts the table; aVersion grows. aTimeout is that of all routes.
   void PutTable(std::uint64_t aVersion, Duration aTimeout = 3s);
-  nlohmann::json TableOf(std::uint64_t aVersion) const;
 
   std::shared_ptr<CallerAnswer> Send(unsigned aFront,
                                      CallerRequest const& aRequest,
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -15,6 +15,7 @@
   , kind(aKind)
   , id(std::move(aId))
   , address(std::move(aAddress))
+  , publicAddress(this->address)
   , entry(aLoop, aClock, [this](std::shared_ptr<Exchange> aExchange) { this->Handle(aExchange); })
 {
   VERIFY(this->entry.Open(this->address));
@@ -51,6 +52,7 @@
                          request.fields,
                          this->clock.Now() });
   auto const fault = this->faultOf ? this->faultOf(number) : EndpointFault::None;
+  this->seen.back().ran = fault != EndpointFault::Full && fault != EndpointFault::InputsGone;
   aExchange->onCallerGone = [this] { ++this->callersGone; };
   if (fault == EndpointFault::Full) {
     aExchange->Respond({ 503, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
@@ -95,7 +97,9 @@
     case EndpointFault::Error:
       return aExchange->Respond(HeadFor(*aExchange, 500, "text/plain", aFault), "error of " + this->id);
     default:
-      return aExchange->Respond(HeadFor(*aExchange, 200, "text/plain", aFault), "answer of " + this->id);
+      return aExchange->Respond(HeadFor(*aExchange, 200, "text/plain", aFault),
+                                "answer of " + this->id +
+                                  this->Suffix(FieldOf(*aExchange, "Hornbeamfront-Request-Id")));
   }
 }
 
@@ -121,7 +125,8 @@
     aExchange->EndStream();
     return;
   }
-  aExchange->SendPiece("id: " + std::to_string(aEvent) + "\ndata: t" + std::to_string(aEvent) + "\n\n");
+  aExchange->SendPiece("id: " + std::to_string(aEvent) + "\ndata: t" + std::to_string(aEvent) +
+                       this->Suffix(FieldOf(*aExchange, "Hornbeamfront-Request-Id")) + "\n\n");
   auto const gap = aFault == EndpointFault::Pause && aEvent % 2 == 0 ? this->pauseTime : 3ms;
   this->clock.Schedule(gap, [this, aExchange, aEvent, aFault] { this->SendEvent(aExchange, aEvent + 1, aFault); });
 }
@@ -134,7 +139,8 @@
   this->clock.Schedule(this->workTime, [this, aExchange, body] {
     json items = json::array();
     for (auto const& item : body["items"]) {
-      auto const handle = this->address + "/" + std::to_string(++this->made);
+      auto const handle =
+        this->publicAddress + "/" + std::to_string(++this->made) + this->Suffix(item["id"].get<std::string>());
       this->heldResults.insert(handle);
       items.push_back({ { "handle_id", handle } });
       this->seen.push_back({ item["id"].get<std::string>(), "", "", item.dump(), {}, this->clock.Now() });
@@ -143,6 +149,12 @@
   });
 }
 
+std::string
+StandInEndpoint::Suffix(std::string const& aRequestId) const
+{
+  return this->namesRequests ? "-" + aRequestId : "";
+}
+
 void
 StandInEndpoint::FreePieces(std::shared_ptr<Exchange> const& aExchange)
 {
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -25,6 +25,8 @@
   std::string body;
   Gateway::HeaderFields fields;
   MonotonicTime at{};
+  /// The endpoint began to work on it.
+  bool ran{ true };
 };
 
 /// What an endpoint does wrong with a request, once it has received it.
@@ -58,12 +60,18 @@
   std::string const& Id() const { return this->id; }
   std::string const& Address() const { return this->address; }
 
+  /// The address under which fronts reach it, when that is another one.
+  void SetPublicAddress(std::string aAddress) { this->publicAddress = std::move(aAddress); }
+  std::string const& PublicAddress() const { return this->publicAddress; }
+
   /// Decides the fault of each request by its number, from zero.
   std::function<EndpointFault(std::size_t)> faultOf;
   Duration workTime{ 5ms };
   unsigned events{ 5 };
   /// Longer than the silence after which a front gives a stream up.
   Duration pauseTime{ 1500ms };
+  /// Answers, events and results carry the id of their request.
+  bool namesRequests{ false };
   std::vector<SeenRequest> seen;
   std::vector<std::size_t> batchSizes;
   std::set<std::string> heldResults;
@@ -75,12 +83,14 @@
   void Stream(std::shared_ptr<Gateway::Exchange> const& aExchange, EndpointFault aFault);
   void SendEvent(std::shared_ptr<Gateway::Exchange> const& aExchange, unsigned aEvent, EndpointFault aFault);
   void MakePieces(std::shared_ptr<Gateway::Exchange> const& aExchange);
+  std::string Suffix(std::string const& aRequestId) const;
   void FreePieces(std::shared_ptr<Gateway::Exchange> const& aExchange);
 
   Clock& clock;
   EndpointKind kind;
   std::string id;
   std::string address;
+  std::string publicAddress;
   Gateway::HttpEntry entry;
   std::uint64_t made{ 0 };
 };
--- /dev/null
+++ b/Tests/Platform/StandInTable.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/LibCore.h>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace Hornbeam::Testing {
+
+/// A table as operators write it: a service that runs once, one that may be repeated, a model without and with stages.
+nlohmann::json
+StandInTable(std::uint64_t aVersion, Duration aTimeout = 3s);
+
+/// An endpoint's entry in the store.
+nlohmann::json
+StandInEntry(std::string const& aService,
+             std::string const& aAddress,
+             std::string const& aState,
+             std::string const& aDataCenter,
+             std::int64_t aIncarnation = 1);
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakFront.cpp
@@ -0,0 +1,72 @@
+#include "SoakFront.h"
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+
+extern char** environ;
+
+namespace Hornbeam::Testing {
+
+SoakFront::SoakFront(std::string aProgram, std::string aDirectory, std::string aName, SoakFrontAddresses aAddresses)
+  : program(std::move(aProgram))
+  , name(std::move(aName))
+  , settingsFile(aDirectory + "/" + this->name + ".yaml")
+  , logFile(aDirectory + "/" + this->name + ".log")
+  , addresses(std::move(aAddresses))
+{
+  std::ofstream settings(this->settingsFile);
+  settings << "name: " << this->name << "\ndata_center: a\nregion: r\nmachine:\n  cores: 1\naddresses:\n"
+           << "  callers: " << this->addresses.callers << "\n  readiness: " << this->addresses.readiness
+           << "\n  directory: " << this->addresses.directory << "\n  peers: " << this->addresses.peers
+           << "\n  metrics: " << this->addresses.metrics << "\nstore:\n  address: " << this->addresses.store
+           << "\nseeds: [";
+  for (auto const& seed : this->addresses.seeds)
+    settings << (seed == this->addresses.seeds.front() ? "" : ", ") << '"' << seed << '"';
+  settings << "]\nshutdown:\n  grace_s: 3\ndirectory:\n  longest_lifetime_s: 2\n"
+           << "retries:\n  ratio: 0.2\n  window_s: 10\n  slack: 50\ncold:\n  overshoot: 1.5\n  slack: 5\n";
+}
+
+SoakFront::~SoakFront()
+{
+  if (!this->Runs())
+    return;
+  kill(this->process, SIGKILL);
+  waitpid(this->process, nullptr, 0);
+}
+
+void
+SoakFront::Start()
+{
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, this->logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  std::vector<std::string> words{ this->program, "--platform", "--settings", this->settingsFile };
+  std::vector<char*> arguments;
+  for (auto& word : words)
+    arguments.push_back(word.data());
+  arguments.push_back(nullptr);
+  VERIFY(posix_spawn(&this->process, this->program.c_str(), &files, nullptr, arguments.data(), environ) == 0);
+  posix_spawn_file_actions_destroy(&files);
+}
+
+void
+SoakFront::Signal(int aSignal)
+{
+  if (this->Runs())
+    kill(this->process, aSignal);
+}
+
+std::optional<int>
+SoakFront::TakeEnd()
+{
+  int status = 0;
+  if (!this->Runs() || waitpid(this->process, &status, WNOHANG) != this->process)
+    return std::nullopt;
+  this->process = 0;
+  return status;
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakProxy.cpp
@@ -0,0 +1,135 @@
+#include "SoakProxy.h"
+
+namespace Hornbeam::Testing {
+
+using namespace Gateway;
+
+SoakProxy::SoakProxy(uv_loop_t& aLoop, Clock& aClock, std::string const& aAddress, std::string aTarget)
+  : loop(aLoop)
+  , clock(aClock)
+  , target(std::move(aTarget))
+  , listener(aLoop, {}, [this](std::shared_ptr<TcpStream> aCaller) { this->OnAccept(std::move(aCaller)); })
+{
+  VERIFY(this->listener.Open(aAddress));
+}
+
+void
+SoakProxy::OnAccept(std::shared_ptr<TcpStream> aCaller)
+{
+  auto const link = std::make_shared<Link>();
+  link->caller = std::move(aCaller);
+  link->caller->PauseReading();
+  link->target = TcpStream::Connect(this->loop, this->target, {}, [this, link](bool aConnected) {
+    if (aConnected)
+      this->Join(link);
+    else
+      link->caller->Reset();
+  });
+}
+
+void
+SoakProxy::Join(LinkPointer const& aLink)
+{
+  this->links.push_back(aLink);
+  this->Forward(aLink, Way::ToTarget);
+  this->Forward(aLink, Way::FromTarget);
+  aLink->caller->ResumeReading();
+  this->HoldIfCut(aLink);
+}
+
+void
+SoakProxy::Forward(LinkPointer const& aLink, Way aWay)
+{
+  auto const& from = aWay == Way::ToTarget ? aLink->caller : aLink->target;
+  std::weak_ptr<TcpStream> const to = aWay == Way::ToTarget ? aLink->target : aLink->caller;
+  StreamEvents events;
+  events.onData = [this, aWay, to, link = std::weak_ptr(aLink)](std::string_view aData) {
+    auto const known = link.lock();
+    if (!known || known->silent)
+      return;
+    auto write = [to, data = std::string(aData)] {
+      if (auto const stream = to.lock(); stream && stream->IsOpen())
+        stream->Write(data);
+    };
+    this->clock.Schedule(this->TimeOnTheWay(*known, aWay), std::move(write));
+  };
+  events.onEnd = [this, aWay, link = std::weak_ptr(aLink)](StreamEnd aEnd) {
+    if (auto const known = link.lock())
+      this->End(known, aWay, aEnd);
+  };
+  from->Listen(std::move(events));
+}
+
+void
+SoakProxy::End(LinkPointer const& aLink, Way aWay, StreamEnd aEnd)
+{
+  this->links.remove(aLink);
+  if (aLink->silent)
+    return;
+  auto const other = aWay == Way::ToTarget ? aLink->target : aLink->caller;
+  this->clock.Schedule(this->TimeOnTheWay(*aLink, aWay) + 1ms, [other, aEnd] {
+    if (!other->IsOpen())
+      return;
+    if (aEnd == StreamEnd::Reset)
+      other->Reset();
+    else
+      other->Close();
+  });
+}
+
+Duration
+SoakProxy::TimeOnTheWay(Link& aLink, Way aWay) const
+{
+  auto& last = aWay == Way::ToTarget ? aLink.lastToTarget : aLink.lastFromTarget;
+  last = std::max(last, this->clock.Now() + this->delay);
+  return last - this->clock.Now();
+}
+
+void
+SoakProxy::HoldIfCut(LinkPointer const& aLink)
+{
+  if (this->cutToTarget)
+    aLink->caller->PauseReading();
+  if (this->cutFromTarget)
+    aLink->target->PauseReading();
+}
+
+void
+SoakProxy::Cut(Way aWay)
+{
+  (aWay == Way::ToTarget ? this->cutToTarget : this->cutFromTarget) = true;
+  for (auto const& link : this->links)
+    this->HoldIfCut(link);
+}
+
+void
+SoakProxy::Heal()
+{
+  this->delay = {};
+  this->cutToTarget = this->cutFromTarget = false;
+  auto const known = this->links;
+  for (auto const& link : known) {
+    link->caller->ResumeReading();
+    link->target->ResumeReading();
+  }
+}
+
+void
+SoakProxy::ResetAll()
+{
+  auto const known = std::move(this->links);
+  this->links.clear();
+  for (auto const& link : known) {
+    link->caller->Reset();
+    link->target->Reset();
+  }
+}
+
+void
+SoakProxy::SilenceAll()
+{
+  for (auto const& link : this->links)
+    link->silent = true;
+}
+
+}
