LibFront: Count a refused connection as a failed call of an endpoint

Cause: an endpoint that was ramping up, died and came back cold kept its limit: calls that could not connect gave no verdict, and the owner's poll of its report missed the new process. What comes back after its process was not there is cold.

--- a/Libraries/LibFront/RequestAttempts.cpp
+++ b/Libraries/LibFront/RequestAttempts.cpp
@@ -119,9 +119,9 @@
       return aResumed ? CallVerdict::NoVerdict : CallVerdict::Succeeded;
     case AttemptEnd::Declined:
     case AttemptEnd::Lost:
-      return CallVerdict::Failed;
+    // What comes back after its process was not there is cold.
     case AttemptEnd::NotSent:
-      return CallVerdict::NoVerdict;
+      return CallVerdict::Failed;
   }
   VerifyNotReached();
 }
