--- a/Tests/LibServing/StageLoad.cpp
+++ b/Tests/LibServing/StageLoad.cpp
@@ -30,6 +30,12 @@
   rule.stage = aLimits;
 }
 
+void
+StageLoad::Slow(std::string const& aService, unsigned aEndpoint, double aFactor, Duration aUntil)
+{
+  this->slowness[aService + "-" + std::to_string(aEndpoint)] = { aFactor, this->now + aUntil };
+}
+
 void
 StageLoad::At(MonotonicTime aWhen, std::function<void()> aAction)
 {
@@ -134,8 +140,11 @@
 {
   for (auto const& call : aDecisions.calls) {
     auto const& limits = this->pools.at(aService).limits;
-    auto const work = limits.callTime + limits.pieceTime * std::int64_t(call.pieces.size());
-    this->At(this->now + work + 2 * kNetworkTime, [this, aService, call] { this->EndCall(aService, call); });
+    std::chrono::duration<double> const work = limits.callTime + limits.pieceTime * std::int64_t(call.pieces.size());
+    auto const slow = this->slowness.find(call.endpoint);
+    double const factor = slow != this->slowness.end() && this->now < slow->second.until ? slow->second.factor : 1;
+    this->At(this->now + std::chrono::duration_cast<Duration>(work * factor) + 2 * kNetworkTime,
+             [this, aService, call] { this->EndCall(aService, call); });
   }
   for (auto const& [address, handles] : aDecisions.frees)
     this->At(this->now + kFreeTime, [this, aService, handles = handles] {
--- a/Tests/LibServing/StageLoad.h
+++ b/Tests/LibServing/StageLoad.h
@@ -48,6 +48,9 @@
 
   void AddService(std::string const& aService, StageLimits const& aLimits, unsigned aEndpoints);
 
+  /// Makes an endpoint, by its number in the service, slower by a factor until a time after the start.
+  void Slow(std::string const& aService, unsigned aEndpoint, double aFactor, Duration aUntil);
+
   /// Plays aTime of the load and what is under way then to its end.
   std::map<std::string, LoadCounts> Play(std::vector<LoadKind> const& aKinds, Duration aTime);
 
@@ -95,7 +98,14 @@
     }
   };
 
+  struct Slowness
+  {
+    double factor{ 1 };
+    MonotonicTime until{};
+  };
+
   std::mt19937 random;
+  std::map<std::string, Slowness> slowness;
   MonotonicTime now{ 1h };
   std::priority_queue<Event> eventsDue;
   std::uint64_t lastEvent{ 0 };
--- a/Tests/LibServing/StageLoadTests.cpp
+++ b/Tests/LibServing/StageLoadTests.cpp
@@ -59,6 +59,45 @@
   }
 }
 
+// Pattern: a part of the endpoints works five times slower. What they are given must still be on time.
+TEST(StageLoad, ServesOnTimeBesideSlowEndpoints)
+{
+  StageLoad load(7);
+  AddChainServices(load);
+  for (unsigned endpoint = 0; endpoint < 3; ++endpoint)
+    for (auto const* service : { "encode", "retrieve", "rank" })
+      load.Slow(service, endpoint, 5, 20s);
+  // Twelve of fifteen endpoints are well: 0.8 of the capacity.
+  EXPECT_GE(OnTime(load.Play({ Chain("digest", 0, kCapacity * 0.7) }, 15s)["digest"]), 0.97);
+}
+
+TEST(StageLoad, GivesSlowEndpointsNothingThatWouldBeLate)
+{
+  for (double part : { 1.2, 1.5 }) {
+    StageLoad load(7);
+    AddChainServices(load);
+    for (unsigned endpoint = 0; endpoint < 3; ++endpoint)
+      for (auto const* service : { "encode", "retrieve", "rank" })
+        load.Slow(service, endpoint, 5, 20s);
+    double const capacity = 0.8 * kCapacity;
+    EXPECT_GE(OnTime(load.Play({ Chain("digest", 0, capacity * part) }, 8s)["digest"]) * part, 0.8) << part;
+  }
+}
+
+TEST(StageLoad, TakesEndpointsBackThatAreNoLongerSlow)
+{
+  StageLoad load(7);
+  AddChainServices(load);
+  for (unsigned endpoint = 0; endpoint < 6; ++endpoint)
+    load.Slow("retrieve", endpoint, 5, 4s);
+  auto late = Chain("digest", 0, kCapacity * 0.5);
+  late.burst = 1.8;
+  late.burstBegin = 8s;
+  late.burstEnd = 16s;
+  // Nine of fifteen bear the load before; the burst needs nearly all.
+  EXPECT_GE(OnTime(load.Play({ late }, 16s)["digest"]), 0.97);
+}
+
 // Pattern: a burst of urgent requests over a steady load of patient, less urgent ones. These wait and are served.
 TEST(StageLoad, KeepsPatientRequestsThroughABurst)
 {
--- a/Tests/Platform/StandInTable.cpp
+++ b/Tests/Platform/StandInTable.cpp
@@ -7,9 +7,15 @@
 static json
 RouteOf(std::string const& aPrefix, std::string const& aType, std::string const& aService, Duration aTimeout)
 {
-  return { { "name", "r" + aPrefix }, { "host", "h.example" }, { "path_prefix", aPrefix },
-           { "type", aType },         { "timeout_ms", Milliseconds(aTimeout) },  { "target_latency_ms", 1000 },
-           { "priority", 1 },         { "service", aService }, { "max_attempts", 2 },
+  return { { "name", "r" + aPrefix },
+           { "host", "h.example" },
+           { "path_prefix", aPrefix },
+           { "type", aType },
+           { "timeout_ms", Milliseconds(aTimeout) },
+           { "target_latency_ms", 1000 },
+           { "priority", 1 },
+           { "service", aService },
+           { "max_attempts", 2 },
            { "public", false } };
 }
 
@@ -55,15 +61,9 @@
              std::string const& aDataCenter,
              std::int64_t aIncarnation)
 {
-  return { { "service", aService },
-           { "address", aAddress },
-           { "zone", aDataCenter },
-           { "version", "v1" },
-           { "slots", 8 },
-           { "state", aState },
-           { "cold_remaining_ms", 0 },
-           { "born", aIncarnation },
-           { "sequence", 4 } };
+  return { { "service", aService },    { "address", aAddress },  { "zone", aDataCenter },
+           { "version", "v1" },        { "slots", 8 },           { "state", aState },
+           { "cold_remaining_ms", 0 }, { "born", aIncarnation }, { "sequence", 4 } };
 }
 
 }
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -7,11 +7,12 @@
 
 /// Names in the order of the kinds.
 static constexpr std::string_view kNames[] = {
-  "front-stops",         "front-killed",     "front-terminated",    "front-settings-signal", "store-refuses",
-  "store-resets",        "store-silent",     "store-forgets",       "store-loses-answers",   "table-changes",
-  "store-link-slow",     "store-link-reset", "store-link-cut-to",   "store-link-cut-from",   "endpoint-link-slow",
-  "endpoint-link-reset", "endpoint-link-cut-to", "endpoint-link-cut-from", "endpoint-link-silent", "endpoint-faulty",
-  "endpoint-leaves",     "endpoint-starts-anew", "data-center-out",
+  "front-stops",          "front-killed",           "front-terminated",     "front-settings-signal",
+  "store-refuses",        "store-resets",           "store-silent",         "store-forgets",
+  "store-loses-answers",  "table-changes",          "store-link-slow",      "store-link-reset",
+  "store-link-cut-to",    "store-link-cut-from",    "endpoint-link-slow",   "endpoint-link-reset",
+  "endpoint-link-cut-to", "endpoint-link-cut-from", "endpoint-link-silent", "endpoint-faulty",
+  "endpoint-leaves",      "endpoint-starts-anew",   "data-center-out",
 };
 
 static constexpr unsigned kKinds = std::size(kNames);
@@ -36,8 +37,9 @@
     fault.kind = static_cast<SoakFaultKind>(below(kKinds));
     fault.at = at;
     fault.length = std::chrono::milliseconds(100 + below(2400));
-    bool const hitsFront = fault.kind <= SoakFaultKind::FrontSettingsSignal ||
-                           (fault.kind >= SoakFaultKind::StoreLinkSlow && fault.kind <= SoakFaultKind::StoreLinkCutFrom);
+    bool const hitsFront =
+      fault.kind <= SoakFaultKind::FrontSettingsSignal ||
+      (fault.kind >= SoakFaultKind::StoreLinkSlow && fault.kind <= SoakFaultKind::StoreLinkCutFrom);
     fault.target = below(hitsFront ? aFronts : aEndpoints);
     fault.draw = random();
     faults.push_back(fault);
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -74,13 +74,11 @@
 void
 SoakWorld::Enter(SoakEndpoint const& aEndpoint, std::string const& aState)
 {
-  this->store->Put("servers",
-                   aEndpoint.standIn->Id(),
-                   StandInEntry(aEndpoint.service,
-                                aEndpoint.standIn->PublicAddress(),
-                                aState,
-                                aEndpoint.dataCenter,
-                                aEndpoint.incarnation));
+  this->store->Put(
+    "servers",
+    aEndpoint.standIn->Id(),
+    StandInEntry(
+      aEndpoint.service, aEndpoint.standIn->PublicAddress(), aState, aEndpoint.dataCenter, aEndpoint.incarnation));
 }
 
 void
