hornbeamctl: Show what a front on the platform believes

Also: the soak ends its fronts when it is ended by a signal, and has a calm mode that prints the times of answers.

--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -120,7 +120,8 @@
     pools.push_back({ { "service", service },
                       { "orders", pool.orders.size() },
                       { "running_calls", pool.running.size() },
-                      { "results_held", pool.held.size() } });
+                      { "results_held", pool.held.size() },
+                      { "backlog_ms", Milliseconds(pool.backlog) } });
   auto& fronts = result["fronts"] = json::array();
   for (auto const& [name, belief] : this->beliefs.Fronts().byName)
     fronts.push_back({ { "name", name },
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -11,6 +11,12 @@
 static constexpr Duration kStartTime = 2s;
 static constexpr Duration kSettleTime = 7s;
 
+enum class Weather
+{
+  Calm,
+  Faults,
+};
+
 /// Ports up to firstPort + kPortRange lie below those that the system hands out.
 static constexpr unsigned kPortRange = 7000;
 
@@ -21,14 +27,16 @@
 }
 
 static std::vector<std::string>
-RunSeed(SoakSettings const& aSettings, Duration aGap)
+RunSeed(SoakSettings const& aSettings, Weather aWeather, Duration aGap)
 {
   std::filesystem::create_directories(aSettings.directory);
   SoakWorld world(aSettings);
   SoakCallers callers(world, aSettings.seed);
   world.Start();
   world.RunFor(kStartTime);
-  auto const faults = PlanSoak(aSettings.seed, aSettings.time, aSettings.fronts, unsigned(world.endpoints.size()));
+  std::vector<SoakFault> faults;
+  if (aWeather == Weather::Faults)
+    faults = PlanSoak(aSettings.seed, aSettings.time, aSettings.fronts, unsigned(world.endpoints.size()));
   world.Schedule(faults);
   callers.Load(aSettings.time + 3s, aGap);
   world.Calm();
@@ -38,6 +46,7 @@
   std::ranges::copy(world.faults, std::back_inserter(broken));
   std::cout << "seed=" << aSettings.seed << " faults=" << faults.size() << " requests=" << callers.Sent()
             << " served=" << callers.Served() << " broken=" << broken.size() << std::endl;
+  callers.PrintTimes();
   for (auto const& promise : broken)
     std::cout << "  broken: " << promise << "\n";
   return broken;
@@ -51,6 +60,7 @@
   unsigned seeds = 1;
   double seconds = 8;
   double gapMs = 10;
+  bool calm = false;
   settings.directory = "soak";
   application.add_option("--program", settings.program, "hornbeamfront")->required()->check(CLI::ExistingFile);
   application.add_option("--directory", settings.directory, "Where settings and logs go");
@@ -59,9 +69,11 @@
   application.add_option("--fronts", settings.fronts, "Processes")->check(CLI::Range(2, 300));
   application.add_option("--seconds", seconds, "Time with faults in each run")->check(CLI::Range(1.0, 3600.0));
   application.add_option("--gap-ms", gapMs, "Between requests")->check(CLI::Range(1.0, 1000.0));
+  application.add_flag("--calm", calm, "No faults: a load on fronts and stand-ins, with the times of the answers");
   application.add_option("--first-port", settings.firstPort, "Ports are taken from here upwards");
   CLI11_PARSE(application, aCount, aArguments);
   google::InitGoogleLogging(aArguments[0]);
+  EndFrontsOnSignals();
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = google::GLOG_ERROR;
   settings.time = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -73,7 +85,7 @@
     // Ports of an earlier run may still be in use by its closing connections.
     settings.firstPort = firstPort + index * PortsOf(settings) % kPortRange;
     settings.directory = directory + "/" + std::to_string(settings.seed);
-    if (!RunSeed(settings, gap).empty())
+    if (!RunSeed(settings, calm ? Weather::Calm : Weather::Faults, gap).empty())
       failed.push_back(settings.seed);
   }
   std::cout << seeds << " seeds, " << failed.size() << " with a broken promise";
--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -1,5 +1,6 @@
 #include "SoakCallers.h"
 #include <Platform/StandInTable.h>
+#include <iostream>
 
 namespace Hornbeam::Testing {
 
@@ -109,6 +110,22 @@
     std::ranges::count_if(this->requests, [this](auto const& aRequest) { return this->IsServed(*aRequest); }));
 }
 
+void
+SoakCallers::PrintTimes() const
+{
+  static constexpr char const* kNames[] = { "once", "safe", "model", "staged" };
+  std::map<SoakRequestKind, std::vector<Duration>> times;
+  for (auto const& request : this->requests)
+    if (this->IsServed(*request))
+      times[request->kind].push_back(request->endedAt - request->sent);
+  for (auto& [kind, list] : times) {
+    std::ranges::sort(list);
+    std::cout << "  kind=" << kNames[static_cast<unsigned>(kind)] << " served=" << list.size()
+              << " p50_ms=" << Milliseconds(list[list.size() / 2])
+              << " p99_ms=" << Milliseconds(list[list.size() * 99 / 100]) << "\n";
+  }
+}
+
 std::optional<std::string>
 SoakCallers::FaultOf(SoakRequest const& aRequest, std::map<std::string, unsigned> const& aRuns) const
 {
--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -45,6 +45,9 @@
   std::size_t Sent() const { return this->requests.size(); }
   std::size_t Served() const;
 
+  /// The median and the 99th percentile of the served, by kind.
+  void PrintTimes() const;
+
 private:
   void Send(SoakRequestKind aKind, unsigned aFront);
   void WaitForAll();
--- a/Tests/Soak/SoakFront.cpp
+++ b/Tests/Soak/SoakFront.cpp
@@ -1,14 +1,53 @@
 #include "SoakFront.h"
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 extern char** environ;
 
 namespace Hornbeam::Testing {
 
+/// The processes that run, for the signal handler; zero is a free place.
+static std::array<std::atomic<pid_t>, 512> processes;
+
+static void
+Register(pid_t aProcess)
+{
+  for (auto& place : processes) {
+    pid_t free = 0;
+    if (place.compare_exchange_strong(free, aProcess))
+      return;
+  }
+  VerifyNotReached();
+}
+
+static void
+Unregister(pid_t aProcess)
+{
+  for (auto& place : processes) {
+    auto known = aProcess;
+    place.compare_exchange_strong(known, 0);
+  }
+}
+
+void
+EndFrontsOnSignals()
+{
+  auto const handler = [](int) {
+    for (auto const& place : processes)
+      if (auto const process = place.load(); process > 0)
+        kill(process, SIGKILL);
+    _exit(2);
+  };
+  for (int const number : { SIGTERM, SIGINT, SIGHUP })
+    std::signal(number, handler);
+}
+
 SoakFront::SoakFront(std::string aProgram, std::string aDirectory, std::string aName, SoakFrontAddresses aAddresses)
   : program(std::move(aProgram))
   , name(std::move(aName))
@@ -34,6 +73,7 @@
     return;
   kill(this->process, SIGKILL);
   waitpid(this->process, nullptr, 0);
+  Unregister(this->process);
 }
 
 void
@@ -49,6 +89,7 @@
     arguments.push_back(word.data());
   arguments.push_back(nullptr);
   VERIFY(posix_spawn(&this->process, this->program.c_str(), &files, nullptr, arguments.data(), environ) == 0);
+  Register(this->process);
   posix_spawn_file_actions_destroy(&files);
 }
 
@@ -65,6 +106,7 @@
   int status = 0;
   if (!this->Runs() || waitpid(this->process, &status, WNOHANG) != this->process)
     return std::nullopt;
+  Unregister(this->process);
   this->process = 0;
   return status;
 }
--- a/Tests/Soak/SoakFront.h
+++ b/Tests/Soak/SoakFront.h
@@ -20,6 +20,10 @@
   std::vector<std::string> seeds;
 };
 
+/// From now on a signal that ends this program ends the fronts' processes too.
+void
+EndFrontsOnSignals();
+
 /// One front as a real process. Only this object sends signals to it.
 class SoakFront
 {
--- a/Utilities/hornbeamctl/Commands.cpp
+++ b/Utilities/hornbeamctl/Commands.cpp
@@ -91,6 +91,16 @@
   return exit;
 }
 
+ExitCode
+ShowBeliefs(CommandContext const& aContext, std::string const& aMetricsAddress)
+{
+  auto exit = ExitCode::Success;
+  auto const body = TakeBody(aContext.client.Call(aMetricsAddress, HttpMethod::Get, "/beliefs"), exit);
+  if (body)
+    PrintBeliefs(*body, aContext.format);
+  return exit;
+}
+
 ExitCode
 ShowStatus(CommandContext const& aContext)
 {
--- a/Utilities/hornbeamctl/Commands.h
+++ b/Utilities/hornbeamctl/Commands.h
@@ -37,6 +37,10 @@
 ExitCode
 ShowStatus(CommandContext const& aContext);
 
+/// The beliefs of a front on the platform, asked at its metrics address.
+ExitCode
+ShowBeliefs(CommandContext const& aContext, std::string const& aMetricsAddress);
+
 ExitCode
 ListRows(CommandContext const& aContext, std::string const& aKind);
 
--- a/Utilities/hornbeamctl/Output.cpp
+++ b/Utilities/hornbeamctl/Output.cpp
@@ -1,5 +1,6 @@
 #include "Output.h"
 #include <algorithm>
+#include <array>
 #include <iomanip>
 #include <iostream>
 
@@ -53,6 +54,45 @@
   PrintColumns({ "ROW", "REVISION", "CELLS" }, rows);
 }
 
+void
+PrintBeliefs(json const& aBeliefs, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::Json) {
+    std::cout << aBeliefs.dump(kIndent) << "\n";
+    return;
+  }
+  auto const text = [](json const& aObject, char const* aName) {
+    auto const found = aObject.find(aName);
+    if (found == aObject.end())
+      return std::string("-");
+    return found->is_string() ? found->get<std::string>() : found->dump();
+  };
+  PrintColumns({ "FRONT", "TABLE", "AGE MS", "STORE REACHED", "LEAVING", "DATA CENTRES OUT" },
+               { { text(aBeliefs, "name"),
+                   text(aBeliefs, "table_version"),
+                   text(aBeliefs, "age_ms"),
+                   text(aBeliefs, "store_reached"),
+                   text(aBeliefs, "leaving"),
+                   text(aBeliefs, "data_centers_out") } });
+  auto const print = [&](char const* aList, std::vector<std::string> const& aHeading, auto const& aNames) {
+    std::vector<std::vector<std::string>> rows;
+    for (auto const& item : aBeliefs.value(aList, json::array())) {
+      auto& row = rows.emplace_back();
+      for (auto const* name : aNames)
+        row.push_back(text(item, name));
+    }
+    std::cout << "\n";
+    PrintColumns(aHeading, rows);
+  };
+  print("fronts", { "FRONT", "ADDRESS", "SUSPECT MS" }, std::array{ "name", "address", "suspect_ms" });
+  print("endpoints",
+        { "ENDPOINT", "SERVICE", "DATA CENTRE", "STATE", "COLD MS", "EJECTED MS", "OUTSTANDING" },
+        std::array{ "id", "service", "data_center", "state", "cold_ms", "ejected_ms", "outstanding" });
+  print("stage_pools",
+        { "STAGE POOL", "ORDERS", "RUNNING CALLS", "RESULTS HELD", "BACKLOG MS" },
+        std::array{ "service", "orders", "running_calls", "results_held", "backlog_ms" });
+}
+
 void
 PrintStatus(json const& aStatus, OutputFormat aFormat)
 {
--- a/Utilities/hornbeamctl/Output.h
+++ b/Utilities/hornbeamctl/Output.h
@@ -20,6 +20,10 @@
 void
 PrintRows(nlohmann::json const& aRows, OutputFormat aFormat);
 
+/// Prints what a front on the platform believes.
+void
+PrintBeliefs(nlohmann::json const& aBeliefs, OutputFormat aFormat);
+
 void
 PrintStatus(nlohmann::json const& aStatus, OutputFormat aFormat);
 
--- a/Utilities/hornbeamctl/main.cpp
+++ b/Utilities/hornbeamctl/main.cpp
@@ -12,6 +12,7 @@
 struct Options
 {
   ClientSettings client{ "127.0.0.1:8080", "127.0.0.1:8090", "", 10s };
+  std::string metricsAddress;
   std::string format{ "table" };
   bool noWait{ false };
   std::string row;
@@ -110,6 +111,13 @@
   application.add_subcommand("status", "Show the fronts, the revision in force and endpoint phases")->callback([&] {
     command = ShowStatus;
   });
+  auto* const beliefs =
+    application.add_subcommand("beliefs", "Show what a front on the platform believes, and how old that is");
+  beliefs->add_option("--metrics-address", options.metricsAddress, "The front's metrics address")
+    ->envname("HORNBEAM_METRICS_ADDRESS")
+    ->required();
+  beliefs->callback(
+    [&] { command = [&](auto const& aContext) { return ShowBeliefs(aContext, options.metricsAddress); }; });
   AddTableCommands(application, options, command);
   AddDataCenterCommands(application, options, command);
   AddRequestCommand(application, options, command);
