LibServing: Split the stage pool's queue and calls from its state; drop unused fields

Behaviour unchanged. A call whose whole response is collected stands once now (SendWhole in LibExchange).

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -365,4 +365,20 @@
     connection->CloseNow();
 }
 
+void
+SendWhole(ConnectionPool& aPool, OutgoingCall aCall, std::function<void(WholeResponse)> aDone, Reuse aReuse)
+{
+  auto const response = std::make_shared<WholeResponse>();
+  CallEvents events;
+  events.onHead = [response](ResponseHead const& aHead) { response->status = aHead.status; };
+  events.onBody = [response](std::string aPiece) { response->body += aPiece; };
+  events.onEnd = [response, aDone = std::move(aDone)](CallEnd aEnd) {
+    if (aEnd == CallEnd::Complete)
+      aDone({ aEnd, response->status, std::move(response->body) });
+    else
+      aDone({ aEnd, 0, "" });
+  };
+  aPool.Send(std::move(aCall), std::move(events), aReuse);
+}
+
 }
--- a/Libraries/LibExchange/ClientCall.h
+++ b/Libraries/LibExchange/ClientCall.h
@@ -111,4 +111,19 @@
   std::map<std::string, std::deque<std::shared_ptr<ClientConnection>>> idle;
 };
 
+/// A response that was collected. Status and body are only set when the call ended as Complete.
+struct WholeResponse
+{
+  CallEnd end{ CallEnd::NotSent };
+  unsigned status{ 0 };
+  std::string body;
+};
+
+/// Sends a call and collects its response; aDone runs once.
+void
+SendWhole(ConnectionPool& aPool,
+          OutgoingCall aCall,
+          std::function<void(WholeResponse)> aDone,
+          Reuse aReuse = Reuse::Kept);
+
 }
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -131,19 +131,9 @@
   call.address = aCall.address;
   call.timeout = aCall.timeout;
   call.request = Platform::EncodeStageCall(this->pools.at(aService), aCall, this->clock.Now());
-  struct Progress
-  {
-    unsigned status{ 0 };
-    std::string body;
-  };
-  auto const progress = std::make_shared<Progress>();
-  CallEvents events;
-  events.onHead = [progress](ResponseHead const& aHead) { progress->status = aHead.status; };
-  events.onBody = [progress](std::string aPiece) { progress->body += aPiece; };
-  events.onEnd = [this, aService, id = aCall.id, progress](CallEnd aEnd) {
-    this->OnCallDone(aService, id, progress->status, progress->body, aEnd);
-  };
-  this->connections.Send(std::move(call), std::move(events));
+  SendWhole(this->connections, std::move(call), [this, aService, id = aCall.id](WholeResponse const& aResponse) {
+    this->OnCallDone(aService, id, aResponse);
+  });
 }
 
 static StageCallEnd
@@ -165,17 +155,13 @@
 }
 
 void
-StageOwnerService::OnCallDone(std::string const& aService,
-                              StageCallId aCall,
-                              unsigned aStatus,
-                              std::string const& aBody,
-                              CallEnd aEnd)
+StageOwnerService::OnCallDone(std::string const& aService, StageCallId aCall, WholeResponse const& aResponse)
 {
   auto& pool = this->pools.at(aService);
-  auto end = EndOf(aStatus, aEnd);
+  auto end = EndOf(aResponse.status, aResponse.end);
   std::vector<PieceResult> results;
   if (end == StageCallEnd::Answered) {
-    auto decoded = Platform::DecodeStageAnswer(aBody);
+    auto decoded = Platform::DecodeStageAnswer(aResponse.body);
     if (decoded)
       results = std::move(*decoded);
     else
@@ -186,8 +172,8 @@
     auto const running = pool.running.find(aCall);
     if (running != pool.running.end())
       PART_WARNING("stages") << "event=call-failed service=" << aService
-                             << " endpoint=" << running->second.call.endpoint << " status=" << aStatus
-                             << " end=" << ToString(aEnd) << " pieces=" << running->second.call.pieces.size()
+                             << " endpoint=" << running->second.call.endpoint << " status=" << aResponse.status
+                             << " end=" << ToString(aResponse.end) << " pieces=" << running->second.call.pieces.size()
                              << " first_request="
                              << pool.orders.at(running->second.call.pieces[0].order).order.requestId;
   }
@@ -207,17 +193,16 @@
     call.address = address;
     call.timeout = kFreeTimeout;
     call.request = Platform::EncodeStageFree(address, handles);
-    CallEvents events;
-    events.onEnd = [this, service = service, address = address, handles = handles](CallEnd aEnd) {
-      if (aEnd == CallEnd::Complete) {
+    auto const done = [this, service = service, address = address, handles = handles](WholeResponse const& aResponse) {
+      if (aResponse.end == CallEnd::Complete) {
         this->Carry(service, OnResultsFreed(this->pools.at(service), handles, this->clock.Now()));
         return;
       }
       // The results' stated lifetime frees them then.
       PART_WARNING("stages") << "event=free-failed address=" << address << " results=" << handles.size()
-                             << " end=" << ToString(aEnd);
+                             << " end=" << ToString(aResponse.end);
     };
-    this->connections.Send(std::move(call), std::move(events));
+    SendWhole(this->connections, std::move(call), done);
   }
 }
 
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -35,11 +35,7 @@
   void Review();
   void Carry(std::string const& aService, StageDecisions aDecisions);
   void StartCall(std::string const& aService, StageCall const& aCall);
-  void OnCallDone(std::string const& aService,
-                  StageCallId aCall,
-                  unsigned aStatus,
-                  std::string const& aBody,
-                  CallEnd aEnd);
+  void OnCallDone(std::string const& aService, StageCallId aCall, WholeResponse const& aResponse);
   void SendFrees();
   void Tick();
 
--- a/Libraries/LibServing/EndpointSet.h
+++ b/Libraries/LibServing/EndpointSet.h
@@ -19,7 +19,6 @@
   std::string service;
   std::string address;
   std::string dataCenter;
-  unsigned slots{ 0 };
   EndpointState state{ EndpointState::Ready };
   Duration coldFor{ 0 };
   /// Differs between processes that run under one id.
--- a/Libraries/LibServing/ServingTable.h
+++ b/Libraries/LibServing/ServingTable.h
@@ -42,8 +42,6 @@
   /// The longest time that a caller is kept waiting.
   Duration timeout{ 30s };
   Duration targetLatency{ 1s };
-  /// The longest pause between events of a stream that is on time.
-  std::optional<Duration> targetPause;
   /// Zero is the most urgent.
   int priority{ 0 };
   std::vector<WeightedService> services;
@@ -60,7 +58,6 @@
 struct StageLimits
 {
   unsigned slots{ 1 };
-  unsigned queue{ 0 };
   /// Pieces in one call.
   unsigned batch{ 1 };
   Duration callTime{ 0 };
@@ -78,8 +75,6 @@
   /// Requests a second that a cold endpoint bears; zero when its endpoints are never cold.
   double coldRate{ 0 };
   std::optional<StageLimits> stage;
-  /// Requests that one endpoint works on at once; zero when it is not said.
-  unsigned slots{ 0 };
 };
 
 /// What callers may send.
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -1,19 +1,10 @@
 #include "StagePool.h"
+#include "StageCalls.h"
+#include "StageQueue.h"
 #include <algorithm>
-#include <cmath>
-#include <tuple>
 
 namespace Hornbeam::Gateway {
 
-/// How long an order waits for an endpoint of its own data centre before another may take its pieces, for each megabyte
-/// that would cross. A megabyte that crosses costs about a thousandth of a large request; longer waits (50 ms) cost
-/// more in late answers than the crossings, see docs/MEASUREMENTS.md.
-static constexpr Duration kLocalityWaitPerMegabyte = 25ms;
-/// The part of the time to spare that may be spent on that wait.
-static constexpr int kLocalitySlackShare = 4;
-/// A call is given up after this multiple of its expected time, and not before the least time.
-static constexpr double kCallPatience = 4;
-static constexpr Duration kLeastCallTimeout = 1200ms;
 /// After a refusal or a lack of room the endpoint is left alone for a moment.
 static constexpr Duration kRefusedPause = 40ms;
 /// After a failed call; doubles with each failure in a row.
@@ -24,12 +15,6 @@
 static constexpr unsigned kMostErrors = 3;
 /// The weight of the newest call in an endpoint's slowness.
 static constexpr double kSlownessWeight = 0.4;
-/// An endpoint this much slower than expected gets work only when the others cannot keep up.
-static constexpr double kSlow = 2;
-/// Orders wait as long again as is expected: later arrivals go before them, and later stages have queues as well.
-static constexpr int kWaitReserve = 1;
-/// Overloads with a shorter gap between them are one.
-static constexpr Duration kOverloadGap = 1s;
 /// Results may outlive their stated time a little; memory counts as taken until then.
 static constexpr Duration kLifetimeMargin = 200ms;
 
@@ -51,12 +36,6 @@
   VerifyNotReached();
 }
 
-static Duration
-CallTime(StageLimits const& aLimits, std::size_t aPieces)
-{
-  return aLimits.callTime + aLimits.pieceTime * std::int64_t(aPieces);
-}
-
 static void
 Append(StageDecisions& aTo, StageDecisions aFrom)
 {
@@ -121,51 +100,6 @@
   return Schedule(aPool, aNow);
 }
 
-static unsigned
-UsableEndpoints(StagePool const& aPool)
-{
-  auto const usable = std::ranges::count_if(
-    aPool.endpoints, [](auto const& aEntry) { return !aEntry.second.leaving && aEntry.second.failuresInARow < 2; });
-  return unsigned(usable);
-}
-
-/// Pieces a second that the pool makes with full batches.
-static double
-PiecesPerSecond(StagePool const& aPool)
-{
-  std::chrono::duration<double> const full = CallTime(aPool.limits, aPool.limits.batch);
-  return UsableEndpoints(aPool) * aPool.limits.slots * aPool.limits.batch / std::max(0.001, full.count());
-}
-
-/// Orders are served by this: those that can no longer be on time after all that can, as serving them costs the others
-/// their time; then by rank; then by the time at which the first answer is due.
-using ServiceKey = std::tuple<bool, int, MonotonicTime>;
-
-static ServiceKey
-KeyOf(StagePool const& aPool, StageOrder const& aOrder, std::size_t aPieces, MonotonicTime aNow)
-{
-  auto const ready = aNow + CallTime(aPool.limits, aPieces) + aOrder.later;
-  return { ready > aOrder.target, aOrder.rank, aOrder.target };
-}
-
-Duration
-ExpectedWait(StagePool const& aPool, StageOrder const& aOrder, MonotonicTime aNow)
-{
-  auto const own = KeyOf(aPool, aOrder, aOrder.pieces, aNow);
-  double ahead = 0;
-  for (auto const& [id, pending] : aPool.orders)
-    if (!pending.waiting.empty() && KeyOf(aPool, pending.order, pending.waiting.size(), aNow) <= own)
-      ahead += double(pending.waiting.size());
-  double const rate = PiecesPerSecond(aPool);
-  if (rate <= 0)
-    return 1s;
-  // Work that runs now keeps the endpoints for half of a call on average.
-  bool const busy =
-    std::ranges::all_of(aPool.endpoints, [&](auto const& aEntry) { return aEntry.second.calls >= aPool.limits.slots; });
-  auto const running = busy ? CallTime(aPool.limits, aPool.limits.batch) / 2 : Duration::zero();
-  return running + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
-}
-
 static void
 EndOrder(StagePool& aPool, StageOrderId aOrder, StageEnd aEnd, Duration aRetryAfter, StageDecisions& aDecisions)
 {
@@ -190,46 +124,13 @@
     aPool.orders.erase(found);
 }
 
-static void
-NoteOverload(StagePool& aPool, MonotonicTime aNow)
-{
-  if (aNow - aPool.overloadSeen > kOverloadGap)
-    aPool.overloadBegan = aNow;
-  aPool.overloadSeen = aNow;
-}
-
-/// How long an overload will last: as long again as it has lasted.
-static Duration
-OverloadForecast(StagePool const& aPool, MonotonicTime aNow)
-{
-  if (aNow - aPool.overloadSeen > kOverloadGap)
-    return Duration::zero();
-  return aPool.overloadSeen - aPool.overloadBegan;
-}
-
-/// Whether an order that is expected to be ready at aReady, aReserve later at the worst, is not worth its place. What
-/// can no longer be on time gets its turn after the overload.
-static bool
-IsHopeless(StagePool const& aPool,
-           StageOrder const& aOrder,
-           MonotonicTime aReady,
-           Duration aReserve,
-           MonotonicTime aNow)
-{
-  bool const late = aReady + aReserve > aOrder.target;
-  return aReady + (late ? OverloadForecast(aPool, aNow) : Duration::zero()) > aOrder.deadline;
-}
-
 SubmitOutcome
 SubmitOrder(StagePool& aPool, StageOrder aOrder, MonotonicTime aNow)
 {
   auto const id = ++aPool.lastOrder;
-  auto const wait = ExpectedWait(aPool, aOrder, aNow);
-  auto const ready = aNow + wait + CallTime(aPool.limits, std::min(aOrder.pieces, aPool.limits.batch)) + aOrder.later;
-  if (IsHopeless(aPool, aOrder, ready, kWaitReserve * wait, aNow)) {
-    auto const retryAfter = std::max(wait, OverloadForecast(aPool, aNow));
+  if (auto const retryAfter = RefusalOf(aPool, aOrder, aNow)) {
     StageDecisions decisions;
-    decisions.results.push_back({ id, StageEnd::Late, {}, retryAfter, aPool.backlog });
+    decisions.results.push_back({ id, StageEnd::Late, {}, *retryAfter, aPool.backlog });
     return { id, std::move(decisions) };
   }
   auto& pending = aPool.orders[id];
@@ -276,181 +177,16 @@
   return Schedule(aPool, aNow);
 }
 
-/// Turns the ranks around in which not all can be on time: served by the time at which they are due, all of them would
-/// be late by a little; served newest first, those that are served are on time and have time left for later stages.
-static void
-PutNewestFirstUnderOverload(StagePool& aPool,
-                            std::vector<std::pair<ServiceKey, StageOrderId>>& aKeys,
-                            MonotonicTime aNow)
-{
-  double const rate = std::max(1.0, PiecesPerSecond(aPool));
-  double ahead = 0;
-  for (auto begin = aKeys.begin(); begin != aKeys.end();) {
-    auto const [late, rank, target] = begin->first;
-    if (late)
-      break;
-    bool overloaded = false;
-    auto end = begin;
-    for (; end != aKeys.end() && std::get<0>(end->first) == late && std::get<1>(end->first) == rank; ++end) {
-      auto const& pending = aPool.orders.at(end->second);
-      auto const wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
-      auto const ready = aNow + wait + CallTime(aPool.limits, pending.waiting.size()) + pending.order.later;
-      overloaded = overloaded || ready + kWaitReserve * wait > std::get<2>(end->first);
-      ahead += double(pending.waiting.size());
-    }
-    if (overloaded)
-      std::reverse(begin, end);
-    if (overloaded)
-      NoteOverload(aPool, aNow);
-    begin = end;
-  }
-  aPool.backlog = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
-}
-
-/// Orders with waiting pieces, the next to be served first.
-static std::vector<StageOrderId>
-ServiceOrder(StagePool& aPool, MonotonicTime aNow)
-{
-  std::vector<std::pair<ServiceKey, StageOrderId>> keys;
-  for (auto const& [id, pending] : aPool.orders)
-    if (!pending.waiting.empty() && !pending.cancelled)
-      keys.emplace_back(KeyOf(aPool, pending.order, pending.waiting.size(), aNow), id);
-  std::ranges::sort(keys);
-  PutNewestFirstUnderOverload(aPool, keys, aNow);
-  std::vector<StageOrderId> result;
-  result.reserve(keys.size());
-  for (auto const& [key, id] : keys)
-    result.push_back(id);
-  return result;
-}
-
-static void
-GiveUpLate(StagePool& aPool, MonotonicTime aNow, StageDecisions& aDecisions)
-{
-  std::vector<StageOrderId> late;
-  for (auto const& [id, pending] : aPool.orders) {
-    if (pending.cancelled || pending.waiting.empty())
-      continue;
-    auto const pieces = std::min<std::size_t>(pending.waiting.size(), aPool.limits.batch);
-    auto const ready = aNow + CallTime(aPool.limits, pieces) + pending.order.later;
-    if (IsHopeless(aPool, pending.order, ready, Duration::zero(), aNow))
-      late.push_back(id);
-  }
-  for (auto const id : late) {
-    auto const wait = ExpectedWait(aPool, aPool.orders.at(id).order, aNow);
-    EndOrder(aPool, id, StageEnd::Late, std::max(wait, OverloadForecast(aPool, aNow)), aDecisions);
-  }
-}
-
-static Duration
-LocalityWait(StagePool const& aPool, PendingOrder const& aPending, MonotonicTime aNow)
-{
-  auto const bySize = kLocalityWaitPerMegabyte * std::int64_t(aPending.order.crossingBytes) / 1'000'000;
-  auto const ready = aNow + CallTime(aPool.limits, aPending.waiting.size()) + aPending.order.later;
-  return std::clamp<Duration>((aPending.order.target - ready) / kLocalitySlackShare, Duration::zero(), bySize);
-}
-
-static std::vector<StagePiece>
-TakePieces(StagePool& aPool,
-           StageEndpoint const& aEndpoint,
-           std::vector<StageOrderId> const& aOrder,
-           MonotonicTime aNow)
-{
-  std::vector<StagePiece> pieces;
-  auto room = aPool.limits.resultRoom - std::min(aPool.limits.resultRoom, aEndpoint.reservedBytes);
-  auto const take = [&](bool aNear) {
-    for (auto const id : aOrder) {
-      auto const found = aPool.orders.find(id);
-      if (found == aPool.orders.end())
-        continue;
-      auto& pending = found->second;
-      bool const near = pending.order.dataCenter.empty() || pending.order.dataCenter == aEndpoint.entry.dataCenter;
-      if (near != aNear || (!near && aNow - pending.submitted < LocalityWait(aPool, pending, aNow)))
-        continue;
-      while (!pending.waiting.empty() && pieces.size() < aPool.limits.batch && pending.order.pieceBytes <= room) {
-        room -= pending.order.pieceBytes;
-        pieces.push_back({ id, pending.waiting.front() });
-        pending.waiting.pop_front();
-      }
-    }
-  };
-  take(true);
-  take(false);
-  return pieces;
-}
-
-static StageCall
-StartCall(StagePool& aPool, StageEndpoint& aEndpoint, std::vector<StagePiece> aPieces, MonotonicTime aNow)
-{
-  StageCall call;
-  call.id = ++aPool.lastCall;
-  call.endpoint = aEndpoint.entry.id;
-  call.address = aEndpoint.entry.address;
-  call.pieces = std::move(aPieces);
-  auto const expected = CallTime(aPool.limits, call.pieces.size());
-  auto const patience =
-    std::chrono::duration_cast<Duration>(expected * (kCallPatience * std::max(1.0, aEndpoint.slowness)));
-  call.timeout = std::max<Duration>(kLeastCallTimeout, patience);
-  std::size_t bytes = 0;
-  for (auto const& piece : call.pieces) {
-    auto& pending = aPool.orders.at(piece.order);
-    ++pending.underWay;
-    bytes += pending.order.pieceBytes;
-  }
-  ++aEndpoint.calls;
-  aEndpoint.reservedBytes += bytes;
-  aPool.running[call.id] = { call, aNow, expected, bytes };
-  return call;
-}
-
-/// Whether the endpoints of usual speed can take all that waits at their next calls.
-static bool
-OthersKeepUp(StagePool const& aPool, std::size_t aWaiting)
-{
-  auto const fast = std::ranges::count_if(aPool.endpoints, [](auto const& aEntry) {
-    return !aEntry.second.leaving && aEntry.second.slowness < kSlow && aEntry.second.failuresInARow == 0;
-  });
-  return aWaiting <= std::size_t(fast) * aPool.limits.batch;
-}
-
-static std::size_t
-WaitingPieces(StagePool const& aPool)
-{
-  std::size_t waiting = 0;
-  for (auto const& [id, pending] : aPool.orders)
-    waiting += pending.waiting.size();
-  return waiting;
-}
-
 StageDecisions
 Schedule(StagePool& aPool, MonotonicTime aNow)
 {
   StageDecisions decisions;
   ExpireResults(aPool, aNow);
-  GiveUpLate(aPool, aNow, decisions);
-  auto waiting = WaitingPieces(aPool);
-  if (waiting == 0) {
-    aPool.backlog = {};
-    return decisions;
-  }
-  std::vector<StageEndpoint*> free;
-  for (auto& [id, endpoint] : aPool.endpoints)
-    if (!endpoint.leaving && endpoint.calls < aPool.limits.slots && endpoint.blockedUntil <= aNow)
-      free.push_back(&endpoint);
-  if (free.empty())
-    return decisions;
-  std::ranges::sort(
-    free, {}, [](auto const* aEndpoint) { return std::pair(aEndpoint->slowness >= kSlow, aEndpoint->reservedBytes); });
-  auto const order = ServiceOrder(aPool, aNow);
-  for (auto* endpoint : free) {
-    if (endpoint->slowness >= kSlow && OthersKeepUp(aPool, waiting))
-      continue;
-    auto pieces = TakePieces(aPool, *endpoint, order, aNow);
-    if (pieces.empty())
-      continue;
-    waiting -= pieces.size();
-    decisions.calls.push_back(StartCall(aPool, *endpoint, std::move(pieces), aNow));
+  for (auto const id : HopelessOrders(aPool, aNow)) {
+    auto const retryAfter = RetryAfter(aPool, aPool.orders.at(id).order, aNow);
+    EndOrder(aPool, id, StageEnd::Late, retryAfter, decisions);
   }
+  decisions.calls = StartCalls(aPool, aNow);
   return decisions;
 }
 
--- a/Tests/LibServing/StageLoadTests.cpp
+++ b/Tests/LibServing/StageLoadTests.cpp
@@ -7,9 +7,9 @@
 static void
 AddChainServices(StageLoad& aLoad)
 {
-  aLoad.AddService("encode", { 1, 2, 16, 200ms, 4ms, 36'000'000, 4s }, 17);
-  aLoad.AddService("retrieve", { 1, 2, 54, 200ms, 3200us, 7'200'000, 4s }, 15);
-  aLoad.AddService("rank", { 1, 2, 76, 200ms, 2300us, 1'000'000, 4s }, 18);
+  aLoad.AddService("encode", { 1, 16, 200ms, 4ms, 36'000'000, 4s }, 17);
+  aLoad.AddService("retrieve", { 1, 54, 200ms, 3200us, 7'200'000, 4s }, 15);
+  aLoad.AddService("rank", { 1, 76, 200ms, 2300us, 1'000'000, 4s }, 18);
 }
 
 static LoadKind
--- a/Tests/LibServing/StagePoolTests.cpp
+++ b/Tests/LibServing/StagePoolTests.cpp
@@ -8,7 +8,7 @@
 static StageLimits
 Limits()
 {
-  return { 1, 2, 8, 200ms, 20ms, 18'000'000, 4s };
+  return { 1, 8, 200ms, 20ms, 18'000'000, 4s };
 }
 
 static EndpointEntry
