--- /dev/null
+++ b/Tests/Platform/PlatformFixtures.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "PlatformWorld.h"
+#include <gtest/gtest.h>
+
+namespace Hornbeam::Testing {
+
+using namespace Gateway;
+
+/// A world with one plain endpoint.
+struct PlainWorld
+{
+  explicit PlainWorld(unsigned aFronts = 1, unsigned aEndpoints = 1)
+    : world(aFronts)
+  {
+    for (unsigned index = 0; index < aEndpoints; ++index)
+      this->world.AddEndpoint(EndpointKind::Plain, "ledger");
+    this->world.Start();
+    this->WaitUntilReady(aFronts);
+  }
+
+  void WaitUntilReady(unsigned aFronts)
+  {
+    for (unsigned front = 0; front < aFronts; ++front)
+      EXPECT_TRUE(
+        this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-" + std::to_string(front)); }));
+    this->world.RunFor(50ms);
+  }
+
+  PlatformWorld world;
+};
+
+/// The platform's bounds: for the table in force, and for leaving endpoints and fronts.
+constexpr Duration kApplyBound = 2s;
+
+inline nlohmann::json
+BeliefsOf(PlatformWorld& aWorld, unsigned aFront)
+{
+  return nlohmann::json::parse(aWorld.Ask(aFront, 4, "/beliefs").body, nullptr, false);
+}
+
+/// The version of the table in force at a front.
+inline std::uint64_t
+VersionAt(PlatformWorld& aWorld, unsigned aFront)
+{
+  auto const beliefs = BeliefsOf(aWorld, aFront);
+  return beliefs.is_object() ? beliefs.value("table_version", std::uint64_t(0)) : 0;
+}
+
+inline CallerRequest
+Safe(std::string aId = "r1")
+{
+  CallerRequest request;
+  request.method = "GET";
+  request.target = "/safe/x";
+  request.id = std::move(aId);
+  request.body = "";
+  return request;
+}
+
+inline CallerRequest
+Model(std::string aTarget = "/model/x")
+{
+  CallerRequest request;
+  request.target = std::move(aTarget);
+  request.more = { { "Hornbeamfront-Prefix-Hash", "aa:10,bb:20,cc:5" },
+                   { "Hornbeamfront-Token-Usage", "35,9" },
+                   { "Hornbeamfront-Chunks", "2,3" },
+                   { "Hornbeamfront-Chunk-Key", "chunk" } };
+  if (request.target.starts_with("/model"))
+    request.more.resize(2);
+  return request;
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/PlatformRequestTests.cpp
@@ -0,0 +1,133 @@
+#include "PlatformFixtures.h"
+
+namespace Hornbeam::Testing {
+
+TEST(Platform, ServesAPlainRequestWithItsHeadersSet)
+{
+  PlainWorld plain;
+  CallerRequest request;
+  request.method = "PATCH";
+  request.more = { { "X-Own", "kept" },
+                   { "Connection", "X-Hop" },
+                   { "X-Hop", "dropped" },
+                   { "Hornbeamfront-Tenant", "forged" },
+                   { "Kv-From", "forged" } };
+  auto const answer = plain.world.Call(0, request);
+  EXPECT_EQ(answer.status, 200U);
+  EXPECT_EQ(answer.body, "answer of i-ledger-0");
+  auto const& seen = plain.world.endpoints[0]->seen.at(0);
+  EXPECT_EQ(seen.method, "PATCH");
+  EXPECT_EQ(seen.target, "/plain/x");
+  EXPECT_EQ(seen.body, "hello");
+  EXPECT_EQ(seen.id, "r1");
+  EXPECT_EQ(*FindField(seen.fields, "X-Own"), "kept");
+  EXPECT_EQ(*FindField(seen.fields, "Hornbeamfront-Tenant"), "account-1");
+  EXPECT_EQ(FindField(seen.fields, "X-Hop"), nullptr);
+  EXPECT_EQ(FindField(seen.fields, "Kv-From"), nullptr);
+  EXPECT_EQ(FindField(seen.fields, "Authorization"), nullptr);
+  EXPECT_LE(std::stoi(*FindField(seen.fields, "Hornbeamfront-Deadline-Ms")), 3000);
+}
+
+TEST(Platform, RefusesUnknownRoutesAndKeys)
+{
+  PlainWorld plain;
+  auto request = Safe();
+  request.target = "/nowhere/x";
+  EXPECT_EQ(plain.world.Call(0, request).status, 404U);
+  request = Safe();
+  request.key = "wrong";
+  EXPECT_EQ(plain.world.Call(0, request).status, 401U);
+  EXPECT_TRUE(plain.world.endpoints[0]->seen.empty());
+}
+
+TEST(Platform, FramingIsStrict)
+{
+  PlainWorld plain;
+  std::string const head = "POST /plain/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n"
+                           "Hornbeamfront-Request-Id: r1\r\n";
+  std::string const hidden = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n"
+                             "Hornbeamfront-Request-Id: hidden\r\n\r\n";
+  auto const refused = [&](std::string const& aBytes, std::string const& aStatus) {
+    auto const answer = plain.world.SendRaw(0, aBytes, 1500ms);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + aStatus)) << aBytes << "\n" << answer;
+    EXPECT_EQ(answer.find("HTTP/1.1", 8), std::string::npos) << "two answers to\n" << aBytes;
+  };
+  refused(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "400");
+  refused(head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden, "400");
+  refused(head + "Transfer-Encoding: identity\r\n\r\n" + hidden, "400");
+  refused(head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + hidden, "400");
+  refused(head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nhello" + hidden, "400");
+  refused(head + "X-Large: " + std::string(9000, 'x') + "\r\n\r\n", "431");
+  refused(head + "Content-Length: 100000\r\n\r\n", "413");
+  refused(head + "Content-Le", "408");
+  EXPECT_TRUE(plain.world.endpoints[0]->seen.empty());
+}
+
+TEST(Platform, ForwardsAChunkedBodyWhole)
+{
+  PlainWorld plain;
+  auto const answer = plain.world.SendRaw(0,
+                                          "PUT /plain/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n"
+                                          "Hornbeamfront-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n"
+                                          "Connection: close\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n",
+                                          1500ms);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  EXPECT_EQ(plain.world.endpoints[0]->seen.at(0).body, "abcdefg");
+}
+
+TEST(Platform, DoesNotRepeatWhatMayRunOnce)
+{
+  PlainWorld plain(1, 2);
+  for (auto const& endpoint : plain.world.endpoints)
+    endpoint->faultOf = [](std::size_t) { return EndpointFault::LostAnswer; };
+  auto const answer = plain.world.Call(0, {});
+  EXPECT_EQ(answer.status, 502U);
+  EXPECT_EQ(plain.world.endpoints[0]->seen.size() + plain.world.endpoints[1]->seen.size(), 1U);
+}
+
+TEST(Platform, RepeatsSafeRequestsElsewhere)
+{
+  for (auto const fault : { EndpointFault::LostAnswer,
+                            EndpointFault::BreakOff,
+                            EndpointFault::ForeignAnswer,
+                            EndpointFault::Full,
+                            EndpointFault::Error }) {
+    PlainWorld plain(1, 2);
+    std::size_t total = 0;
+    for (auto const& endpoint : plain.world.endpoints)
+      endpoint->faultOf = [&total, fault](std::size_t) { return total++ == 0 ? fault : EndpointFault::None; };
+    auto const answer = plain.world.Call(0, Safe());
+    EXPECT_EQ(answer.status, 200U) << int(fault);
+    EXPECT_EQ(total, 2U);
+  }
+}
+
+TEST(Platform, SaysNotRunOnlyWhereNothingRan)
+{
+  PlainWorld plain;
+  plain.world.endpoints[0]->faultOf = [](std::size_t) { return EndpointFault::Full; };
+  auto const refused = plain.world.Call(0, {});
+  EXPECT_EQ(refused.status, 503U);
+  EXPECT_NE(FindField(refused.fields, "Retry-After"), nullptr);
+  EXPECT_LT(refused.took, 200ms);
+  plain.world.endpoints[0]->faultOf = [](std::size_t) { return EndpointFault::Silent; };
+  CallerRequest request;
+  request.id = "r2";
+  request.patience = 300ms;
+  auto const silent = plain.world.Call(0, request);
+  EXPECT_EQ(silent.status, 504U);
+  EXPECT_LT(silent.took, 400ms);
+}
+
+TEST(Platform, CancelsTheWorkOfACallerThatLeaves)
+{
+  PlainWorld plain;
+  plain.world.endpoints[0]->workTime = 2s;
+  CallHandle handle;
+  plain.world.Send(0, Safe(), &handle);
+  ASSERT_TRUE(plain.world.RunUntil([&] { return plain.world.endpoints[0]->seen.size() == 1; }));
+  handle.Abandon();
+  EXPECT_TRUE(plain.world.RunUntil([&] { return plain.world.endpoints[0]->callersGone == 1; }, 300ms));
+}
+
+}
