LibGateway: Keep the owner of a stage when a connection is reset

Cause: a failed call made a front pass its owner over for three seconds, also when only the connection was reset. Change: an order is sent to the same owner once more before that owner is passed over; at once only when it leaves.

--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -87,6 +87,12 @@
       LOG(ERROR) << "front: event=cannot-listen address=" << address;
       return false;
     }
+  return this->ServePeers();
+}
+
+bool
+GatewayFront::ServePeers()
+{
   return this->peers.Listen(this->settings.peerAddress, this->PeerHandlers());
 }
 
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -23,6 +23,9 @@
   /// Takes no calls of other fronts any more, as a front that they cannot reach.
   void StopPeers() { this->peers.StopListening(); }
 
+  /// Serves peers; false when the address could not be bound.
+  bool ServePeers();
+
   /// Takes what may change while the process runs from the settings file.
   void Reload(GatewaySettings const& aSettings);
 
--- a/Libraries/LibGateway/StageService.cpp
+++ b/Libraries/LibGateway/StageService.cpp
@@ -5,8 +5,8 @@
 
 /// A pause before an order is sent again, so that an owner that comes and goes is not flooded.
 static constexpr Duration kResendPause = 20ms;
-/// Owners tried for one order; each was believed to live.
-static constexpr unsigned kMostOwners = 5;
+/// Times that one order is sent: twice to each of a few owners that were believed to live.
+static constexpr unsigned kMostSends = 8;
 
 StageService::StageService(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
@@ -22,7 +22,9 @@
   RemoteOrder order;
   StageDone done;
   CancelAction cancel;
-  unsigned owners{ 0 };
+  unsigned sends{ 0 };
+  /// The front at which the last sending failed.
+  std::string failedFront;
   bool ended{ false };
 
   void End(StageResult aResult)
@@ -57,39 +59,49 @@
   if (aPending->ended)
     return;
   auto const now = this->clock.Now();
-  if (++aPending->owners > kMostOwners || now >= aPending->order.order.deadline) {
+  if (++aPending->sends > kMostSends || now >= aPending->order.order.deadline) {
     aPending->End({ 0, StageEnd::Failed, {}, Duration::zero() });
     return;
   }
-  auto const again = [this, aPending](std::string const& aFront) {
-    PART_WARNING("stages") << "event=owner-failed service=" << aPending->order.service << " front=" << aFront
-                           << " request=" << aPending->order.order.requestId;
-    SuspectFront(this->beliefs.Fronts(), aFront, this->clock.Now());
-    this->clock.Schedule(kResendPause, [this, aPending] { this->Send(aPending); });
-  };
   auto const finish = [this, aPending](StageResult aResult) {
     NoteBacklog(this->backlogs, aPending->order.service, aResult.backlog, this->clock.Now());
     aPending->End(std::move(aResult));
   };
   auto const owner = OwnerOf(this->beliefs.Fronts(), aPending->order.service, now);
   if (!owner || owner->name == this->settings.name) {
-    aPending->cancel = this->owner.Make(aPending->order, [finish, again, this](StageResult aResult) {
+    aPending->cancel = this->owner.Make(aPending->order, [finish, aPending, this](StageResult aResult) {
       if (aResult.end == StageEnd::Moved)
-        again(this->settings.name);
+        this->SendAgain(aPending, this->settings.name, OwnerFault::Leaves);
       else
         finish(std::move(aResult));
     });
     return;
   }
-  auto const onResult = [finish, again, name = owner->name](std::optional<StageResult> aResult) {
-    if (!aResult || aResult->end == StageEnd::Moved)
-      again(name);
+  auto const onResult = [this, finish, aPending, name = owner->name](std::optional<StageResult> aResult) {
+    if (!aResult)
+      this->SendAgain(aPending, name, OwnerFault::NoAnswer);
+    else if (aResult->end == StageEnd::Moved)
+      this->SendAgain(aPending, name, OwnerFault::Leaves);
     else
       finish(std::move(*aResult));
   };
   aPending->cancel = this->peers.MakeStage(owner->peerAddress, aPending->order, onResult);
 }
 
+void
+StageService::SendAgain(std::shared_ptr<Pending> const& aPending, std::string const& aFront, OwnerFault aFault)
+{
+  // A connection may have been reset while the owner is well; a second owner would count the memory for results anew.
+  bool const failsAgain = aPending->failedFront == aFront;
+  bool const passedOver = aFault == OwnerFault::Leaves || failsAgain;
+  PART_WARNING("stages") << "event=owner-failed service=" << aPending->order.service << " front=" << aFront
+                         << " request=" << aPending->order.order.requestId << " passed_over=" << passedOver;
+  aPending->failedFront = aFront;
+  if (passedOver)
+    SuspectFront(this->beliefs.Fronts(), aFront, this->clock.Now());
+  this->clock.Schedule(kResendPause, [this, aPending] { this->Send(aPending); });
+}
+
 void
 StageService::Release(std::string const& aService, std::vector<std::string> const& aHandles)
 {
--- a/Libraries/LibGateway/StageService.h
+++ b/Libraries/LibGateway/StageService.h
@@ -20,7 +20,14 @@
 
 private:
   struct Pending;
+  enum class OwnerFault
+  {
+    NoAnswer,
+    Leaves,
+  };
+
   void Send(std::shared_ptr<Pending> const& aPending);
+  void SendAgain(std::shared_ptr<Pending> const& aPending, std::string const& aFront, OwnerFault aFault);
 
   GatewaySettings const& settings;
   BeliefService& beliefs;
--- a/Tests/Platform/PlatformStreamTests.cpp
+++ b/Tests/Platform/PlatformStreamTests.cpp
@@ -104,6 +104,55 @@
   EXPECT_TRUE(world.RunUntil([&] { return encode.heldResults.empty() && rank.heldResults.empty(); }, 1s));
 }
 
+/// How many fronts own the pool of a stage service.
+static std::size_t
+OwnersOf(PlatformWorld& aWorld, std::string const& aService)
+{
+  std::size_t owners = 0;
+  for (unsigned front = 0; front < aWorld.fronts.size(); ++front) {
+    auto const beliefs = BeliefsOf(aWorld, front);
+    for (auto const& pool : beliefs.at("stage_pools"))
+      owners += pool["service"] == aService ? 1 : 0;
+  }
+  return owners;
+}
+
+// Two owners count the memory for results twice, and pieces then find no room.
+TEST(Platform, KeepsTheOwnerOfAStageWhenConnectionsAreReset)
+{
+  PlatformWorld world(4);
+  world.AddEndpoint(EndpointKind::Stage, "encode");
+  world.AddEndpoint(EndpointKind::Stage, "rank");
+  world.AddEndpoint(EndpointKind::Model, "model");
+  world.Start();
+  for (auto const* name : { "front-0", "front-1", "front-2", "front-3" })
+    ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", name); }));
+  world.RunFor(1s);
+  unsigned sent = 0;
+  auto const serveOnEach = [&] {
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
+    for (unsigned front = 0; front < 4; ++front) {
+      auto request = Model("/staged/x");
+      request.id = "r" + std::to_string(sent++);
+      answers.push_back(world.Send(front, request));
+    }
+    world.RunUntil([&] { return std::ranges::all_of(answers, [](auto const& aAnswer) { return aAnswer->ended; }); });
+    for (auto const& answer : answers)
+      EXPECT_EQ(answer->status, 200U) << answer->body;
+  };
+  serveOnEach();
+  EXPECT_EQ(OwnersOf(world, "encode"), 1U);
+  for (int round = 0; round < 5; ++round) {
+    for (auto const& front : world.fronts) {
+      front->StopPeers();
+      ASSERT_TRUE(front->ServePeers());
+    }
+    serveOnEach();
+  }
+  EXPECT_EQ(OwnersOf(world, "encode"), 1U);
+  EXPECT_EQ(OwnersOf(world, "rank"), 1U);
+}
+
 TEST(Platform, BreaksOffABegunAnswerThatCannotGoOn)
 {
   PlatformWorld world(1);
