LibServing: Count the memory of failed calls; learn no speed from calls without room

And a call whose connection was reset is worked on: its results take memory until they expire. Tests: StagePool.CountsTheMemoryOfACallThatFailed and LearnsNoSpeedFromACallWithoutRoom failed before, pass now.

--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -7,6 +7,8 @@
 
 /// After a refusal or a lack of room the endpoint is left alone for a moment.
 static constexpr Duration kRefusedPause = 40ms;
+/// After a call none of whose pieces found room: results that this owner does not know of go by and by.
+static constexpr Duration kNoRoomPause = 150ms;
 /// After a failed call; doubles with each failure in a row.
 static constexpr Duration kFailedPause = 500ms;
 static constexpr Duration kLongestPause = 4s;
@@ -89,6 +91,7 @@
   for (auto const& entry : aEndpoints) {
     auto& endpoint = aPool.endpoints[entry.id];
     if (endpoint.entry.incarnation != entry.incarnation || endpoint.entry.address != entry.address) {
+      std::erase_if(aPool.held, [&](auto const& aEntry) { return aEntry.second.endpoint == entry.id; });
       auto const calls = endpoint.calls;
       endpoint = {};
       endpoint.calls = calls;
@@ -190,19 +193,48 @@
   return decisions;
 }
 
+/// The time of a call tells the endpoint's speed if it worked on a piece.
 static void
-NoteCallEnd(StageEndpoint& aEndpoint, RunningCall const& aCall, StageCallEnd aEnd, MonotonicTime aNow)
+NoteSpeed(StageEndpoint& aEndpoint,
+          RunningCall const& aCall,
+          std::vector<PieceResult> const& aResults,
+          MonotonicTime aNow)
+{
+  auto const made = [](PieceResult const& aResult) { return aResult.end == PieceEnd::Made; };
+  auto const noRoom = [](PieceResult const& aResult) { return aResult.end == PieceEnd::NoRoom; };
+  if (std::ranges::all_of(aResults, noRoom))
+    aEndpoint.blockedUntil = aNow + kNoRoomPause;
+  if (std::ranges::none_of(aResults, made))
+    return;
+  std::chrono::duration<double> const took = aNow - aCall.began;
+  std::chrono::duration<double> const expected = aCall.expected;
+  double const ratio = took.count() / std::max(0.001, expected.count());
+  aEndpoint.slowness += kSlownessWeight * (ratio - aEndpoint.slowness);
+}
+
+/// An endpoint works on after its connection broke, and nothing names what it makes: the memory is taken until that
+/// expires.
+static void
+HoldUnheardResults(StagePool& aPool, RunningCall const& aCall, MonotonicTime aNow)
+{
+  auto const expires = aNow + aPool.limits.resultLifetime + kLifetimeMargin;
+  aPool.held["call " + std::to_string(aCall.call.id)] = { aCall.call.endpoint, aCall.bytes, expires };
+}
+
+static void
+NoteCallEnd(StagePool& aPool,
+            StageEndpoint& aEndpoint,
+            RunningCall const& aCall,
+            StageCallEnd aEnd,
+            std::vector<PieceResult> const& aResults,
+            MonotonicTime aNow)
 {
   --aEndpoint.calls;
   switch (aEnd) {
-    case StageCallEnd::Answered: {
-      std::chrono::duration<double> const took = aNow - aCall.began;
-      std::chrono::duration<double> const expected = aCall.expected;
-      double const ratio = took.count() / std::max(0.001, expected.count());
-      aEndpoint.slowness += kSlownessWeight * (ratio - aEndpoint.slowness);
+    case StageCallEnd::Answered:
+      NoteSpeed(aEndpoint, aCall, aResults, aNow);
       aEndpoint.failuresInARow = 0;
       return;
-    }
     case StageCallEnd::Refused:
       aEndpoint.blockedUntil = aNow + kRefusedPause;
       break;
@@ -213,7 +245,8 @@
       auto const doublings = std::min(aEndpoint.failuresInARow, 4U);
       ++aEndpoint.failuresInARow;
       aEndpoint.blockedUntil = aNow + std::min<Duration>(kFailedPause * (1U << doublings), kLongestPause);
-      break;
+      HoldUnheardResults(aPool, aCall, aNow);
+      return;
     }
   }
   aEndpoint.reservedBytes -= std::min(aEndpoint.reservedBytes, aCall.bytes);
@@ -252,7 +285,7 @@
       return EndOrder(aPool, aPiece.order, StageEnd::InputsGone, Duration::zero(), aDecisions);
     case PieceEnd::NoRoom:
       if (aEndpoint != nullptr)
-        aEndpoint->blockedUntil = aNow + kRefusedPause;
+        aEndpoint->blockedUntil = std::max(aEndpoint->blockedUntil, aNow + kRefusedPause);
       break;
     default:
       ++pending.errors;
@@ -280,7 +313,12 @@
   auto* const endpoint = position == aPool.endpoints.end() ? nullptr : &position->second;
   bool const answered = aEnd == StageCallEnd::Answered && aResults.size() == running.call.pieces.size();
   if (endpoint != nullptr)
-    NoteCallEnd(*endpoint, running, answered || aEnd != StageCallEnd::Answered ? aEnd : StageCallEnd::Failed, aNow);
+    NoteCallEnd(aPool,
+                *endpoint,
+                running,
+                answered || aEnd != StageCallEnd::Answered ? aEnd : StageCallEnd::Failed,
+                aResults,
+                aNow);
   std::vector<StageOrderId> touched;
   for (std::size_t index = 0; index < running.call.pieces.size(); ++index) {
     auto const& piece = running.call.pieces[index];
--- a/Tests/LibServing/StagePoolTests.cpp
+++ b/Tests/LibServing/StagePoolTests.cpp
@@ -180,6 +180,34 @@
   EXPECT_EQ(ended.calls[0].pieces.size(), 2U);
 }
 
+// Pattern: connections to endpoints are reset while these work on; what they make is never heard of.
+TEST(StagePool, CountsTheMemoryOfACallThatFailed)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto const submitted = SubmitOrder(pool, Order("r1", 8), kStart);
+  OnCallEnd(pool, submitted.decisions.calls.at(0).id, StageCallEnd::Failed, {}, kStart + 100ms);
+  EXPECT_EQ(pool.endpoints.at("e1").reservedBytes, 8'000'000U);
+  Schedule(pool, kStart + 100ms + Limits().resultLifetime + 1s);
+  EXPECT_EQ(pool.endpoints.at("e1").reservedBytes, 8'000'000U);
+  auto again = Entry("e1", "a");
+  again.incarnation = 2;
+  UpdatePool(pool, Limits(), { again }, kStart + 200ms);
+  EXPECT_TRUE(pool.held.empty());
+}
+
+// Pattern: an owner that has just taken over does not know of the results that fill its endpoints' memory.
+TEST(StagePool, LearnsNoSpeedFromACallWithoutRoom)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto const submitted = SubmitOrder(pool, Order("r1", 4), kStart);
+  std::vector<PieceResult> const noRoom(4, PieceResult{ PieceEnd::NoRoom, "" });
+  auto const ended = OnCallEnd(pool, submitted.decisions.calls.at(0).id, StageCallEnd::Answered, noRoom, kStart + 2ms);
+  EXPECT_DOUBLE_EQ(pool.endpoints.at("e1").slowness, 1);
+  EXPECT_TRUE(ended.calls.empty());
+  EXPECT_TRUE(Schedule(pool, kStart + 100ms).calls.empty());
+  EXPECT_EQ(Schedule(pool, kStart + 200ms).calls.size(), 1U);
+}
+
 TEST(StagePool, WaitsForItsDataCentreBeforeAnotherTakesThePieces)
 {
   auto pool = PoolOf({ Entry("e1", "a"), Entry("e2", "b") });
