--- a/Libraries/LibCore/Clock.cpp
+++ b/Libraries/LibCore/Clock.cpp
@@ -138,4 +138,10 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
 }
 
+Duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
+}
+
 }
--- a/Libraries/LibCore/Clock.h
+++ b/Libraries/LibCore/Clock.h
@@ -77,4 +77,7 @@
 std::int64_t
 Milliseconds(Duration aDuration);
 
+Duration
+FromSeconds(double aSeconds);
+
 }
--- a/Libraries/LibServing/StageQueue.cpp
+++ b/Libraries/LibServing/StageQueue.cpp
@@ -1,6 +1,7 @@
 #include "StageQueue.h"
 #include <algorithm>
-#include <tuple>
+#include <compare>
+#include <span>
 
 namespace Hornbeam::Gateway {
 
@@ -33,7 +34,14 @@
 
 /// Orders are served by this: those that can no longer be on time after all that can, as serving them costs the others
 /// their time; then by rank; then by the time at which the first answer is due.
-using ServiceKey = std::tuple<bool, int, MonotonicTime>;
+struct ServiceKey
+{
+  bool late{ false };
+  int rank{ 0 };
+  MonotonicTime due{};
+
+  auto operator<=>(ServiceKey const&) const = default;
+};
 
 static ServiceKey
 KeyOf(StagePool const& aPool, StageOrder const& aOrder, std::size_t aPieces, MonotonicTime aNow)
@@ -57,7 +65,7 @@
   bool const busy =
     std::ranges::all_of(aPool.endpoints, [&](auto const& aEntry) { return aEntry.second.calls >= aPool.limits.slots; });
   auto const running = busy ? CallTime(aPool.limits, aPool.limits.batch) / 2 : Duration::zero();
-  return running + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
+  return running + FromSeconds(ahead / rate);
 }
 
 static void
@@ -77,7 +85,7 @@
   return aPool.overloadSeen - aPool.overloadBegan;
 }
 
-/// Whether an order that is expected to be ready at aReady, aReserve later at the worst, is not worth its place. What
+/// Whether an order that is expected to be ready at aReady, aReserve later at the worst, will miss its deadline. What
 /// can no longer be on time gets its turn after the overload.
 static bool
 IsHopeless(StagePool const& aPool,
@@ -121,46 +129,53 @@
   return hopeless;
 }
 
+using KeyedOrder = std::pair<ServiceKey, StageOrderId>;
+
+/// Whether all orders of one rank, in the order of their keys, can be on time behind aAhead pieces. Adds their pieces.
+static bool
+CanAllBeOnTime(StagePool const& aPool, std::span<KeyedOrder const> aOrders, double& aAhead, MonotonicTime aNow)
+{
+  double const rate = std::max(1.0, PiecesPerSecond(aPool));
+  bool onTime = true;
+  for (auto const& [key, id] : aOrders) {
+    auto const& pending = aPool.orders.at(id);
+    auto const wait = FromSeconds(aAhead / rate);
+    auto const ready = aNow + wait + CallTime(aPool.limits, pending.waiting.size()) + pending.order.later;
+    onTime = onTime && ready + kWaitReserve * wait <= key.due;
+    aAhead += double(pending.waiting.size());
+  }
+  return onTime;
+}
+
 /// Turns the ranks around in which not all can be on time: served by the time at which they are due, all of them would
 /// be late by a little; served newest first, those that are served are on time and have time left for later stages.
+/// Notes the overload, and the backlog of what can be on time.
 static void
-PutNewestFirstUnderOverload(StagePool& aPool,
-                            std::vector<std::pair<ServiceKey, StageOrderId>>& aKeys,
-                            MonotonicTime aNow)
+ArrangeForOverload(StagePool& aPool, std::vector<KeyedOrder>& aOrders, MonotonicTime aNow)
 {
-  double const rate = std::max(1.0, PiecesPerSecond(aPool));
   double ahead = 0;
-  for (auto begin = aKeys.begin(); begin != aKeys.end();) {
-    auto const [late, rank, target] = begin->first;
-    if (late)
-      break;
-    bool overloaded = false;
-    auto end = begin;
-    for (; end != aKeys.end() && std::get<0>(end->first) == late && std::get<1>(end->first) == rank; ++end) {
-      auto const& pending = aPool.orders.at(end->second);
-      auto const wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
-      auto const ready = aNow + wait + CallTime(aPool.limits, pending.waiting.size()) + pending.order.later;
-      overloaded = overloaded || ready + kWaitReserve * wait > std::get<2>(end->first);
-      ahead += double(pending.waiting.size());
-    }
-    if (overloaded)
+  for (auto begin = aOrders.begin(); begin != aOrders.end() && !begin->first.late;) {
+    auto const end = std::find_if(begin, aOrders.end(), [&](KeyedOrder const& aOrder) {
+      return aOrder.first.late || aOrder.first.rank != begin->first.rank;
+    });
+    if (!CanAllBeOnTime(aPool, { begin, end }, ahead, aNow)) {
       std::reverse(begin, end);
-    if (overloaded)
       NoteOverload(aPool, aNow);
+    }
     begin = end;
   }
-  aPool.backlog = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
+  aPool.backlog = FromSeconds(ahead / std::max(1.0, PiecesPerSecond(aPool)));
 }
 
 std::vector<StageOrderId>
 ServiceOrder(StagePool& aPool, MonotonicTime aNow)
 {
-  std::vector<std::pair<ServiceKey, StageOrderId>> keys;
+  std::vector<KeyedOrder> keys;
   for (auto const& [id, pending] : aPool.orders)
     if (!pending.waiting.empty() && !pending.cancelled)
       keys.emplace_back(KeyOf(aPool, pending.order, pending.waiting.size(), aNow), id);
   std::ranges::sort(keys);
-  PutNewestFirstUnderOverload(aPool, keys, aNow);
+  ArrangeForOverload(aPool, keys, aNow);
   std::vector<StageOrderId> result;
   result.reserve(keys.size());
   for (auto const& [key, id] : keys)
