LibServing: Keep the memory of calls under way when their endpoint starts anew

Cause (by reading): an endpoint that started anew had its memory counted from zero, while calls of before still gave theirs back when they ended. Test: StagePool.GivesBackNoMoreMemoryThanARestartedEndpointTook failed before, passes now.

--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -95,6 +95,10 @@
       auto const calls = endpoint.calls;
       endpoint = {};
       endpoint.calls = calls;
+      // Its calls under way give their memory back when they end.
+      for (auto const& [id, running] : aPool.running)
+        if (running.call.endpoint == entry.id)
+          endpoint.reservedBytes += running.bytes;
     }
     endpoint.entry = entry;
     endpoint.leaving = false;
--- a/Tests/LibServing/StagePoolTests.cpp
+++ b/Tests/LibServing/StagePoolTests.cpp
@@ -195,6 +195,22 @@
   EXPECT_TRUE(pool.held.empty());
 }
 
+TEST(StagePool, GivesBackNoMoreMemoryThanARestartedEndpointTook)
+{
+  auto pool = PoolOf({ Entry("e1", "a") });
+  auto const before = SubmitOrder(pool, Order("r1", 4), kStart);
+  auto again = Entry("e1", "a");
+  again.incarnation = 2;
+  UpdatePool(pool, Limits(), { again }, kStart + 100ms);
+  OnCallEnd(pool, before.decisions.calls.at(0).id, StageCallEnd::Failed, {}, kStart + 110ms);
+  auto const retried = Schedule(pool, kStart + 700ms);
+  ASSERT_EQ(retried.calls.size(), 1U);
+  OnCallEnd(pool, retried.calls[0].id, StageCallEnd::Answered, AllMade(retried.calls[0]), kStart + 1s);
+  // The results of the failed call, if any, expire; those of the new process are still held.
+  Schedule(pool, kStart + 4500ms);
+  EXPECT_EQ(pool.endpoints.at("e1").reservedBytes, 4'000'000U);
+}
+
 // Pattern: an owner that has just taken over does not know of the results that fill its endpoints' memory.
 TEST(StagePool, LearnsNoSpeedFromACallWithoutRoom)
 {
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -10,7 +10,7 @@
 static constexpr Duration kStartTime = 1500ms;
 /// The grace time of the fronts' settings, and what an end may take beyond it.
 static constexpr Duration kEndTime = 3s + 1500ms;
-/// How long a process that was told to end, and did not, is waited for.
+/// How long a process may need to catch up after it was stopped.
 static constexpr Duration kTroubleAfterContinue = 300ms;
 
 SoakWorld::SoakWorld(SoakSettings aSettings)
