LibServing: Compare the keys of stage orders without a defaulted comparison

The linter takes a defaulted three-way comparison for a null pointer. Behaviour unchanged: 23 tests of stages pass; the linter is clean on the file.

--- a/Libraries/LibServing/StageQueue.cpp
+++ b/Libraries/LibServing/StageQueue.cpp
@@ -1,7 +1,7 @@
 #include "StageQueue.h"
 #include <algorithm>
-#include <compare>
 #include <span>
+#include <tuple>
 
 namespace Hornbeam::Gateway {
 
@@ -40,7 +40,7 @@
   int rank{ 0 };
   MonotonicTime due{};
 
-  auto operator<=>(ServiceKey const&) const = default;
+  auto Sequence() const { return std::tuple(this->late, this->rank, this->due); }
 };
 
 static ServiceKey
@@ -53,10 +53,10 @@
 Duration
 ExpectedWait(StagePool const& aPool, StageOrder const& aOrder, MonotonicTime aNow)
 {
-  auto const own = KeyOf(aPool, aOrder, aOrder.pieces, aNow);
+  auto const own = KeyOf(aPool, aOrder, aOrder.pieces, aNow).Sequence();
   double ahead = 0;
   for (auto const& [id, pending] : aPool.orders)
-    if (!pending.waiting.empty() && KeyOf(aPool, pending.order, pending.waiting.size(), aNow) <= own)
+    if (!pending.waiting.empty() && KeyOf(aPool, pending.order, pending.waiting.size(), aNow).Sequence() <= own)
       ahead += double(pending.waiting.size());
   double const rate = PiecesPerSecond(aPool);
   if (rate <= 0)
@@ -174,7 +174,8 @@
   for (auto const& [id, pending] : aPool.orders)
     if (!pending.waiting.empty() && !pending.cancelled)
       keys.emplace_back(KeyOf(aPool, pending.order, pending.waiting.size(), aNow), id);
-  std::ranges::sort(keys);
+  std::ranges::sort(
+    keys, {}, [](KeyedOrder const& aOrder) { return std::pair(aOrder.first.Sequence(), aOrder.second); });
   ArrangeForOverload(aPool, keys, aNow);
   std::vector<StageOrderId> result;
   result.reserve(keys.size());
