--- a/Libraries/LibExchange/HttpMessage.cpp
+++ b/Libraries/LibExchange/HttpMessage.cpp
@@ -25,6 +25,13 @@
   return found == aFields.end() ? nullptr : &found->second;
 }
 
+std::string
+FieldValue(HeaderFields const& aFields, std::string_view aName)
+{
+  auto const* const found = FindField(aFields, aName);
+  return found == nullptr ? std::string() : *found;
+}
+
 bool
 IsHopByHop(std::string_view aName, std::string_view aConnection)
 {
--- a/Libraries/LibExchange/HttpMessage.h
+++ b/Libraries/LibExchange/HttpMessage.h
@@ -15,6 +15,10 @@
 std::string const*
 FindField(HeaderFields const& aFields, std::string_view aName);
 
+/// The value of the first field with this name; empty when there is none.
+std::string
+FieldValue(HeaderFields const& aFields, std::string_view aName);
+
 bool
 EqualIgnoringCase(std::string_view aFirst, std::string_view aSecond);
 
--- a/Libraries/LibGateway/BeliefService.cpp
+++ b/Libraries/LibGateway/BeliefService.cpp
@@ -116,7 +116,6 @@
   std::set<std::string> present;
   for (auto const& object : aObjects)
     present.insert(object.name);
-  auto const before = std::move(this->documents[aKind]);
   this->documents[aKind].clear();
   for (auto const& object : aObjects)
     this->OnChanged(aKind, object);
--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -52,7 +52,7 @@
 void
 DirectoryService::HandleDirectory(std::shared_ptr<Exchange> const& aExchange)
 {
-  if (!Platform::DecodeDirectoryQuery(aExchange->Request())) {
+  if (!Platform::IsDirectoryQuery(aExchange->Request())) {
     RespondText(*aExchange, 404, "text/plain", "not here");
     return;
   }
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -50,10 +50,10 @@
 ProxiedRequest::AffinityKey() const
 {
   // The deepest part that other requests share; the last one is the request's or its session's own.
-  auto const& prompt = this->facts.prompt;
-  if (!this->route.prefixAffinity || prompt.empty())
+  auto const& parts = this->facts.promptParts;
+  if (!this->route.prefixAffinity || parts.empty())
     return "";
-  return prompt.size() > 1 ? prompt[prompt.size() - 2].id : prompt.back().id;
+  return parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
 }
 
 EndpointQuery
