LibGateway: Count the attempt under way where repeats are decided

Behaviour unchanged: MayRepeat() counts the attempt under way itself, so that its callers need not count it up and down again, and what a stall and an endpoint's error do to an attempt stands once, in MoveElsewhere().

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -122,17 +122,10 @@
     return;
   auto others = this->Query();
   others.excluded.push_back(this->endpoint);
-  ++this->attempts;
-  if (!HasUntried(this->service.beliefs.View(), others) || !this->MayRepeat()) {
-    --this->attempts;
+  if (HasUntried(this->service.beliefs.View(), others) && this->MayRepeat())
+    this->MoveElsewhere("stalled");
+  else
     this->WatchForStall();
-    return;
-  }
-  auto const keep = this->shared_from_this();
-  this->call.Abandon();
-  this->NoteEndpoint(AttemptHealth::Failed);
-  this->mayHaveRun = true;
-  this->SendAgain("stalled");
 }
 
 void
@@ -191,18 +184,22 @@
 bool
 ProxiedRequest::RepeatAfterError()
 {
-  ++this->attempts;
-  if (!this->IsRepeatable() || !this->MayRepeat()) {
-    // The endpoint's own error is the answer.
-    --this->attempts;
+  // Otherwise the endpoint's own error is the answer.
+  if (!this->IsRepeatable() || !this->MayRepeat())
     return false;
-  }
+  this->MoveElsewhere("endpoint-error");
+  return true;
+}
+
+void
+ProxiedRequest::MoveElsewhere(std::string_view aCause)
+{
   auto const keep = this->shared_from_this();
   this->call.Abandon();
   this->NoteEndpoint(AttemptHealth::Failed);
   this->mayHaveRun = true;
-  this->SendAgain("endpoint-error");
-  return true;
+  ++this->attempts;
+  this->SendAgain(aCause);
 }
 
 void
@@ -239,7 +236,8 @@
 ProxiedRequest::MayRepeat()
 {
   auto const now = this->service.clock.Now();
-  if (this->attempts >= this->route.maxAttempts || now >= this->deadline)
+  auto const made = this->attempts + (this->attempting ? 1 : 0);
+  if (made >= this->route.maxAttempts || now >= this->deadline)
     return false;
   return TakeRepeat(this->service.retryShares[this->target],
                     this->service.settings.retries,
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -63,7 +63,10 @@
   void OnNotRun(Platform::EndpointAnswer const& aAnswer);
   void AfterFailedAttempt(std::string_view aCause);
   bool RepeatAfterError();
+  /// Gives the attempt under way up and makes another one.
+  void MoveElsewhere(std::string_view aCause);
   void SendAgain(std::string_view aCause);
+  /// Whether another attempt may follow those that were made; takes it out of the retry share.
   bool MayRepeat();
   void NoteEndpoint(AttemptHealth aHealth);
   void WatchForStall();
@@ -109,6 +112,7 @@
   /// The response's head is good, so that its body goes to the caller.
   bool forwarding{ false };
   std::vector<std::string> tried;
+  /// Attempts that have ended.
   unsigned attempts{ 0 };
   unsigned connectFailures{ 0 };
   /// A byte of the request has gone to an endpoint that has not said that it did not run it.
