LibServing: Share the tests and times that stood twice

Behaviour unchanged: which endpoints a request may go to (IsOpenTo), when a refused order may come back, and durations as seconds (LibCore) each stood in two places or more. ExpectedWait moved to the queue that it asks about.

--- a/Libraries/LibCore/Clock.cpp
+++ b/Libraries/LibCore/Clock.cpp
@@ -138,6 +138,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
 }
 
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
 Duration
 FromSeconds(double aSeconds)
 {
--- a/Libraries/LibCore/Clock.h
+++ b/Libraries/LibCore/Clock.h
@@ -77,6 +77,10 @@
 std::int64_t
 Milliseconds(Duration aDuration);
 
+/// Seconds with their fraction.
+double
+Seconds(Duration aDuration);
+
 Duration
 FromSeconds(double aSeconds);
 
--- a/Libraries/LibFront/MetricsService.cpp
+++ b/Libraries/LibFront/MetricsService.cpp
@@ -48,12 +48,6 @@
   }
 };
 
-static double
-Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 MetricsService::MetricsService(Kernel& aKernel)
   : membership(aKernel.Find<MembershipService>(ServiceName::kMembership))
   , configuration(aKernel.Find<ConfigurationService>(ServiceName::kConfiguration))
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -48,12 +48,6 @@
   this->ends.Add({ { "outcome", std::string(ToString(aOutcome)) }, { "status", std::to_string(aStatus) } }).Increment();
 }
 
-static double
-Seconds(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 void
 GatewayMetrics::ObserveFirstAnswer(Duration aTime)
 {
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -49,8 +49,7 @@
 
   Duration Seconds(std::string const& aPath, double aLeast, double aMost)
   {
-    std::chrono::duration<double> const seconds(this->Number(aPath, aLeast, aMost));
-    return std::chrono::duration_cast<Duration>(seconds);
+    return FromSeconds(this->Number(aPath, aLeast, aMost));
   }
 
   std::vector<std::string> Addresses(std::string const& aPath)
--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -39,6 +39,14 @@
   return std::max(1U, unsigned(RuleOf(aView.table, aService).maxConnections / fronts));
 }
 
+/// Whether the request may go to the endpoint at all: it is in service, and not one that the request leaves out.
+static bool
+IsOpenTo(SelectionView const& aView, EndpointQuery const& aQuery, EndpointBelief const& aEndpoint)
+{
+  return IsUsable(aView.endpoints, aEndpoint) &&
+         std::ranges::find(aQuery.excluded, aEndpoint.entry.id) == aQuery.excluded.end();
+}
+
 static std::vector<EndpointBelief const*>
 Candidates(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow)
 {
@@ -51,9 +59,7 @@
   bool const mayBeCold = RuleOf(aView.table, aQuery.service).coldRate > 0;
   for (auto const& id : pool->second) {
     auto const& belief = aView.endpoints.byId.at(id);
-    if (!IsUsable(aView.endpoints, belief) || std::ranges::find(aQuery.excluded, id) != aQuery.excluded.end())
-      continue;
-    if (belief.outstanding >= share)
+    if (!IsOpenTo(aView, aQuery, belief) || belief.outstanding >= share)
       continue;
     if (mayBeCold && belief.coldUntil > aNow && !MaySendCold(aView, belief, aQuery.ownName, aNow))
       continue;
@@ -115,10 +121,8 @@
   auto const pool = aView.endpoints.idsByService.find(aQuery.service);
   if (pool == aView.endpoints.idsByService.end())
     return false;
-  return std::ranges::any_of(pool->second, [&](auto const& aId) {
-    return IsUsable(aView.endpoints, aView.endpoints.byId.at(aId)) &&
-           std::ranges::find(aQuery.excluded, aId) == aQuery.excluded.end();
-  });
+  return std::ranges::any_of(pool->second,
+                             [&](auto const& aId) { return IsOpenTo(aView, aQuery, aView.endpoints.byId.at(aId)); });
 }
 
 void
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -210,9 +210,7 @@
     aEndpoint.blockedUntil = aNow + kNoRoomPause;
   if (std::ranges::none_of(aResults, made))
     return;
-  std::chrono::duration<double> const took = aNow - aCall.began;
-  std::chrono::duration<double> const expected = aCall.expected;
-  double const ratio = took.count() / std::max(0.001, expected.count());
+  double const ratio = Seconds(aNow - aCall.began) / std::max(0.001, Seconds(aCall.expected));
   aEndpoint.slowness += kSlownessWeight * (ratio - aEndpoint.slowness);
 }
 
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -223,8 +223,4 @@
 StageDecisions
 HandOver(StagePool& aPool);
 
-/// How long an order would wait for its turn behind those that go before it.
-Duration
-ExpectedWait(StagePool const& aPool, StageOrder const& aOrder, MonotonicTime aNow);
-
 }
--- a/Libraries/LibServing/StageQueue.cpp
+++ b/Libraries/LibServing/StageQueue.cpp
@@ -28,8 +28,8 @@
 static double
 PiecesPerSecond(StagePool const& aPool)
 {
-  std::chrono::duration<double> const full = CallTime(aPool.limits, aPool.limits.batch);
-  return UsableEndpoints(aPool) * aPool.limits.slots * aPool.limits.batch / std::max(0.001, full.count());
+  double const full = Seconds(CallTime(aPool.limits, aPool.limits.batch));
+  return UsableEndpoints(aPool) * aPool.limits.slots * aPool.limits.batch / std::max(0.001, full);
 }
 
 /// Orders are served by this: those that can no longer be on time after all that can, as serving them costs the others
@@ -98,10 +98,16 @@
   return aReady + (late ? OverloadForecast(aPool, aNow) : Duration::zero()) > aOrder.deadline;
 }
 
+static Duration
+RetryAfter(StagePool const& aPool, Duration aExpectedWait, MonotonicTime aNow)
+{
+  return std::max(aExpectedWait, OverloadForecast(aPool, aNow));
+}
+
 Duration
 RetryAfter(StagePool const& aPool, StageOrder const& aOrder, MonotonicTime aNow)
 {
-  return std::max(ExpectedWait(aPool, aOrder, aNow), OverloadForecast(aPool, aNow));
+  return RetryAfter(aPool, ExpectedWait(aPool, aOrder, aNow), aNow);
 }
 
 std::optional<Duration>
@@ -111,7 +117,7 @@
   auto const ready = aNow + wait + CallTime(aPool.limits, std::min(aOrder.pieces, aPool.limits.batch)) + aOrder.later;
   if (!IsHopeless(aPool, aOrder, ready, kWaitReserve * wait, aNow))
     return std::nullopt;
-  return std::max(wait, OverloadForecast(aPool, aNow));
+  return RetryAfter(aPool, wait, aNow);
 }
 
 std::vector<StageOrderId>
--- a/Libraries/LibServing/StageQueue.h
+++ b/Libraries/LibServing/StageQueue.h
@@ -11,6 +11,10 @@
 Duration
 CallTime(StageLimits const& aLimits, std::size_t aPieces);
 
+/// How long an order would wait for its turn behind those that go before it.
+Duration
+ExpectedWait(StagePool const& aPool, StageOrder const& aOrder, MonotonicTime aNow);
+
 /// Orders with waiting pieces, the next to be served first. Notes the pool's backlog and whether it is overloaded.
 std::vector<StageOrderId>
 ServiceOrder(StagePool& aPool, MonotonicTime aNow);
