--- a/Services/hornbeamfront/RunFront.cpp
+++ b/Services/hornbeamfront/RunFront.cpp
@@ -1,6 +1,6 @@
 #include "RunFront.h"
 #include "ExitCodes.h"
-#include <csignal>
+#include "StopSignal.h"
 
 namespace Hornbeam {
 
@@ -52,17 +52,6 @@
   return nullptr;
 }
 
-/// Waits for SIGTERM and SIGINT on the loop.
-kj::Promise<void>
-AwaitSignal(FrontProcess& aProcess)
-{
-  auto& port = aProcess.loop.Io().unixEventPort;
-  return port.onSignal(SIGTERM).exclusiveJoin(port.onSignal(SIGINT)).then([&aProcess](siginfo_t&&) {
-    aProcess.front.Find<ShutdownService>(ServiceName::kShutdown).Begin();
-    aProcess.loop.Wake();
-  });
-}
-
 }
 
 int
@@ -87,7 +76,9 @@
     return kExitAddress;
   if (!process.peers.Listen(aSettings.peerAddress, process.front.Handlers()))
     return kExitAddress;
-  auto const signal = AwaitSignal(process).eagerlyEvaluate(nullptr);
+  auto const stop = AwaitStop(process.loop, [&] {
+                      process.front.Find<ShutdownService>(ServiceName::kShutdown).Begin();
+                    }).eagerlyEvaluate(nullptr);
   process.front.Start();
   PART_LOG("front") << aSettings.name << " serves callers on " << aSettings.callerAddress << ".";
   process.loop.Run();
--- a/Services/hornbeamfront/RunGateway.cpp
+++ b/Services/hornbeamfront/RunGateway.cpp
@@ -1,21 +1,11 @@
 #include "RunGateway.h"
 #include "ExitCodes.h"
-#include <csignal>
+#include "StopSignal.h"
 
 namespace Hornbeam {
 
 using namespace Gateway;
 
-static kj::Promise<void>
-AwaitStop(EventLoop& aLoop, GatewayFront& aFront)
-{
-  auto& port = aLoop.Io().unixEventPort;
-  return port.onSignal(SIGTERM).exclusiveJoin(port.onSignal(SIGINT)).then([&](siginfo_t&&) {
-    aFront.BeginDraining();
-    aLoop.Wake();
-  });
-}
-
 static kj::Promise<void>
 AwaitReload(EventLoop& aLoop, GatewayFront& aFront, std::string const& aFile)
 {
@@ -44,7 +34,7 @@
     FlushLog();
     return kExitAddress;
   }
-  auto const stop = AwaitStop(loop, front).eagerlyEvaluate(nullptr);
+  auto const stop = AwaitStop(loop, [&] { front.BeginDraining(); }).eagerlyEvaluate(nullptr);
   auto const reload = AwaitReload(loop, front, aFile).eagerlyEvaluate(nullptr);
   front.Start();
   loop.Run();
--- /dev/null
+++ b/Services/hornbeamfront/StopSignal.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/LibCore.h>
+#include <csignal>
+
+namespace Hornbeam {
+
+/// Runs aAction on the loop at SIGTERM or SIGINT, which must have been captured.
+inline kj::Promise<void>
+AwaitStop(EventLoop& aLoop, std::function<void()> aAction)
+{
+  auto& port = aLoop.Io().unixEventPort;
+  return port.onSignal(SIGTERM)
+    .exclusiveJoin(port.onSignal(SIGINT))
+    .then([&aLoop, aAction = kj::mv(aAction)](siginfo_t&&) {
+      aAction();
+      aLoop.Wake();
+    });
+}
+
+}
--- a/Services/hornbeamfront/main.cpp
+++ b/Services/hornbeamfront/main.cpp
@@ -4,18 +4,24 @@
 #include "RunFront.h"
 #include "RunGateway.h"
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <functional>
 #include <iostream>
 
 using namespace Hornbeam;
 
+/// Names the faults of the settings, or runs a front with them unless they are only to be checked.
+template<typename Settings>
 static int
-ServeOwnInterface(std::string const& aFile, bool aCheckOnly)
+Serve(std::string const& aFile,
+      bool aCheckOnly,
+      std::optional<Settings> const& aSettings,
+      std::vector<std::string> const& aFaults,
+      std::function<int(Settings const&)> const& aRun)
 {
-  std::vector<SettingsFault> faults;
-  auto const settings = LoadFrontSettings(aFile, faults);
-  if (!settings) {
-    for (auto const& fault : faults)
-      std::cerr << ToString(fault) << "\n";
+  if (!aSettings) {
+    for (auto const& fault : aFaults)
+      std::cerr << fault << "\n";
     return kExitSettings;
   }
   if (aCheckOnly) {
@@ -23,7 +29,17 @@
     return 0;
   }
   StartLogging("hornbeamfront");
-  return RunFront(*settings);
+  return aRun(*aSettings);
+}
+
+static int
+ServeOwnInterface(std::string const& aFile, bool aCheckOnly)
+{
+  std::vector<SettingsFault> faults;
+  auto const settings = LoadFrontSettings(aFile, faults);
+  std::vector<std::string> texts;
+  std::ranges::transform(faults, std::back_inserter(texts), [](auto const& aFault) { return ToString(aFault); });
+  return Serve<FrontSettings>(aFile, aCheckOnly, settings, texts, RunFront);
 }
 
 static int
@@ -31,17 +47,8 @@
 {
   std::vector<std::string> faults;
   auto const settings = Gateway::LoadGatewaySettings(aFile, faults);
-  if (!settings) {
-    for (auto const& fault : faults)
-      std::cerr << fault << "\n";
-    return kExitSettings;
-  }
-  if (aCheckOnly) {
-    std::cout << aFile << ": the settings are in order\n";
-    return 0;
-  }
-  StartLogging("hornbeamfront");
-  return RunGateway(*settings, aFile);
+  return Serve<Gateway::GatewaySettings>(
+    aFile, aCheckOnly, settings, faults, [&](auto const& aSettings) { return RunGateway(aSettings, aFile); });
 }
 
 int
