--- a/Tests/LibServing/StageLoad.cpp
+++ b/Tests/LibServing/StageLoad.cpp
@@ -50,7 +50,7 @@
     for (Duration time{ 0 }; time < aTime;) {
       bool const inBurst = time >= kind.burstBegin && time < kind.burstEnd;
       std::exponential_distribution<double> gap(kind.perSecond * (inBurst ? kind.burst : 1));
-      time += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(this->random)));
+      time += FromSeconds(gap(this->random));
       this->At(begin + time, [this, &kind] { this->Arrive(kind); });
     }
   }
@@ -140,10 +140,10 @@
 {
   for (auto const& call : aDecisions.calls) {
     auto const& limits = this->pools.at(aService).limits;
-    std::chrono::duration<double> const work = limits.callTime + limits.pieceTime * std::int64_t(call.pieces.size());
+    auto const work = limits.callTime + limits.pieceTime * std::int64_t(call.pieces.size());
     auto const slow = this->slowness.find(call.endpoint);
     double const factor = slow != this->slowness.end() && this->now < slow->second.until ? slow->second.factor : 1;
-    this->At(this->now + std::chrono::duration_cast<Duration>(work * factor) + 2 * kNetworkTime,
+    this->At(this->now + FromSeconds(Seconds(work) * factor) + 2 * kNetworkTime,
              [this, aService, call] { this->EndCall(aService, call); });
   }
   for (auto const& [address, handles] : aDecisions.frees)
--- /dev/null
+++ b/Tests/Platform/CallerRequest.cpp
@@ -0,0 +1,35 @@
+#include "CallerRequest.h"
+
+namespace Hornbeam::Testing {
+
+using namespace Gateway;
+
+OutgoingCall
+CallOf(CallerRequest const& aRequest, std::string const& aAddress, Duration aSlack)
+{
+  OutgoingCall call;
+  call.address = aAddress;
+  call.timeout = aRequest.patience + aSlack;
+  call.request.method = aRequest.method;
+  call.request.target = aRequest.target;
+  call.request.body = aRequest.body;
+  call.request.fields = { { "Host", "h.example" },
+                          { "Hornbeamfront-Request-Id", aRequest.id },
+                          { "Hornbeamfront-Deadline-Ms", std::to_string(Milliseconds(aRequest.patience)) },
+                          { "Authorization", "Bearer " + aRequest.key } };
+  call.request.fields.insert(call.request.fields.end(), aRequest.more.begin(), aRequest.more.end());
+  return call;
+}
+
+OutgoingCall
+QuestionTo(std::string const& aAddress, std::string const& aTarget)
+{
+  OutgoingCall call;
+  call.address = aAddress;
+  call.request.method = "GET";
+  call.request.target = aTarget;
+  call.request.fields = { { "Host", "front" } };
+  return call;
+}
+
+}
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -112,17 +112,6 @@
 {
   auto const answer = std::make_shared<CallerAnswer>();
   auto const began = this->clock.Now();
-  OutgoingCall call;
-  call.address = this->AddressOf(aFront, 0);
-  call.timeout = aRequest.patience + 2s;
-  call.request.method = aRequest.method;
-  call.request.target = aRequest.target;
-  call.request.body = aRequest.body;
-  call.request.fields = { { "Host", "h.example" },
-                          { "Hornbeamfront-Request-Id", aRequest.id },
-                          { "Hornbeamfront-Deadline-Ms", std::to_string(Milliseconds(aRequest.patience)) },
-                          { "Authorization", "Bearer " + aRequest.key } };
-  call.request.fields.insert(call.request.fields.end(), aRequest.more.begin(), aRequest.more.end());
   CallEvents events;
   events.onHead = [answer](ResponseHead const& aHead) {
     answer->status = aHead.status;
@@ -134,7 +123,7 @@
     answer->end = aEnd;
     answer->took = this->clock.Now() - began;
   };
-  auto const handle = this->callers.Send(std::move(call), std::move(events), aReuse);
+  auto const handle = this->callers.Send(CallOf(aRequest, this->AddressOf(aFront, 0), 2s), std::move(events), aReuse);
   if (aHandle != nullptr)
     *aHandle = handle;
   return answer;
@@ -151,22 +140,16 @@
 CallerAnswer
 PlatformWorld::Ask(unsigned aFront, unsigned aPort, std::string const& aTarget)
 {
-  auto const answer = std::make_shared<CallerAnswer>();
-  OutgoingCall call;
-  call.address = this->AddressOf(aFront, aPort);
-  call.request.method = "GET";
-  call.request.target = aTarget;
-  call.request.fields = { { "Host", "front" } };
-  CallEvents events;
-  events.onHead = [answer](ResponseHead const& aHead) { answer->status = aHead.status; };
-  events.onBody = [answer](std::string aPiece) { answer->body += aPiece; };
-  events.onEnd = [answer](CallEnd aEnd) {
-    answer->ended = true;
-    answer->end = aEnd;
+  CallerAnswer answer;
+  auto const done = [&answer](WholeResponse aResponse) {
+    answer.ended = true;
+    answer.end = aResponse.end;
+    answer.status = aResponse.status;
+    answer.body = std::move(aResponse.body);
   };
-  this->callers.Send(std::move(call), std::move(events), Reuse::Fresh);
-  this->RunUntil([&] { return answer->ended; });
-  return *answer;
+  SendWhole(this->callers, QuestionTo(this->AddressOf(aFront, aPort), aTarget), done, Reuse::Fresh);
+  this->RunUntil([&] { return answer.ended; });
+  return answer;
 }
 
 std::string
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallerRequest.h"
 #include "StandInEndpoint.h"
 #include "StandInStore.h"
 #include "StandInTable.h"
@@ -19,17 +20,6 @@
   Duration took{ 0 };
 };
 
-struct CallerRequest
-{
-  std::string method{ "POST" };
-  std::string target{ "/plain/x" };
-  std::string id{ "r1" };
-  std::string key{ "key-1" };
-  std::string body{ "hello" };
-  Duration patience{ 3s };
-  Gateway::HeaderFields more;
-};
-
 /// Fronts, the store and endpoints on loopback, all on one loop in real time.
 class PlatformWorld
 {
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -24,8 +24,7 @@
 static std::string
 FieldOf(Exchange const& aExchange, std::string_view aName)
 {
-  auto const* const found = FindField(aExchange.Request().fields, aName);
-  return found == nullptr ? "" : *found;
+  return FieldValue(aExchange.Request().fields, aName);
 }
 
 void
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -76,8 +76,8 @@
   EndFrontsOnSignals();
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = google::GLOG_ERROR;
-  settings.time = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-  auto const gap = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(gapMs));
+  settings.time = FromSeconds(seconds);
+  auto const gap = FromSeconds(gapMs / 1000);
   auto const directory = settings.directory;
   std::vector<unsigned> failed;
   auto const firstPort = settings.firstPort;
--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -1,6 +1,8 @@
 #include "SoakCallers.h"
+#include <Platform/CallerRequest.h>
 #include <Platform/StandInTable.h>
 #include <iostream>
+#include <sstream>
 
 namespace Hornbeam::Testing {
 
@@ -32,24 +34,20 @@
   request->front = aFront;
   request->sent = this->world.clock.Now();
   this->requests.push_back(request);
-  OutgoingCall call;
-  call.address = this->world.fronts[aFront]->Addresses().callers;
-  call.timeout = kPatience + kAnswerSlack;
-  call.request.method = aKind == SoakRequestKind::Safe ? "GET" : "POST";
-  call.request.target = kTargets[static_cast<unsigned>(aKind)];
-  call.request.body = aKind == SoakRequestKind::Safe ? "" : "body of " + request->id;
-  call.request.fields = { { "Host", "h.example" },
-                          { "Hornbeamfront-Request-Id", request->id },
-                          { "Hornbeamfront-Deadline-Ms", std::to_string(Milliseconds(kPatience)) },
-                          { "Authorization", "Bearer key-1" } };
+  CallerRequest asked;
+  asked.method = aKind == SoakRequestKind::Safe ? "GET" : "POST";
+  asked.target = kTargets[static_cast<unsigned>(aKind)];
+  asked.id = request->id;
+  asked.body = aKind == SoakRequestKind::Safe ? "" : "body of " + request->id;
+  asked.patience = kPatience;
   if (aKind >= SoakRequestKind::Model) {
     auto const session = std::to_string(this->random() % 20);
-    call.request.fields.push_back({ "Hornbeamfront-Prefix-Hash", "aa:10,bb" + session + ":20,cc:5" });
-    call.request.fields.push_back({ "Hornbeamfront-Token-Usage", "35,9" });
+    asked.more = { { "Hornbeamfront-Prefix-Hash", "aa:10,bb" + session + ":20,cc:5" },
+                   { "Hornbeamfront-Token-Usage", "35,9" } };
   }
   if (aKind == SoakRequestKind::Staged) {
-    call.request.fields.push_back({ "Hornbeamfront-Chunks", "2,3" });
-    call.request.fields.push_back({ "Hornbeamfront-Chunk-Key", "chunk-" + request->id });
+    asked.more.emplace_back("Hornbeamfront-Chunks", "2,3");
+    asked.more.emplace_back("Hornbeamfront-Chunk-Key", "chunk-" + request->id);
   }
   CallEvents events;
   events.onHead = [request](ResponseHead const& aHead) { request->status = aHead.status; };
@@ -59,7 +57,8 @@
     request->end = aEnd;
     request->endedAt = this->world.clock.Now();
   };
-  this->connections.Send(std::move(call), std::move(events));
+  auto const& address = this->world.fronts[aFront]->Addresses().callers;
+  this->connections.Send(CallOf(asked, address, kAnswerSlack), std::move(events));
 }
 
 void
@@ -165,14 +164,10 @@
     for (auto const& seen : endpoint.standIn->seen) {
       runs[seen.id] += seen.ran ? 1 : 0;
       // Results are named after their request, in the inputs of requests and of later pieces.
-      auto const* inputs = FindField(seen.fields, "Hornbeamfront-Inputs");
       std::vector<std::string> handles;
-      if (inputs != nullptr)
-        for (std::size_t begin = 0; begin < inputs->size();) {
-          auto const end = std::min(inputs->find(',', begin), inputs->size());
-          handles.push_back(inputs->substr(begin, end - begin));
-          begin = end + 1;
-        }
+      std::istringstream inputs(FieldValue(seen.fields, "Hornbeamfront-Inputs"));
+      for (std::string handle; std::getline(inputs, handle, ',');)
+        handles.push_back(handle);
       if (endpoint.service == "rank") {
         auto const item = nlohmann::json::parse(seen.body, nullptr, false);
         for (auto const& input : item.value("inputs", nlohmann::json::array()))
@@ -193,17 +188,14 @@
 std::uint64_t
 SoakCallers::TableVersionAt(unsigned aFront)
 {
-  OutgoingCall call;
-  call.address = this->world.fronts[aFront]->Addresses().metrics;
-  call.request.method = "GET";
-  call.request.target = "/beliefs";
-  call.request.fields = { { "Host", "front" } };
   std::string body;
   bool ended = false;
-  CallEvents events;
-  events.onBody = [&](std::string aPiece) { body += aPiece; };
-  events.onEnd = [&](CallEnd) { ended = true; };
-  this->connections.Send(std::move(call), std::move(events), Reuse::Fresh);
+  auto const done = [&](WholeResponse aResponse) {
+    body = std::move(aResponse.body);
+    ended = true;
+  };
+  auto const& address = this->world.fronts[aFront]->Addresses().metrics;
+  SendWhole(this->connections, QuestionTo(address, "/beliefs"), done, Reuse::Fresh);
   while (!ended)
     this->world.RunFor(5ms);
   auto const beliefs = nlohmann::json::parse(body, nullptr, false);
