Meta: Share the start and end of measured processes

measure-control.sh printed fronts' log lines among its figures, since logs go to standard output; they go to files again.

--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -5,17 +5,9 @@
 cd "$(dirname "$0")/.."
 fronts=$1
 accounts=$2
-work=$(mktemp -d)
-pids=()
-stop_all() {
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap stop_all EXIT
+source Meta/measured-processes.sh
 
-Build/stand-in-platform --address 127.0.0.1:21000 2>/dev/null &
-pids+=($!)
+start Build/stand-in-platform --address 127.0.0.1:21000 2>/dev/null
 for number in $(seq 1 "$fronts"); do
   cat >"$work/$number.yaml" <<SETTINGS
 name: front-$number
@@ -28,8 +20,7 @@
 store:
   address: 127.0.0.1:21000
 SETTINGS
-  Build/hornbeamfront --settings "$work/$number.yaml" 2>"$work/$number.log" &
-  pids+=($!)
+  start Build/hornbeamfront --settings "$work/$number.yaml" >"$work/$number.log" 2>&1
 done
 export HORNBEAM_TOKEN=measure-token HORNBEAM_ADDRESS=127.0.0.1:21501
 for _ in $(seq 1 600); do
--- a/Meta/measure-hop.sh
+++ b/Meta/measure-hop.sh
@@ -2,20 +2,11 @@
 # Measures the hop: wrk against one stand-in endpoint directly, and through one front. Needs wrk.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-work=$(mktemp -d)
-pids=()
-stop_all() {
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap stop_all EXIT
+source Meta/measured-processes.sh
 
-Build/stand-in-platform --address 127.0.0.1:22000 2>/dev/null &
-pids+=($!)
-Build/stand-in-endpoint --address 127.0.0.1:22001 --service-ms 0 --warm-capacity 10000 --cold-capacity 10000 --starts-warm \
-  2>/dev/null &
-pids+=($!)
+start Build/stand-in-platform --address 127.0.0.1:22000 2>/dev/null
+start Build/stand-in-endpoint --address 127.0.0.1:22001 --service-ms 0 --warm-capacity 10000 --cold-capacity 10000 \
+  --starts-warm 2>/dev/null
 cat >"$work/front.yaml" <<'SETTINGS'
 name: front-1
 deployment: hop
@@ -27,8 +18,7 @@
 store:
   address: 127.0.0.1:22000
 SETTINGS
-Build/hornbeamfront --settings "$work/front.yaml" 2>/dev/null &
-pids+=($!)
+start Build/hornbeamfront --settings "$work/front.yaml" >/dev/null 2>&1
 cat >"$work/table.yaml" <<'TABLE'
 rows:
   data-center/dc-1: { state: in }
