Tests: Make the example end with 0 and the process tests see what they check

StoreDown.sh did not read the table after the refused edit. EvictKeys forgot the eviction time of a key whose request still ran.

--- a/Libraries/LibRequests/IdempotencyKey.cpp
+++ b/Libraries/LibRequests/IdempotencyKey.cpp
@@ -91,16 +91,17 @@
 void
 EvictKeys(KeyLedger& aLedger, WallTime aNow)
 {
-  while (!aLedger.evictionOrder.empty() && aLedger.evictionOrder.begin()->first <= aNow) {
-    for (auto const& key : aLedger.evictionOrder.begin()->second) {
-      auto const found = aLedger.entries.find(key);
-      // The entry of a running request is kept.
-      // FIXME: Its eviction time is erased below, so once the request has completed, the entry is never removed.
-      bool const running = found != aLedger.entries.end() && !found->second.response;
-      if (!running)
-        aLedger.entries.erase(key);
-    }
-    aLedger.evictionOrder.erase(aLedger.evictionOrder.begin());
+  auto& order = aLedger.evictionOrder;
+  for (auto due = order.begin(); due != order.end() && due->first <= aNow;) {
+    // The entry of a running request is kept and examined again on the next call.
+    std::erase_if(due->second, [&](std::string const& aKey) {
+      auto const found = aLedger.entries.find(aKey);
+      if (found != aLedger.entries.end() && !found->second.response)
+        return false;
+      aLedger.entries.erase(aKey);
+      return true;
+    });
+    due = due->second.empty() ? order.erase(due) : std::next(due);
   }
 }
 
--- a/Meta/run-example.sh
+++ b/Meta/run-example.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+build=${HORNBEAM_BUILD:-Build}
 logs=$(mktemp -d)
 pids=()
 stop_all() {
@@ -27,22 +28,22 @@
   exit 1
 }
 
-start platform Build/stand-in-platform --address 127.0.0.1:18000
+start platform "$build"/stand-in-platform --address 127.0.0.1:18000
 for stage in encode:10:1 retrieve:15:2 rerank:20:3 redemption:10:4 ; do
   IFS=: read -r name service digit <<<"$stage"
-  start "$name" Build/stand-in-endpoint --service-ms "$service" --warm-capacity 16 --cold-capacity 4 \
+  start "$name" "$build"/stand-in-endpoint --service-ms "$service" --warm-capacity 16 --cold-capacity 4 \
     --address "127.0.0.1:184$([ "$digit" = 4 ] && echo 4 || echo $((digit - 1)))1" \
     --address "127.0.0.1:184$([ "$digit" = 4 ] && echo 4 || echo $((digit - 1)))2"
 done
-start generate Build/stand-in-endpoint --service-ms 120 --tokens 8 --warm-capacity 8 --cold-capacity 2 \
+start generate "$build"/stand-in-endpoint --service-ms 120 --tokens 8 --warm-capacity 8 --cold-capacity 2 \
   --address 127.0.0.1:18431 --address 127.0.0.1:18432 --address 127.0.0.1:18433
 for front in 1 2 3; do
-  start "front-$front" Build/hornbeamfront --settings "Base/example/front-$front.yaml"
+  start "front-$front" "$build"/hornbeamfront --settings "Base/example/front-$front.yaml"
 done
 
 export HORNBEAM_TOKEN=example-token HORNBEAM_ADDRESS=127.0.0.1:18301 HORNBEAM_CALLER_ADDRESS=127.0.0.1:18102
-holds_lease() { Build/hornbeamctl status | grep -q 'lease held'; }
-three_fronts() { [ "$(Build/hornbeamctl status | grep -c serving)" = 3 ]; }
+holds_lease() { "$build"/hornbeamctl status | grep -q 'lease held'; }
+three_fronts() { [ "$("$build"/hornbeamctl status | grep -c serving)" = 3 ]; }
 wait_for "the first front" holds_lease
 wait_for "the membership of three fronts" three_fronts
 wait_for "the lease of three fronts" holds_lease
@@ -53,7 +54,7 @@
 echo "== ten requests through encode, retrieve, rerank, generate"
 completed=0
 for number in $(seq 1 10); do
-  if Build/hornbeamctl request tasting-notes --account brewers --input "cellar log $number"; then
+  if "$build"/hornbeamctl request tasting-notes --account brewers --input "cellar log $number"; then
     completed=$((completed + 1))
   fi
 done
@@ -65,7 +66,7 @@
 echo "== status of the fronts"
 Build/hornbeamctl status
 echo "== decisions of the fronts (the last lines of their logs)"
-grep -hE 'routing:|grants:|membership:|configuration:' "$logs"/front-*.log | sort -k2 | tail -15
+grep -hE 'routing:|grants:|membership:|configuration:' "$logs"/front-*.out | sort -k2 | tail -15
 echo "== deadline attainment: $completed of 10 requests completed within their deadline"
 rm -rf "$logs"
 [ "$completed" -eq 10 ]
--- a/Tests/LibRequests/RequestTests.cpp
+++ b/Tests/LibRequests/RequestTests.cpp
@@ -128,6 +128,21 @@
   EXPECT_EQ(ClaimKey(ledger, "k", key, 1, 15, kWall + 3600s).verdict, KeyVerdict::Expired);
 }
 
+// A request that still runs when its key is due for eviction must not leave its entry in memory for good.
+TEST(KeyLedger, EvictsTheKeyOfALongRequestOnceItHasCompleted)
+{
+  KeyLedger ledger;
+  ClaimKey(ledger, "k", KeyUntil(kWall + 60s), 1, 11, kWall);
+  EvictKeys(ledger, kWall + 3600s);
+  ASSERT_EQ(ledger.entries.size(), 1U);
+  PipelineResponse response;
+  response.output = "o";
+  CompleteKey(ledger, "k", response);
+  EvictKeys(ledger, kWall + 3601s);
+  EXPECT_TRUE(ledger.entries.empty());
+  EXPECT_TRUE(ledger.evictionOrder.empty());
+}
+
 TEST(KeyLedger, AllowsARetryOnlyIfTheRequestCertainlyDidNotRun)
 {
   KeyLedger ledger;
--- a/Tests/Processes/Cluster.sh
+++ b/Tests/Processes/Cluster.sh
@@ -19,13 +19,15 @@
 start() { # name, command
   local name=$1
   shift
-  "$@" >>"$logs/$name.out" 2>>"$logs/$name.log" &
+  # In a session of its own: the kernel sends SIGHUP to a stopped process whose process group loses its last parent.
+  setsid "$@" >>"$logs/$name.out" 2>>"$logs/$name.log" &
   pids[$name]=$!
 }
 
 fail() {
   echo "FAILED: $*" >&2
-  tail -n 20 "$logs"/front-*.log >&2 || true
+  # Fronts log to standard output; standard error holds the messages of crashes.
+  tail -n 20 "$logs"/front-*.out "$logs"/front-*.log >&2 || true
   exit 1
 }
 
--- a/Tests/Processes/StoreDown.sh
+++ b/Tests/Processes/StoreDown.sh
@@ -10,6 +10,8 @@
 code=0
 "$build/hornbeamctl" data-center out viti-2 >"$logs/edit" 2>&1 || code=$?
 [ "$code" = 4 ] || fail "edit during the outage: exit code $code, expected 4: $(cat "$logs/edit")"
+cell=$("$build/hornbeamctl" table get data-center/viti-2)
+grep -q state=out <<<"$cell" && fail "the refused edit changed the table: $cell"
 set_fault 127.0.0.1:18000 '{"mode":"none"}' >/dev/null
 edit_works() { "$build/hornbeamctl" data-center out viti-2; }
 wait_for 60 "an edit after the outage" edit_works
