LibRpc: Request a peer's capability once for each connection

Cause: a front ended by SIGABRT ("already shut down", thrown by Cap'n Proto in a destructor) in Platform.KeepsTheOwnerOfAStageWhenConnectionsAreReset once fronts also polled each other. ClientOf() requested the bootstrap capability for each call; a request on a connection that the peer had closed, before the notification of its end had been handled, throws where it cannot be caught. The stack trace shows bootstrap() below ClientOf(). Jobs and probes could meet it as well, more rarely. Change: the capability is requested when the connection is established; calls on the capability of a closed connection merely fail.

--- a/Libraries/LibRpc/RpcConnections.h
+++ b/Libraries/LibRpc/RpcConnections.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
 
 namespace Hornbeam {
@@ -19,6 +20,9 @@
   {
     kj::Own<kj::AsyncIoStream> stream;
     kj::Own<capnp::TwoPartyClient> client;
+    /// Requested once per connection: a request on a connection that the peer has just closed ends the process, as Cap'n
+    /// Proto then throws in a destructor. Calls on the capability of a closed connection merely fail.
+    std::optional<typename Interface::Client> server;
     /// Callbacks to run when the connection is dropped, keyed by an identifier that the connection's user chooses.
     std::map<std::uint64_t, std::function<void()>> whenDropped;
   };
@@ -59,6 +63,7 @@
           connection->stream = kj::mv(aStream);
           SetUpStream(*connection->stream);
           connection->client = kj::heap<capnp::TwoPartyClient>(*connection->stream);
+          connection->server = connection->client->bootstrap().template castAs<Interface>();
           this->DropWhenClosed(aAddress, connection);
         }
         return connection;
@@ -69,8 +74,8 @@
   /// promise.
   static typename Interface::Client ClientOf(Connection& aConnection)
   {
-    KJ_REQUIRE(aConnection.client.get() != nullptr, "the connection was dropped");
-    return aConnection.client->bootstrap().template castAs<Interface>();
+    KJ_REQUIRE(aConnection.server.has_value(), "the connection was dropped");
+    return *aConnection.server;
   }
 
   /// Closes a connection on the next iteration of the event loop, because its own callbacks may be running now.
@@ -138,6 +143,7 @@
   static void Close(Connection& aConnection)
   {
     // Cap'n Proto throws when it shuts down a connection that the peer has already closed.
+    kj::runCatchingExceptions([&] { aConnection.server.reset(); });
     kj::runCatchingExceptions([&] { aConnection.client = nullptr; });
     kj::runCatchingExceptions([&] { aConnection.stream = nullptr; });
   }
