--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -16,6 +16,7 @@
   , peers(aKernel.Find<FrontPeers>(GatewayName::kPeers))
   , stageOwner(aKernel.Find<StageOwnerService>(GatewayName::kStageOwner))
   , proxy(aKernel.Find<ProxyService>(GatewayName::kProxy))
+  , relay(aKernel.Find<RelayService>(GatewayName::kRelay))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
 {
 }
@@ -86,6 +87,8 @@
   target.SetGauge("fronts", double(this->stateCache.Fronts().byName.size()));
   target.SetGauge("requests_active", double(this->proxy.ActiveRequests()));
   target.SetGauge("store_calls", double(this->store.Calls()));
+  target.SetGauge("watches_store", this->relay.Use() == StoreUse::None ? 0 : 1);
+  target.SetGauge("followers", double(this->relay.Followers()));
   target.SetGauge("peer_calls", double(this->peers.Calls()));
   target.SetGauge("endpoint_calls", double(this->connections.Usage().calls));
   target.SetGauge("endpoint_connections_made", double(this->connections.Usage().connectionsMade));
@@ -104,7 +107,9 @@
   json result;
   result["name"] = this->settings.name;
   result["table_version"] = this->stateCache.Table() ? this->stateCache.Table()->version : 0;
-  result["store_reached"] = this->stateCache.IsStoreReachable();
+  result["store_reached"] = this->stateCache.IsCurrent();
+  result["watches_store"] = this->relay.Use() != StoreUse::None;
+  result["followers"] = this->relay.Followers();
   result["age_ms"] = Milliseconds(this->stateCache.Age());
   result["leaving"] = this->draining;
   result["data_centers_out"] = this->stateCache.Endpoints().dataCentersOutOfRotation;
--- a/Libraries/LibGateway/DirectoryService.h
+++ b/Libraries/LibGateway/DirectoryService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "PresenceService.h"
 #include "ProxyService.h"
+#include "RelayService.h"
 
 namespace Hornbeam::Gateway {
 
@@ -31,6 +31,7 @@
   FrontPeers& peers;
   StageOwnerService& stageOwner;
   ProxyService& proxy;
+  RelayService& relay;
   GatewayMetrics& metrics;
   bool draining{ false };
 };
--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -71,12 +71,93 @@
   return static_cast<StageEnd>(aWire);
 }
 
+/// What the server of a front calls. KJ may drop calls in flight as late as when its event loop is destroyed, after the
+/// front's services.
+struct ServedFront
+{
+  FrontPeerHandlers handlers;
+  /// Cleared when the front is destroyed.
+  bool alive{ true };
+};
+
+/// Connects a call's result to a callback, which may run after the call has been dropped.
+template<typename Result>
+struct CallResult
+{
+  CallResult()
+    : CallResult(kj::newPromiseAndFulfiller<Result>())
+  {
+  }
+
+  /// Returns the callback that ends the call.
+  auto Callback() const
+  {
+    return [fulfiller = this->fulfiller, ended = this->ended](Result aResult) {
+      *ended = true;
+      (*fulfiller)->fulfill(kj::mv(aResult));
+    };
+  }
+
+  /// Returns an action that cancels the work unless the call or the front has ended.
+  auto CancelUnlessEnded(CancelAction aCancel, std::shared_ptr<ServedFront> aFront) const
+  {
+    return kj::defer([cancel = std::move(aCancel), ended = this->ended, front = std::move(aFront)] {
+      if (!*ended && front->alive)
+        cancel();
+    });
+  }
+
+  kj::Promise<Result> promise;
+  std::shared_ptr<kj::Own<kj::PromiseFulfiller<Result>>> fulfiller;
+  std::shared_ptr<bool> ended{ std::make_shared<bool>(false) };
+
+private:
+  explicit CallResult(kj::PromiseFulfillerPair<Result> aPair)
+    : promise(kj::mv(aPair.promise))
+    , fulfiller(std::make_shared<kj::Own<kj::PromiseFulfiller<Result>>>(kj::mv(aPair.fulfiller)))
+  {
+  }
+};
+
+void
+WriteUpdate(FollowResponse::KindUpdate const& aUpdate, Wire::RelayedUpdate::Builder aWire)
+{
+  aWire.setKind(std::uint8_t(aUpdate.kind));
+  aWire.setComplete(aUpdate.update.complete);
+  aWire.setFrom(aUpdate.update.from);
+  aWire.setTo(aUpdate.update.to);
+  aWire.setReaderLimit(aUpdate.update.readerLimit);
+  auto const& objects = aUpdate.update.objects;
+  auto wireObjects = aWire.initObjects(unsigned(objects.size()));
+  for (unsigned index = 0; index < objects.size(); ++index) {
+    wireObjects[index].setName(objects[index].name);
+    wireObjects[index].setRevision(objects[index].revision);
+    if (objects[index].document)
+      wireObjects[index].setDocument(*objects[index].document);
+  }
+}
+
+FollowResponse::KindUpdate
+ReadUpdate(Wire::RelayedUpdate::Reader aWire)
+{
+  FollowResponse::KindUpdate result{
+    aWire.getKind(), { aWire.getComplete(), aWire.getFrom(), aWire.getTo(), {}, aWire.getReaderLimit() }
+  };
+  for (auto const object : aWire.getObjects()) {
+    LoggedObject logged{ object.getName().cStr(), object.getRevision(), std::nullopt };
+    if (object.getDocument().size() > 0)
+      logged.document = object.getDocument().cStr();
+    result.update.objects.push_back(std::move(logged));
+  }
+  return result;
+}
+
 class PeerServer final : public Wire::GatewayPeer::Server
 {
 public:
-  PeerServer(EventLoop& aLoop, FrontPeerHandlers const& aHandlers)
+  PeerServer(EventLoop& aLoop, std::shared_ptr<ServedFront> aFront)
     : loop(aLoop)
-    , handlers(aHandlers)
+    , front(std::move(aFront))
   {
   }
 
@@ -86,19 +167,10 @@
     RemoteStageJob job{ wire.getService().cStr(), ReadJob(wire, this->loop.RuntimeClock().Now()) };
     aContext.releaseParams();
     aContext.allowCancellation();
-    auto pair = kj::newPromiseAndFulfiller<StageResult>();
-    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<StageResult>>>(kj::mv(pair.fulfiller));
-    auto const ended = std::make_shared<bool>(false);
-    auto cancel = this->handlers.runStage(std::move(job), [fulfiller, ended](StageResult aResult) {
-      *ended = true;
-      (*fulfiller)->fulfill(kj::mv(aResult));
-    });
+    CallResult<StageResult> result;
+    auto cancel = this->Handlers().runStage(std::move(job), result.Callback());
     this->loop.Wake();
-    auto cancelUnlessEnded = [cancel = std::move(cancel), ended] {
-      if (!*ended)
-        cancel();
-    };
-    return pair.promise
+    return result.promise
       .then([aContext](StageResult aResult) mutable {
         auto wireResult = aContext.getResults().initResult();
         wireResult.setEnd(static_cast<Wire::StageEnd>(aResult.end));
@@ -106,7 +178,7 @@
         wireResult.setBacklogUs(aResult.backlog.count());
         WriteStrings(aResult.handles, wireResult.initHandles(unsigned(aResult.handles.size())));
       })
-      .attach(kj::defer(kj::mv(cancelUnlessEnded)));
+      .attach(result.CancelUnlessEnded(std::move(cancel), this->front));
   }
 
   kj::Promise<void> releaseResults(ReleaseResultsContext aContext) override
@@ -114,20 +186,20 @@
     std::vector<std::string> handles;
     for (auto const handle : aContext.getParams().getHandles())
       handles.emplace_back(handle.cStr());
-    this->handlers.releaseResults(aContext.getParams().getService().cStr(), handles);
+    this->Handlers().releaseResults(aContext.getParams().getService().cStr(), handles);
     this->loop.Wake();
     return kj::READY_NOW;
   }
 
   kj::Promise<void> ping(PingContext aContext) override
   {
-    aContext.getResults().setIncarnation(this->handlers.incarnation());
+    aContext.getResults().setIncarnation(this->Handlers().incarnation());
     return kj::READY_NOW;
   }
 
   kj::Promise<void> knownObjects(KnownObjectsContext aContext) override
   {
-    auto const objects = this->handlers.cachedObjects();
+    auto const objects = this->Handlers().cachedObjects();
     auto wire = aContext.getResults().initObjects(unsigned(objects.size()));
     for (unsigned index = 0; index < objects.size(); ++index) {
       wire[index].setKind(std::uint8_t(objects[index].kind));
@@ -136,9 +208,40 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> follow(FollowContext aContext) override
+  {
+    FollowRequest request;
+    for (auto const revision : aContext.getParams().getRevisions())
+      request.revisions.push_back(revision);
+    request.wait = Duration(aContext.getParams().getWaitUs());
+    aContext.releaseParams();
+    aContext.allowCancellation();
+    CallResult<FollowResponse> result;
+    auto cancel = this->Handlers().follow(std::move(request), result.Callback());
+    this->loop.Wake();
+    return result.promise
+      .then([aContext](FollowResponse aResponse) mutable {
+        auto wire = aContext.getResults();
+        wire.setAgeUs(aResponse.age.count());
+        wire.setReregistrationUs(aResponse.reregistrationTime.count());
+        wire.setWatching(aResponse.watchesStore);
+        auto updates = wire.initUpdates(unsigned(aResponse.updates.size()));
+        for (unsigned index = 0; index < aResponse.updates.size(); ++index)
+          WriteUpdate(aResponse.updates[index], updates[index]);
+      })
+      .attach(result.CancelUnlessEnded(std::move(cancel), this->front));
+  }
+
 private:
+  /// Throws if the front has been destroyed, which fails the call.
+  FrontPeerHandlers const& Handlers() const
+  {
+    KJ_REQUIRE(this->front->alive, "the front was destroyed");
+    return this->front->handlers;
+  }
+
   EventLoop& loop;
-  FrontPeerHandlers const& handlers;
+  std::shared_ptr<ServedFront> front;
 };
 
 }
@@ -190,7 +293,7 @@
   }
 
   EventLoop& loop;
-  FrontPeerHandlers handlers;
+  std::shared_ptr<ServedFront> served{ std::make_shared<ServedFront>() };
   RpcConnections<Wire::GatewayPeer> connections;
   std::set<std::string> scheduledProbes;
   std::map<std::uint64_t, kj::Promise<void>> jobPromises;
@@ -205,14 +308,17 @@
 {
 }
 
-FrontPeers::~FrontPeers() = default;
+FrontPeers::~FrontPeers()
+{
+  this->implementation->served->alive = false;
+}
 
 bool
 FrontPeers::Listen(std::string const& aAddress, FrontPeerHandlers aHandlers)
 {
   auto& self = *this->implementation;
-  self.handlers = std::move(aHandlers);
-  if (!ListenForRpc(self.loop, aAddress, kj::heap<PeerServer>(self.loop, self.handlers), self.receiver, self.server))
+  self.served->handlers = std::move(aHandlers);
+  if (!ListenForRpc(self.loop, aAddress, kj::heap<PeerServer>(self.loop, self.served), self.receiver, self.server))
     return false;
   self.serving = self.server->listen(*self.receiver).eagerlyEvaluate(nullptr);
   return true;
@@ -318,4 +424,30 @@
     aAddress, kFetchTimeout, kj::mv(call), std::move(aDone));
 }
 
+void
+FrontPeers::Follow(std::string const& aAddress,
+                   FollowRequest const& aRequest,
+                   std::function<void(std::optional<FollowResponse>)> aDone)
+{
+  ++this->calls;
+  auto call = [aRequest](Wire::GatewayPeer::Client& aClient) {
+    auto request = aClient.followRequest();
+    request.setWaitUs(aRequest.wait.count());
+    auto revisions = request.initRevisions(unsigned(aRequest.revisions.size()));
+    for (unsigned index = 0; index < aRequest.revisions.size(); ++index)
+      revisions.set(index, aRequest.revisions[index]);
+    return request.send().then([](auto&& aResponse) {
+      FollowResponse response;
+      response.age = Duration(aResponse.getAgeUs());
+      response.reregistrationTime = Duration(aResponse.getReregistrationUs());
+      response.watchesStore = aResponse.getWatching();
+      for (auto const update : aResponse.getUpdates())
+        response.updates.push_back(ReadUpdate(update));
+      return response;
+    });
+  };
+  this->implementation->connections.Run<FollowResponse>(
+    aAddress, aRequest.wait + kProbeTimeout, kj::mv(call), std::move(aDone));
+}
+
 }
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/LibCore.h>
+#include <LibRelay/LibRelay.h>
 #include <LibServing/LibServing.h>
 #include <memory>
 
@@ -20,6 +21,32 @@
   std::string document;
 };
 
+/// A poll of a relay by one of its followers.
+struct FollowRequest
+{
+  /// The follower's revision of each kind of object, in the order of the kinds.
+  std::vector<std::uint64_t> revisions;
+  /// How long to wait for a change.
+  Duration wait{ 0 };
+};
+
+struct FollowResponse
+{
+  struct KindUpdate
+  {
+    unsigned kind{ 0 };
+    ObjectUpdate update;
+  };
+  std::vector<KindUpdate> updates;
+  /// The age of the relay's state; zero while the relay watches the store.
+  Duration age{ 0 };
+  /// For how long endpoints that are missing in the store may merely have expired while it was unavailable.
+  Duration reregistrationTime{ 0 };
+  /// Whether the relay itself watches the store.
+  bool watchesStore{ false };
+};
+
+using FollowCallback = std::function<void(FollowResponse)>;
 using StageCallback = std::function<void(StageResult)>;
 using CancelAction = std::function<void()>;
 
@@ -31,6 +58,8 @@
   std::function<void(std::string const& aService, std::vector<std::string> const& aHandles)> releaseResults;
   std::function<std::int64_t()> incarnation;
   std::function<std::vector<CachedObject>()> cachedObjects;
+  /// Calls back exactly once unless cancelled; the returned action cancels the poll.
+  std::function<CancelAction(FollowRequest, FollowCallback)> follow;
 };
 
 /// Cap'n Proto RPC between fronts, on the event loop. Connections with jobs in flight are probed. A connection that
@@ -65,6 +94,11 @@
   void FetchCachedObjects(std::string const& aAddress,
                           std::function<void(std::optional<std::vector<CachedObject>>)> aDone);
 
+  /// Polls a relay. aDone receives nothing if the relay does not respond shortly after the request's wait.
+  void Follow(std::string const& aAddress,
+              FollowRequest const& aRequest,
+              std::function<void(std::optional<FollowResponse>)> aDone);
+
   std::uint64_t Calls() const { return this->calls; }
 
 private:
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -41,10 +41,32 @@
   document @1 :Text;
 }
 
+# The state of an object of the store. An empty document means that the object does not exist.
+struct RelayedObject {
+  name @0 :Text;
+  revision @1 :UInt64;
+  document @2 :Text;
+}
+
+# How the objects of one kind changed from one revision of the store to another.
+struct RelayedUpdate {
+  kind @0 :UInt8;
+  complete @1 :Bool;
+  from @2 :UInt64;
+  to @3 :UInt64;
+  objects @4 :List(RelayedObject);
+  readerLimit @5 :UInt64;
+}
+
 interface GatewayPeer {
   # Returns when all items are completed or the job is abandoned. Dropping the call cancels the job.
   makeStage @0 (order :StageOrder) -> (result :StageResult);
   releaseResults @1 (service :Text, handles :List(Text)) -> ();
   ping @2 () -> (incarnation :Int64);
   knownObjects @3 () -> (objects :List(KnownObject));
+  # Returns what is newer than the caller's revision of each kind, as soon as there is anything, or nothing after waitUs.
+  # ageUs is the age of the relay's state; reregistrationUs is for how long missing endpoints may merely have expired;
+  # watching is whether the relay itself watches the store.
+  follow @4 (revisions :List(UInt64), waitUs :Int64)
+      -> (updates :List(RelayedUpdate), ageUs :Int64, reregistrationUs :Int64, watching :Bool);
 }
--- a/Libraries/LibGateway/Gateway.capnp.c++
+++ b/Libraries/LibGateway/Gateway.capnp.c++
@@ -446,7 +446,211 @@
   0, 2, i_eb7f429b426794df, nullptr, nullptr, { &s_eb7f429b426794df, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<62> b_fcf92d53b3c3d6a5 = {
+static const ::capnp::_::AlignedData<65> b_f19ea63c42488bab = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    171, 139,  72,  66,  60, 166, 158, 241,
+     14,   0,   0,   0,   1,   0,   1,   0,
+     72, 144,  94, 124, 178, 246, 161, 211,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  82, 101,
+    108,  97, 121, 101, 100,  79,  98, 106,
+    101,  99, 116,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
+    110,  97, 109, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 118, 105, 115, 105, 111, 110,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 111,  99, 117, 109, 101, 110, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f19ea63c42488bab = b_f19ea63c42488bab.words;
+#if !CAPNP_LITE
+static const uint16_t m_f19ea63c42488bab[] = {2, 0, 1};
+static const uint16_t i_f19ea63c42488bab[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_f19ea63c42488bab = {
+  0xf19ea63c42488bab, b_f19ea63c42488bab.words, 65, nullptr, m_f19ea63c42488bab,
+  0, 3, i_f19ea63c42488bab, nullptr, nullptr, { &s_f19ea63c42488bab, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<114> b_fd49de7df2b14d99 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    153,  77, 177, 242, 125, 222,  73, 253,
+     14,   0,   0,   0,   1,   0,   4,   0,
+     72, 144,  94, 124, 178, 246, 161, 211,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  87,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  82, 101,
+    108,  97, 121, 101, 100,  85, 112, 100,
+     97, 116, 101,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    153,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   8,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    157,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    156,   0,   0,   0,   3,   0,   1,   0,
+    168,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    165,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    169,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    176,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    173,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    168,   0,   0,   0,   3,   0,   1,   0,
+    196,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    193,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    192,   0,   0,   0,   3,   0,   1,   0,
+    204,   0,   0,   0,   2,   0,   1,   0,
+    107, 105, 110, 100,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 109, 112, 108, 101, 116, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 114, 111, 109,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    111,  98, 106, 101,  99, 116, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    171, 139,  72,  66,  60, 166, 158, 241,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  97, 100, 101, 114,  76, 105,
+    109, 105, 116,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fd49de7df2b14d99 = b_fd49de7df2b14d99.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_fd49de7df2b14d99[] = {
+  &s_f19ea63c42488bab,
+};
+static const uint16_t m_fd49de7df2b14d99[] = {1, 2, 0, 4, 5, 3};
+static const uint16_t i_fd49de7df2b14d99[] = {0, 1, 2, 3, 4, 5};
+const ::capnp::_::RawSchema s_fd49de7df2b14d99 = {
+  0xfd49de7df2b14d99, b_fd49de7df2b14d99.words, 114, d_fd49de7df2b14d99, m_fd49de7df2b14d99,
+  1, 6, i_fd49de7df2b14d99, nullptr, nullptr, { &s_fd49de7df2b14d99, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<72> b_fcf92d53b3c3d6a5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     165, 214, 195, 179,  83,  45, 249, 252,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -456,47 +660,55 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   1,   0,   0,
-    201,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0,  71,   1,   0,   0,
+    241,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      71,  97, 116, 101, 119,  97, 121,  46,
      99,  97, 112, 110, 112,  58,  71,  97,
     116, 101, 119,  97, 121,  80, 101, 101,
     114,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     189, 251, 240, 213, 209, 155,   1, 234,
      88, 124,  82,  58,  45, 235,  69, 131,
-    113,   0,   0,   0,  82,   0,   0,   0,
+    145,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     244,  77, 139, 237, 159, 115, 117, 139,
     130,  26,  98,  69,  10, 225, 114, 245,
-     93,   0,   0,   0, 122,   0,   0,   0,
+    125,   0,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     158,  91, 252, 188, 194, 250, 243, 221,
     228, 173,  41, 233,  54, 204, 223, 246,
-     73,   0,   0,   0,  42,   0,   0,   0,
+    105,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,   7,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     192, 220,  74,  37,  44, 179, 224, 250,
      63, 234, 225, 169, 214, 190, 101, 140,
-     49,   0,   0,   0, 106,   0,   0,   0,
+     81,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      6,  79, 217, 229,  18, 239,  25, 176,
+     30,   5, 187,  39,  46, 173, 245, 236,
+     61,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,   7,   0,   0,   0,
+     49,   0,   0,   0,   7,   0,   0,   0,
     109,  97, 107, 101,  83, 116,  97, 103,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -508,6 +720,8 @@
     107, 110, 111, 119, 110,  79,  98, 106,
     101,  99, 116, 115,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    102, 111, 108, 108, 111, 119,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_fcf92d53b3c3d6a5 = b_fcf92d53b3c3d6a5.words;
@@ -516,16 +730,18 @@
   &s_8345eb2d3a527c58,
   &s_8b75739fed8b4df4,
   &s_8c65bed6a9e1ea3f,
+  &s_b019ef12e5d94f06,
   &s_ddf3fac2bcfc5b9e,
   &s_ea019bd1d5f0fbbd,
+  &s_ecf5ad2e27bb051e,
   &s_f572e10a45621a82,
   &s_f6dfcc36e929ade4,
   &s_fae0b32c254adcc0,
 };
-static const uint16_t m_fcf92d53b3c3d6a5[] = {3, 0, 2, 1};
+static const uint16_t m_fcf92d53b3c3d6a5[] = {4, 3, 0, 2, 1};
 const ::capnp::_::RawSchema s_fcf92d53b3c3d6a5 = {
-  0xfcf92d53b3c3d6a5, b_fcf92d53b3c3d6a5.words, 62, d_fcf92d53b3c3d6a5, m_fcf92d53b3c3d6a5,
-  8, 4, nullptr, nullptr, nullptr, { &s_fcf92d53b3c3d6a5, nullptr, nullptr, 0, 0, nullptr }
+  0xfcf92d53b3c3d6a5, b_fcf92d53b3c3d6a5.words, 72, d_fcf92d53b3c3d6a5, m_fcf92d53b3c3d6a5,
+  10, 5, nullptr, nullptr, nullptr, { &s_fcf92d53b3c3d6a5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_ea019bd1d5f0fbbd = {
@@ -866,6 +1082,170 @@
   1, 1, i_8c65bed6a9e1ea3f, nullptr, nullptr, { &s_8c65bed6a9e1ea3f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<53> b_b019ef12e5d94f06 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+      6,  79, 217, 229,  18, 239,  25, 176,
+     26,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  71,  97,
+    116, 101, 119,  97, 121,  80, 101, 101,
+    114,  46, 102, 111, 108, 108, 111, 119,
+     36,  80,  97, 114,  97, 109, 115,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     65,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     60,   0,   0,   0,   3,   0,   1,   0,
+     72,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 118, 105, 115, 105, 111, 110,
+    115,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119,  97, 105, 116,  85, 115,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b019ef12e5d94f06 = b_b019ef12e5d94f06.words;
+#if !CAPNP_LITE
+static const uint16_t m_b019ef12e5d94f06[] = {0, 1};
+static const uint16_t i_b019ef12e5d94f06[] = {0, 1};
+const ::capnp::_::RawSchema s_b019ef12e5d94f06 = {
+  0xb019ef12e5d94f06, b_b019ef12e5d94f06.words, 53, nullptr, m_b019ef12e5d94f06,
+  0, 2, i_b019ef12e5d94f06, nullptr, nullptr, { &s_b019ef12e5d94f06, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<86> b_ecf5ad2e27bb051e = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     30,   5, 187,  39,  46, 173, 245, 236,
+     26,   0,   0,   0,   1,   0,   3,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  74,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  71,  97,
+    116, 101, 119,  97, 121,  80, 101, 101,
+    114,  46, 102, 111, 108, 108, 111, 119,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    121,   0,   0,   0, 138,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    136,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0, 128,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    133,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    132,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
+    117, 112, 100,  97, 116, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    153,  77, 177, 242, 125, 222,  73, 253,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101,  85, 115,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 114, 101, 103, 105, 115, 116,
+    114,  97, 116, 105, 111, 110,  85, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119,  97, 116,  99, 104, 105, 110, 103,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ecf5ad2e27bb051e = b_ecf5ad2e27bb051e.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_ecf5ad2e27bb051e[] = {
+  &s_fd49de7df2b14d99,
+};
+static const uint16_t m_ecf5ad2e27bb051e[] = {1, 2, 0, 3};
+static const uint16_t i_ecf5ad2e27bb051e[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_ecf5ad2e27bb051e = {
+  0xecf5ad2e27bb051e, b_ecf5ad2e27bb051e.words, 86, d_ecf5ad2e27bb051e, m_ecf5ad2e27bb051e,
+  1, 4, i_ecf5ad2e27bb051e, nullptr, nullptr, { &s_ecf5ad2e27bb051e, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -898,6 +1278,22 @@
 constexpr ::capnp::_::RawSchema const* KnownObject::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// RelayedObject
+constexpr uint16_t RelayedObject::_capnpPrivate::dataWordSize;
+constexpr uint16_t RelayedObject::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RelayedObject::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RelayedObject::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// RelayedUpdate
+constexpr uint16_t RelayedUpdate::_capnpPrivate::dataWordSize;
+constexpr uint16_t RelayedUpdate::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RelayedUpdate::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RelayedUpdate::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::MakeStageParams,  ::Hornbeam::Wire::GatewayPeer::MakeStageResults>
 GatewayPeer::Client::makeStageRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -939,6 +1335,16 @@
       "Gateway.capnp:GatewayPeer", "knownObjects",
       0xfcf92d53b3c3d6a5ull, 3);
 }
+::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FollowParams,  ::Hornbeam::Wire::GatewayPeer::FollowResults>
+GatewayPeer::Client::followRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Hornbeam::Wire::GatewayPeer::FollowParams,  ::Hornbeam::Wire::GatewayPeer::FollowResults>(
+      0xfcf92d53b3c3d6a5ull, 4, sizeHint);
+}
+::kj::Promise<void> GatewayPeer::Server::follow(FollowContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Gateway.capnp:GatewayPeer", "follow",
+      0xfcf92d53b3c3d6a5ull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult GatewayPeer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -977,6 +1383,12 @@
              ::Hornbeam::Wire::GatewayPeer::KnownObjectsParams,  ::Hornbeam::Wire::GatewayPeer::KnownObjectsResults>(context)),
         false
       };
+    case 4:
+      return {
+        follow(::capnp::Capability::Server::internalGetTypedContext<
+             ::Hornbeam::Wire::GatewayPeer::FollowParams,  ::Hornbeam::Wire::GatewayPeer::FollowResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1056,6 +1468,22 @@
 constexpr ::capnp::_::RawSchema const* GatewayPeer::KnownObjectsResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// GatewayPeer::FollowParams
+constexpr uint16_t GatewayPeer::FollowParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t GatewayPeer::FollowParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GatewayPeer::FollowParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GatewayPeer::FollowParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// GatewayPeer::FollowResults
+constexpr uint16_t GatewayPeer::FollowResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t GatewayPeer::FollowResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GatewayPeer::FollowResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GatewayPeer::FollowResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -31,6 +31,8 @@
 CAPNP_DECLARE_ENUM(StageEnd, cc4fab35fa2d5159);
 CAPNP_DECLARE_SCHEMA(db4ac14a1a2326d3);
 CAPNP_DECLARE_SCHEMA(eb7f429b426794df);
+CAPNP_DECLARE_SCHEMA(f19ea63c42488bab);
+CAPNP_DECLARE_SCHEMA(fd49de7df2b14d99);
 CAPNP_DECLARE_SCHEMA(fcf92d53b3c3d6a5);
 CAPNP_DECLARE_SCHEMA(ea019bd1d5f0fbbd);
 CAPNP_DECLARE_SCHEMA(8345eb2d3a527c58);
@@ -40,6 +42,8 @@
 CAPNP_DECLARE_SCHEMA(f6dfcc36e929ade4);
 CAPNP_DECLARE_SCHEMA(fae0b32c254adcc0);
 CAPNP_DECLARE_SCHEMA(8c65bed6a9e1ea3f);
+CAPNP_DECLARE_SCHEMA(b019ef12e5d94f06);
+CAPNP_DECLARE_SCHEMA(ecf5ad2e27bb051e);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -94,6 +98,36 @@
   };
 };
 
+struct RelayedObject {
+  RelayedObject() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f19ea63c42488bab, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayedUpdate {
+  RelayedUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd49de7df2b14d99, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GatewayPeer {
   GatewayPeer() = delete;
 
@@ -110,6 +144,8 @@
   struct PingResults;
   struct KnownObjectsParams;
   struct KnownObjectsResults;
+  struct FollowParams;
+  struct FollowResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -239,6 +275,36 @@
   };
 };
 
+struct GatewayPeer::FollowParams {
+  FollowParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b019ef12e5d94f06, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GatewayPeer::FollowResults {
+  FollowResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ecf5ad2e27bb051e, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class StageOrder::Reader {
@@ -586,6 +652,208 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayedObject::Reader {
+public:
+  typedef RelayedObject Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedObject::Builder {
+public:
+  typedef RelayedObject Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedObject::Pipeline {
+public:
+  typedef RelayedObject Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayedUpdate::Reader {
+public:
+  typedef RelayedUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind() const;
+
+  inline bool getComplete() const;
+
+  inline  ::uint64_t getFrom() const;
+
+  inline  ::uint64_t getTo() const;
+
+  inline bool hasObjects() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
+
+  inline  ::uint64_t getReaderLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedUpdate::Builder {
+public:
+  typedef RelayedUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline  ::uint64_t getTo();
+  inline void setTo( ::uint64_t value);
+
+  inline bool hasObjects();
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Builder getObjects();
+  inline void setObjects( ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Builder initObjects(unsigned int size);
+  inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>> disownObjects();
+
+  inline  ::uint64_t getReaderLimit();
+  inline void setReaderLimit( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedUpdate::Pipeline {
+public:
+  typedef RelayedUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class GatewayPeer::Client
     : public virtual ::capnp::Capability::Client {
@@ -613,6 +881,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::KnownObjectsParams,  ::Hornbeam::Wire::GatewayPeer::KnownObjectsResults> knownObjectsRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FollowParams,  ::Hornbeam::Wire::GatewayPeer::FollowResults> followRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -645,6 +915,10 @@
   typedef  ::Hornbeam::Wire::GatewayPeer::KnownObjectsResults KnownObjectsResults;
   typedef ::capnp::CallContext<KnownObjectsParams, KnownObjectsResults> KnownObjectsContext;
   virtual ::kj::Promise<void> knownObjects(KnownObjectsContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::FollowParams FollowParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::FollowResults FollowResults;
+  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
+  virtual ::kj::Promise<void> follow(FollowContext context);
 
   inline  ::Hornbeam::Wire::GatewayPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1283,51 +1557,234 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class GatewayPeer::FollowParams::Reader {
+public:
+  typedef FollowParams Reads;
 
-inline bool StageOrder::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StageOrder::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StageOrder::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StageOrder::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void StageOrder::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool StageOrder::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool StageOrder::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StageOrder::Reader::getRequestId() const {
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
+
+  inline  ::int64_t getWaitUs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::FollowParams::Builder {
+public:
+  typedef FollowParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
+
+  inline  ::int64_t getWaitUs();
+  inline void setWaitUs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::FollowParams::Pipeline {
+public:
+  typedef FollowParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::FollowResults::Reader {
+public:
+  typedef FollowResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline  ::int64_t getReregistrationUs() const;
+
+  inline bool getWatching() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::FollowResults::Builder {
+public:
+  typedef FollowResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline  ::int64_t getReregistrationUs();
+  inline void setReregistrationUs( ::int64_t value);
+
+  inline bool getWatching();
+  inline void setWatching(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::FollowResults::Pipeline {
+public:
+  typedef FollowResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool StageOrder::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StageOrder::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StageOrder::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StageOrder::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StageOrder::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StageOrder::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -1699,6 +2156,192 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool RelayedObject::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedObject::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayedObject::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayedObject::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedObject::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayedObject::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedObject::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayedObject::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RelayedObject::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedObject::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedObject::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedObject::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedObject::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayedObject::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayedObject::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayedObject::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayedObject::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayedObject::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayedObject::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t RelayedUpdate::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RelayedUpdate::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedUpdate::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayedUpdate::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayedUpdate::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedUpdate::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayedUpdate::Reader::getTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedUpdate::Builder::getTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedUpdate::Reader::hasObjects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedUpdate::Builder::hasObjects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Reader RelayedUpdate::Reader::getObjects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Builder RelayedUpdate::Builder::getObjects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedUpdate::Builder::setObjects( ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Builder RelayedUpdate::Builder::initObjects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedUpdate::Builder::adoptObjects(
+    ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>> RelayedUpdate::Builder::disownObjects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RelayedUpdate::Reader::getReaderLimit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedUpdate::Builder::getReaderLimit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setReaderLimit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline GatewayPeer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1921,6 +2564,134 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayPeer::FollowParams::Reader::hasRevisions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::FollowParams::Builder::hasRevisions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GatewayPeer::FollowParams::Reader::getRevisions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayPeer::FollowParams::Builder::getRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::FollowParams::Builder::setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void GatewayPeer::FollowParams::Builder::setRevisions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayPeer::FollowParams::Builder::initRevisions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GatewayPeer::FollowParams::Builder::adoptRevisions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GatewayPeer::FollowParams::Builder::disownRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t GatewayPeer::FollowParams::Reader::getWaitUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GatewayPeer::FollowParams::Builder::getWaitUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::FollowParams::Builder::setWaitUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GatewayPeer::FollowResults::Reader::hasUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::FollowResults::Builder::hasUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader GatewayPeer::FollowResults::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder GatewayPeer::FollowResults::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::FollowResults::Builder::setUpdates( ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder GatewayPeer::FollowResults::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GatewayPeer::FollowResults::Builder::adoptUpdates(
+    ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>> GatewayPeer::FollowResults::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t GatewayPeer::FollowResults::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GatewayPeer::FollowResults::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::FollowResults::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GatewayPeer::FollowResults::Reader::getReregistrationUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GatewayPeer::FollowResults::Builder::getReregistrationUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::FollowResults::Builder::setReregistrationUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GatewayPeer::FollowResults::Reader::getWatching() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool GatewayPeer::FollowResults::Builder::getWatching() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::FollowResults::Builder::setWatching(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -31,6 +31,8 @@
   this->kernel.Provide(GatewayName::kStages, *this->stages);
   this->presence = std::make_unique<PresenceService>(this->kernel);
   this->kernel.Provide(GatewayName::kPresence, *this->presence);
+  this->relay = std::make_unique<RelayService>(this->kernel);
+  this->kernel.Provide(GatewayName::kRelay, *this->relay);
   this->proxy = std::make_unique<ProxyService>(this->kernel);
   this->kernel.Provide(GatewayName::kProxy, *this->proxy);
   this->directory = std::make_unique<DirectoryService>(this->kernel);
@@ -55,13 +57,16 @@
   handlers.releaseResults = [this](std::string const& aService, std::vector<std::string> const& aHandles) {
     this->stageOwner->Release(aService, aHandles);
   };
-  handlers.incarnation = [this] { return this->presence->Incarnation(); };
+  handlers.incarnation = [this] { return this->presence->OwnEntry().incarnation; };
   handlers.cachedObjects = [this] {
     std::vector<CachedObject> objects;
     for (auto& [kind, document] : this->stateCache->CachedObjects())
       objects.push_back({ unsigned(kind), std::move(document) });
     return objects;
   };
+  handlers.follow = [this](FollowRequest aRequest, FollowCallback aDone) {
+    return this->relay->Serve(std::move(aRequest), std::move(aDone));
+  };
   return handlers;
 }
 
@@ -103,9 +108,9 @@
 {
   PART_LOG("front") << "event=start name=" << this->settings.name << " data_center=" << this->settings.dataCenter
                     << " callers=" << this->settings.callerAddress << " store=" << this->settings.storeAddress
-                    << " incarnation=" << this->presence->Incarnation();
+                    << " incarnation=" << this->presence->OwnEntry().incarnation;
   this->stateCache->AddChangeListener([this] { this->ApplyCallerLimits(); });
-  this->stateCache->Start();
+  this->relay->Start();
   this->presence->Start();
 }
 
--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -8,8 +8,9 @@
 /// Watches that start within this time after a disconnect also last no longer than this time: if the store then drops
 /// its event history, a watch that is already waiting receives no changes. See Specifications/StoreWatch.pml.
 static constexpr Duration kShortWatchTime = 1s;
-/// Changes that closely follow each other are fetched in one batch, because each response costs every front a billed
-/// call. The delay must leave time to apply operators' changes and to stop using leaving endpoints within two seconds.
+/// Changes that closely follow each other are fetched in one batch, because each response costs every watching front a
+/// billed call. The delay must leave time to apply operators' changes and to stop using leaving endpoints within two
+/// seconds.
 static constexpr Duration kEventBatchDelay = 400ms;
 
 ObjectWatch::ObjectWatch(StoreClient& aStore, Clock& aClock, ObjectKind aKind, ObjectWatchEvents aEvents)
@@ -27,12 +28,35 @@
     this->lastResponseTime = this->clock.Now();
   if (aReachability == this->reachability)
     return;
+  bool const firstResponse =
+    this->reachability == StoreReachability::Unknown && aReachability == StoreReachability::Reachable;
   this->reachability = aReachability;
   if (aReachability == StoreReachability::Unreachable)
     PART_WARNING("store") << "event=unreachable kind=" << ToString(this->kind) << " revision=" << this->revision;
   else
     PART_LOG("store") << "event=reachable kind=" << ToString(this->kind) << " revision=" << this->revision;
-  this->events.onReachabilityChange(aReachability);
+  if (!firstResponse)
+    this->events.onReachabilityChange(aReachability);
+}
+
+void
+ObjectWatch::SetWatching(bool aWatching)
+{
+  if (aWatching == this->watching)
+    return;
+  this->watching = aWatching;
+  if (aWatching && !this->active) {
+    this->List();
+    return;
+  }
+  if (aWatching || this->revision == 0)
+    return;
+  ++this->currentCall;
+  if (this->retryTimer)
+    this->clock.Cancel(*this->retryTimer);
+  this->retryTimer.reset();
+  this->active = false;
+  this->reachability = StoreReachability::Unknown;
 }
 
 void
@@ -67,14 +91,17 @@
 void
 ObjectWatch::List()
 {
-  this->store.List(this->kind, [this](Platform::ObjectList aResponse) {
+  this->active = true;
+  this->store.List(this->kind, [this, call = ++this->currentCall](Platform::ObjectList aResponse) {
+    if (!this->IsCurrentCall(call))
+      return;
     if (aResponse.outcome != Platform::StoreOutcome::Done) {
       this->OnFailure("list", aResponse.outcome);
       return;
     }
     this->revision = aResponse.revision;
     this->OnResponse();
-    this->events.onList(std::move(aResponse.objects));
+    this->events.onList(aResponse.objects, aResponse.revision);
     this->Watch();
   });
 }
@@ -82,10 +109,15 @@
 void
 ObjectWatch::Watch()
 {
+  this->active = this->watching;
+  if (!this->watching)
+    return;
   auto const time = this->clock.Now() - this->lastDisconnectTime < kShortWatchTime ? kShortWatchTime : kWatchTime;
-  this->store.Watch(this->kind, this->revision, time, [this](Platform::ObjectEvents aResponse) {
-    this->OnEvents(std::move(aResponse));
-  });
+  auto const onResponse = [this, call = ++this->currentCall](Platform::ObjectEvents aResponse) {
+    if (this->IsCurrentCall(call))
+      this->OnEvents(std::move(aResponse));
+  };
+  this->store.Watch(this->kind, this->revision, time, onResponse);
 }
 
 void
@@ -103,17 +135,17 @@
       return;
   }
   this->OnResponse();
+  auto const from = this->revision;
   this->revision = std::max(this->revision, aResponse.revision);
-  for (auto& event : aResponse.events) {
-    if (event.removed)
-      this->events.onRemoved(std::move(event.object));
-    else
-      this->events.onChanged(std::move(event.object));
-  }
-  if (aResponse.events.empty())
+  if (aResponse.events.empty()) {
     this->Watch();
-  else
-    this->clock.Schedule(kEventBatchDelay, [this] { this->Watch(); });
+    return;
+  }
+  this->events.onEvents(aResponse.events, from, this->revision);
+  this->clock.Schedule(kEventBatchDelay, [this, call = this->currentCall] {
+    if (this->IsCurrentCall(call))
+      this->Watch();
+  });
 }
 
 }
--- a/Libraries/LibGateway/ObjectWatch.h
+++ b/Libraries/LibGateway/ObjectWatch.h
@@ -18,17 +18,20 @@
 /// Callbacks to the owner of a watch.
 struct ObjectWatchEvents
 {
-  /// Receives all objects of the kind, at startup, after failures and after a gap in the event history.
-  std::function<void(std::vector<StoredObject>)> onList;
-  std::function<void(StoredObject)> onChanged;
-  std::function<void(StoredObject)> onRemoved;
+  /// Receives all objects of the kind and their revision, at startup, after failures, after a gap in the event history
+  /// and when the watch is resumed.
+  std::function<void(std::vector<StoredObject> const&, std::uint64_t aRevision)> onList;
+  /// Receives changes between two revisions of the store.
+  std::function<void(std::vector<Platform::ObjectEvent> const&, std::uint64_t aFrom, std::uint64_t aTo)> onEvents;
+  /// Called when the store becomes unreachable, and when it is reachable again after that.
   std::function<void(StoreReachability)> onReachabilityChange;
   /// Called after a failed call; returns the delay before the next one.
   std::function<Duration()> onFailure;
   std::function<void()> onResponse;
 };
 
-/// Tracks all objects of one kind in the store: lists them once and then long-polls for changes.
+/// Tracks all objects of one kind in the store: lists them once and then, while watching is enabled, long-polls for
+/// changes.
 class ObjectWatch
 {
 public:
@@ -38,6 +41,9 @@
 
   void Start() { this->List(); }
 
+  /// Enables or disables the long polls. Disabling also stops retries, but not before the first list.
+  void SetWatching(bool aWatching);
+
   /// Retries immediately if a retry after a failure is pending.
   void RetryNow();
 
@@ -50,6 +56,7 @@
   MonotonicTime LastResponseTime() const { return this->lastResponseTime; }
 
 private:
+  bool IsCurrentCall(std::uint64_t aCall) const { return aCall == this->currentCall; }
   void List();
   void Watch();
   void OnEvents(Platform::ObjectEvents aResponse);
@@ -64,7 +71,13 @@
   StoreReachability reachability{ StoreReachability::Unknown };
   MonotonicTime lastResponseTime{};
   MonotonicTime lastDisconnectTime{};
+  /// Zero until the first list.
   std::uint64_t revision{ 0 };
+  bool watching{ true };
+  /// Set while a call, a retry or the next long poll is pending.
+  bool active{ false };
+  /// Identifies the call in flight; responses to earlier calls are ignored.
+  std::uint64_t currentCall{ 0 };
   /// Set while a retry after a failure is pending.
   std::optional<TimerId> retryTimer;
 };
--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -43,8 +43,7 @@
 void
 PresenceService::Register()
 {
-  if (this->registering || this->deregistering || !this->stateCache.IsInitialized() ||
-      !this->stateCache.IsStoreReachable())
+  if (this->registering || this->deregistering || !this->stateCache.IsInitialized() || !this->stateCache.IsCurrent())
     return;
   auto const known = this->stateCache.Fronts().byName.find(this->settings.name);
   bool const listed = known != this->stateCache.Fronts().byName.end();
@@ -133,7 +132,7 @@
 {
   auto& probeState = this->probeStates[aFront.name];
   SuspectFront(this->stateCache.Fronts(), aFront.name, this->clock.Now());
-  if (!this->stateCache.IsStoreReachable())
+  if (!this->stateCache.IsCurrent())
     this->possiblyIsolatedUntil = this->clock.Now() + kIsolationTime;
   if (this->clock.Now() < this->possiblyIsolatedUntil) {
     probeState.failures = 0;
@@ -176,8 +175,10 @@
     if (!aObjects || this->stateCache.IsInitialized())
       return;
     PART_LOG("presence") << "event=state-fetched-from-peer address=" << seed << " objects=" << aObjects->size();
-    for (auto const& object : *aObjects)
-      this->stateCache.ApplyFromPeer(static_cast<ObjectKind>(object.kind), object.document);
+    std::vector<std::pair<ObjectKind, std::string>> objects;
+    for (auto& object : *aObjects)
+      objects.emplace_back(static_cast<ObjectKind>(object.kind), std::move(object.document));
+    this->stateCache.ApplyFromSeed(objects);
   });
 }
 
--- a/Libraries/LibGateway/PresenceService.h
+++ b/Libraries/LibGateway/PresenceService.h
@@ -17,7 +17,7 @@
   /// Removes this front's entry from the store, so that callers and peers use other fronts.
   void Deregister();
 
-  std::int64_t Incarnation() const { return this->incarnation; }
+  FrontEntry const& OwnEntry() const { return this->ownEntry; }
 
 private:
   void Register();
--- /dev/null
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -0,0 +1,161 @@
+#include "RelayService.h"
+#include "GatewayNames.h"
+
+namespace Hornbeam::Gateway {
+
+static constexpr Duration kTickInterval = 250ms;
+static constexpr Duration kMaxPollTime = 5s;
+/// Changes of several kinds or from several sources that closely follow each other are sent together.
+static constexpr Duration kAnswerDelay = 20ms;
+/// Bounds the memory and the link of a relay; further followers choose another one.
+static constexpr std::size_t kMaxFollowers = 256;
+
+RelayService::RelayService(Kernel& aKernel)
+  : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
+  , stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
+  , clock(aKernel.Find<Clock>(GatewayName::kClock))
+  , peers(aKernel.Find<FrontPeers>(GatewayName::kPeers))
+  , presence(aKernel.Find<PresenceService>(GatewayName::kPresence))
+{
+  constexpr std::uint64_t kSteps = 1000;
+  this->fallbackSpread = kMaxFallbackSpread * std::int64_t(StableHash(this->settings.name) % kSteps) / kSteps;
+}
+
+void
+RelayService::UpdateRoles()
+{
+  this->roles =
+    AssignRoles(this->stateCache.Fronts(), this->presence.OwnEntry(), this->settings.seeds, this->clock.Now());
+}
+
+void
+RelayService::Start()
+{
+  // Without a known front, the seeds watch the store from the start and the others follow them.
+  this->UpdateRoles();
+  this->subscription.use = this->roles.isRelay ? StoreUse::Watch : StoreUse::None;
+  this->stateCache.AddChangeListener([this] { this->OnStateChanged(); });
+  this->stateCache.Start(this->subscription.use);
+  this->clock.Schedule(kTickInterval, [this] { this->Tick(); });
+}
+
+void
+RelayService::Tick()
+{
+  this->UpdateRoles();
+  this->Update();
+  this->clock.Schedule(kTickInterval, [this] { this->Tick(); });
+}
+
+void
+RelayService::OnStateChanged()
+{
+  if (!this->answersScheduled) {
+    this->answersScheduled = true;
+    this->clock.Schedule(kAnswerDelay, [this] { this->AnswerPolls(); });
+  }
+  if (!this->following)
+    this->Update();
+}
+
+void
+RelayService::Update()
+{
+  if (!this->stateCache.IsLoaded())
+    return;
+  if (!this->following) {
+    this->following = true;
+    this->subscription.confirmed = this->clock.Now();
+  }
+  auto const decisions = DecideSubscription(this->subscription, this->roles, this->fallbackSpread, this->clock.Now());
+  this->stateCache.SetStoreUse(decisions.use);
+  for (auto const& poll : decisions.polls)
+    this->Poll(poll);
+}
+
+void
+RelayService::Poll(RelayPoll const& aPoll)
+{
+  FollowRequest const request{ this->stateCache.Revisions(), aPoll.wait };
+  this->peers.Follow(aPoll.address, request, [this, address = aPoll.address](std::optional<FollowResponse> aResponse) {
+    if (aResponse) {
+      this->OnResponse(address, *aResponse);
+    } else {
+      PART_WARNING("relay") << "event=no-response address=" << address
+                            << " age_ms=" << Milliseconds(this->stateCache.Age());
+      OnRelayFailure(this->subscription, address, this->clock.Now());
+    }
+    this->Update();
+  });
+}
+
+void
+RelayService::OnResponse(std::string const& aAddress, FollowResponse const& aResponse)
+{
+  auto const now = this->clock.Now();
+  if (aResponse.age > kMaxRelayedAge)
+    PART_LOG("relay") << "event=old-state address=" << aAddress << " relay_age_ms=" << Milliseconds(aResponse.age)
+                      << " age_ms=" << Milliseconds(this->stateCache.Age());
+  OnRelayResponse(this->subscription, aAddress, { aResponse.age, aResponse.watchesStore }, now);
+  this->stateCache.Confirm(now - aResponse.age);
+  this->stateCache.ExtendReregistration(aResponse.reregistrationTime);
+  for (auto const& [kind, update] : aResponse.updates)
+    this->stateCache.Apply(static_cast<ObjectKind>(kind), update);
+}
+
+FollowResponse
+RelayService::MakeResponse(FollowRequest const& aRequest) const
+{
+  FollowResponse response;
+  response.age = this->stateCache.Age();
+  response.reregistrationTime = this->stateCache.ReregistrationTime();
+  response.watchesStore = this->subscription.use != StoreUse::None;
+  for (auto& [kind, update] : this->stateCache.UpdatesSince(aRequest.revisions))
+    response.updates.push_back({ unsigned(kind), std::move(update) });
+  return response;
+}
+
+CancelAction
+RelayService::Serve(FollowRequest aRequest, FollowCallback aDone)
+{
+  auto const id = ++this->lastPoll;
+  auto const wait = std::clamp<Duration>(aRequest.wait, Duration::zero(), kMaxPollTime);
+  bool const answerNow = this->polls.size() >= kMaxFollowers || this->stateCache.HasNewerThan(aRequest.revisions);
+  auto& poll = this->polls[id];
+  poll.request = std::move(aRequest);
+  poll.done = std::move(aDone);
+  poll.timer = this->clock.Schedule(answerNow ? Duration::zero() : wait, [this, id] { this->AnswerPoll(id); });
+  return [this, id] {
+    auto const found = this->polls.find(id);
+    if (found == this->polls.end())
+      return;
+    this->clock.Cancel(found->second.timer);
+    this->polls.erase(found);
+  };
+}
+
+void
+RelayService::AnswerPoll(std::uint64_t aPoll)
+{
+  auto const found = this->polls.find(aPoll);
+  if (found == this->polls.end())
+    return;
+  auto const poll = std::move(found->second);
+  this->polls.erase(found);
+  this->clock.Cancel(poll.timer);
+  poll.done(this->MakeResponse(poll.request));
+}
+
+void
+RelayService::AnswerPolls()
+{
+  this->answersScheduled = false;
+  std::vector<std::uint64_t> changed;
+  for (auto const& [id, poll] : this->polls)
+    if (this->stateCache.HasNewerThan(poll.request.revisions))
+      changed.push_back(id);
+  for (auto const id : changed)
+    this->AnswerPoll(id);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RelayService.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "PresenceService.h"
+
+namespace Hornbeam::Gateway {
+
+/// Keeps the state cache up to date from relays or from the store, and answers the fronts that follow this one.
+class RelayService
+{
+public:
+  explicit RelayService(Kernel& aKernel);
+
+  void Start();
+
+  /// Answers a poll of a follower: at the next change, or after the requested wait.
+  CancelAction Serve(FollowRequest aRequest, FollowCallback aDone);
+
+  StoreUse Use() const { return this->subscription.use; }
+  std::size_t Followers() const { return this->polls.size(); }
+  std::size_t FollowedRelays() const { return this->subscription.relays.size(); }
+
+private:
+  struct PendingPoll
+  {
+    FollowRequest request;
+    FollowCallback done;
+    TimerId timer{ 0 };
+  };
+
+  void Tick();
+  void Update();
+  void Poll(RelayPoll const& aPoll);
+  void OnResponse(std::string const& aAddress, FollowResponse const& aResponse);
+  void OnStateChanged();
+  void AnswerPolls();
+  void AnswerPoll(std::uint64_t aPoll);
+  FollowResponse MakeResponse(FollowRequest const& aRequest) const;
+  void UpdateRoles();
+
+  GatewaySettings const& settings;
+  StateCache& stateCache;
+  Clock& clock;
+  FrontPeers& peers;
+  PresenceService& presence;
+  RelayRoles roles;
+  Subscription subscription;
+  /// This front's share of kMaxFallbackSpread.
+  Duration fallbackSpread{ 0 };
+  bool following{ false };
+  std::map<std::uint64_t, PendingPoll> polls;
+  std::uint64_t lastPoll{ 0 };
+  bool answersScheduled{ false };
+};
+
+}
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -1,10 +1,20 @@
 #include "StateCache.h"
 #include "GatewayNames.h"
+#include <array>
 
 namespace Hornbeam::Gateway {
 
 /// Endpoints whose entries expired while the store was unavailable register again about two seconds after it recovers.
 static constexpr Duration kReregistrationTime = 2300ms;
+/// While relays respond, a front that cannot read the store repeats its calls after one to two times this delay.
+static constexpr Duration kFallbackDelay = 2s;
+/// The age reported while no state was ever confirmed.
+static constexpr Duration kUnknownAge = 1h;
+
+static constexpr std::array kKinds{ ObjectKind::ServingTable,
+                                    ObjectKind::Endpoint,
+                                    ObjectKind::DataCenterOutOfRotation,
+                                    ObjectKind::Front };
 
 StateCache::StateCache(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
@@ -16,20 +26,28 @@
 }
 
 void
-StateCache::Start()
+StateCache::Start(StoreUse aUse)
 {
-  for (auto const kind :
-       { ObjectKind::ServingTable, ObjectKind::Endpoint, ObjectKind::DataCenterOutOfRotation, ObjectKind::Front })
+  this->use = aUse;
+  for (auto const kind : kKinds) {
+    this->logs[kind];
     this->StartWatch(kind);
+  }
 }
 
 void
 StateCache::StartWatch(ObjectKind aKind)
 {
   ObjectWatchEvents events;
-  events.onList = [this, aKind](std::vector<StoredObject> aObjects) { this->OnList(aKind, std::move(aObjects)); };
-  events.onChanged = [this, aKind](StoredObject aObject) { this->OnChanged(aKind, aObject); };
-  events.onRemoved = [this, aKind](StoredObject aObject) { this->OnRemoved(aKind, aObject); };
+  events.onList = [this, aKind](std::vector<StoredObject> const& aObjects, std::uint64_t aRevision) {
+    ObjectUpdate update{ true, 0, aRevision, {} };
+    for (auto const& object : aObjects)
+      update.objects.push_back({ object.name, object.revision, object.document.dump() });
+    this->Apply(aKind, update);
+  };
+  events.onEvents = [this, aKind](auto const& aEvents, std::uint64_t aFrom, std::uint64_t aTo) {
+    this->OnEvents(aKind, aEvents, aFrom, aTo);
+  };
   events.onReachabilityChange = [this, aKind](StoreReachability aReachability) {
     if (aReachability == StoreReachability::Unreachable)
       for (auto const& [kind, watch] : this->watches)
@@ -37,49 +55,137 @@
     if (aKind == ObjectKind::Endpoint)
       this->OnReachabilityChange(aReachability);
   };
-  events.onFailure = [this, aKind] {
-    std::uniform_real_distribution<double> jitter;
-    return OnStoreFailure(this->backOff, aKind, jitter(this->random));
-  };
+  events.onFailure = [this, aKind] { return this->DelayAfterFailure(aKind); };
   events.onResponse = [this, aKind] {
     for (auto const kind : OnStoreResponse(this->backOff, aKind))
       this->watches.at(kind)->RetryNow();
   };
   auto& watch = this->watches[aKind];
   watch = std::make_unique<ObjectWatch>(this->store, this->clock, aKind, std::move(events));
+  watch->SetWatching(this->use != StoreUse::None);
   watch->Start();
 }
 
+Duration
+StateCache::DelayAfterFailure(ObjectKind aKind)
+{
+  std::uniform_real_distribution<double> distribution;
+  double const jitter = distribution(this->random);
+  auto const delay = OnStoreFailure(this->backOff, aKind, jitter);
+  if (this->use != StoreUse::Fallback)
+    return delay;
+  return std::max(delay, kFallbackDelay + FromSeconds(Seconds(kFallbackDelay) * jitter));
+}
+
+void
+StateCache::SetStoreUse(StoreUse aUse)
+{
+  if (aUse == this->use)
+    return;
+  PART_LOG("store") << "event=use watching=" << (aUse != StoreUse::None) << " fallback=" << (aUse == StoreUse::Fallback)
+                    << " age_ms=" << Milliseconds(this->Age());
+  bool const stops = aUse == StoreUse::None;
+  this->use = aUse;
+  if (stops)
+    this->backOff = {};
+  for (auto const& [kind, watch] : this->watches)
+    watch->SetWatching(!stops);
+}
+
 void
 StateCache::OnReachabilityChange(StoreReachability aReachability)
 {
-  if (aReachability == StoreReachability::Reachable && this->endpointsKnown) {
-    this->reregistrationEnd = this->clock.Now() + kReregistrationTime;
-    this->clock.Schedule(kReregistrationTime + 10ms, [this] { this->DropExpiredEndpoints(); });
-  }
+  if (aReachability == StoreReachability::Reachable && this->IsLoaded())
+    this->ExtendReregistration(kReregistrationTime);
+}
+
+Duration
+StateCache::ReregistrationTime() const
+{
+  return std::max<Duration>(Duration::zero(), this->reregistrationEnd - this->clock.Now());
+}
+
+void
+StateCache::ExtendReregistration(Duration aTime)
+{
+  if (aTime <= this->ReregistrationTime())
+    return;
+  this->reregistrationEnd = this->clock.Now() + aTime;
+  this->clock.Schedule(aTime + 10ms, [this] { this->DropExpiredEndpoints(); });
+}
+
+bool
+StateCache::IsLoaded() const
+{
+  return this->fetchedFromSeed ||
+         std::ranges::all_of(this->logs, [](auto const& aEntry) { return aEntry.second.revision != 0; });
 }
 
 bool
 StateCache::IsInitialized() const
 {
-  return this->table != nullptr && this->endpointsKnown && this->frontsKnown;
+  return this->table != nullptr && this->IsLoaded();
 }
 
 bool
-StateCache::IsStoreReachable() const
+StateCache::IsCurrent() const
 {
-  return std::ranges::all_of(
-    this->watches, [](auto const& aEntry) { return aEntry.second->Reachability() == StoreReachability::Reachable; });
+  auto const reachable = [](auto const& aEntry) {
+    return aEntry.second->Reachability() == StoreReachability::Reachable;
+  };
+  if (this->use != StoreUse::None && std::ranges::all_of(this->watches, reachable))
+    return true;
+  return this->clock.Now() - this->confirmed <= kMaxRelayedAge + kMaxFallbackSpread;
+}
+
+void
+StateCache::Confirm(MonotonicTime aTime)
+{
+  this->confirmed = std::max(this->confirmed, aTime);
 }
 
 Duration
 StateCache::Age() const
 {
-  auto oldest = this->clock.Now();
+  auto const now = this->clock.Now();
+  auto const sinceConfirmed = this->confirmed == MonotonicTime() ? kUnknownAge : Duration(now - this->confirmed);
+  if (this->use == StoreUse::None)
+    return sinceConfirmed;
+  auto oldest = now;
   for (auto const& [kind, watch] : this->watches)
     if (watch->Reachability() != StoreReachability::Reachable)
       oldest = std::min(oldest, watch->LastResponseTime());
-  return this->clock.Now() - oldest;
+  return std::min<Duration>({ now - oldest, sinceConfirmed, kUnknownAge });
+}
+
+std::vector<std::uint64_t>
+StateCache::Revisions() const
+{
+  std::vector<std::uint64_t> revisions;
+  for (auto const kind : kKinds)
+    revisions.push_back(this->logs.at(kind).revision);
+  return revisions;
+}
+
+bool
+StateCache::HasNewerThan(std::vector<std::uint64_t> const& aRevisions) const
+{
+  for (std::size_t index = 0; index < std::min(kKinds.size(), aRevisions.size()); ++index)
+    if (this->logs.at(kKinds[index]).revision > aRevisions[index])
+      return true;
+  return false;
+}
+
+std::vector<std::pair<ObjectKind, ObjectUpdate>>
+StateCache::UpdatesSince(std::vector<std::uint64_t> const& aRevisions) const
+{
+  std::vector<std::pair<ObjectKind, ObjectUpdate>> updates;
+  for (std::size_t index = 0; index < std::min(kKinds.size(), aRevisions.size()); ++index) {
+    auto update = UpdateSince(this->logs.at(kKinds[index]), aRevisions[index]);
+    if (update.to > aRevisions[index])
+      updates.emplace_back(kKinds[index], std::move(update));
+  }
+  return updates;
 }
 
 std::uint64_t
@@ -111,39 +217,45 @@
 }
 
 void
-StateCache::OnList(ObjectKind aKind, std::vector<StoredObject> aObjects)
+StateCache::OnEvents(ObjectKind aKind,
+                     std::vector<Platform::ObjectEvent> const& aEvents,
+                     std::uint64_t aFrom,
+                     std::uint64_t aTo)
 {
-  std::set<std::string> present;
-  for (auto const& object : aObjects)
-    present.insert(object.name);
-  this->documents[aKind].clear();
-  for (auto const& object : aObjects)
-    this->OnChanged(aKind, object);
-  switch (aKind) {
-    case ObjectKind::Endpoint:
-      this->endpointsKnown = true;
-      for (auto& [id, endpoint] : this->endpoints.byId)
-        if (!present.contains(id) && !endpoint.removeAt)
-          endpoint.removeAt = std::max(this->reregistrationEnd, this->clock.Now());
-      this->DropExpiredEndpoints();
-      break;
-    case ObjectKind::DataCenterOutOfRotation:
-      this->UpdateDataCentersOutOfRotation(present);
-      break;
-    case ObjectKind::Front:
-      this->frontsKnown = true;
-      std::erase_if(this->fronts.byName, [&](auto const& aEntry) { return !present.contains(aEntry.first); });
-      break;
-    case ObjectKind::ServingTable:
-      break;
+  // The last event of an object tells its state.
+  std::map<std::string, LoggedObject> latest;
+  for (auto const& [object, removed] : aEvents)
+    latest[object.name] = { object.name,
+                            object.revision,
+                            removed ? std::nullopt : std::optional(object.document.dump()) };
+  ObjectUpdate update{ false, aFrom, aTo, {} };
+  for (auto& [name, object] : latest)
+    update.objects.push_back(std::move(object));
+  this->Apply(aKind, update);
+}
+
+void
+StateCache::Apply(ObjectKind aKind, ObjectUpdate const& aUpdate)
+{
+  auto& log = this->logs.at(aKind);
+  auto const before = log.revision;
+  bool const loadedBefore = this->IsLoaded();
+  for (auto const& object : ApplyUpdate(log, aUpdate)) {
+    if (!object.document)
+      this->OnRemoved(aKind, object.name);
+    else if (auto const stored = Platform::ParseObjectDocument(*object.document))
+      this->OnChanged(aKind, *stored);
   }
+  if (log.revision == before)
+    return;
+  if (!loadedBefore && this->IsLoaded())
+    this->Confirm(this->clock.Now());
   this->NotifyListeners();
 }
 
 void
 StateCache::OnChanged(ObjectKind aKind, StoredObject const& aObject)
 {
-  this->documents[aKind][aObject.name] = aObject.document.dump();
   switch (aKind) {
     case ObjectKind::ServingTable:
       this->UpdateTable(aObject);
@@ -161,38 +273,35 @@
       this->UpdateFront(aObject);
       break;
   }
-  this->NotifyListeners();
 }
 
 void
-StateCache::OnRemoved(ObjectKind aKind, StoredObject const& aObject)
+StateCache::OnRemoved(ObjectKind aKind, std::string const& aName)
 {
-  this->documents[aKind].erase(aObject.name);
   switch (aKind) {
     case ObjectKind::ServingTable:
-      PART_WARNING("table") << "event=removed name=" << aObject.name << " kept=yes";
+      PART_WARNING("table") << "event=removed name=" << aName << " kept=yes";
       break;
     case ObjectKind::Endpoint:
       if (this->clock.Now() < this->reregistrationEnd) {
-        auto const found = this->endpoints.byId.find(aObject.name);
+        auto const found = this->endpoints.byId.find(aName);
         if (found != this->endpoints.byId.end())
           found->second.removeAt = this->reregistrationEnd;
       } else {
-        this->DropEndpoint(aObject.name, "removed");
+        this->DropEndpoint(aName, "removed");
       }
       break;
     case ObjectKind::DataCenterOutOfRotation: {
       auto outOfRotation = this->endpoints.dataCentersOutOfRotation;
-      outOfRotation.erase(aObject.name);
+      outOfRotation.erase(aName);
       this->UpdateDataCentersOutOfRotation(std::move(outOfRotation));
       break;
     }
     case ObjectKind::Front:
-      PART_LOG("fronts") << "event=removed name=" << aObject.name;
-      this->fronts.byName.erase(aObject.name);
+      PART_LOG("fronts") << "event=removed name=" << aName;
+      this->fronts.byName.erase(aName);
       break;
   }
-  this->NotifyListeners();
 }
 
 void
@@ -296,24 +405,31 @@
 StateCache::CachedObjects() const
 {
   std::vector<std::pair<ObjectKind, std::string>> result;
-  for (auto const& [kind, objects] : this->documents)
-    for (auto const& [name, document] : objects)
-      result.emplace_back(kind, document);
+  for (auto const& [kind, log] : this->logs)
+    for (auto const& [name, entry] : log.entries)
+      if (entry.object.document)
+        result.emplace_back(kind, *entry.object.document);
   return result;
 }
 
 void
-StateCache::ApplyFromPeer(ObjectKind aKind, std::string const& aDocument)
+StateCache::ApplyFromSeed(std::vector<std::pair<ObjectKind, std::string>> const& aObjects)
 {
-  auto const watch = this->watches.find(aKind);
-  if (watch == this->watches.end() || watch->second->Reachability() == StoreReachability::Reachable)
-    return;
-  auto const object = Platform::ParseObjectDocument(aDocument);
-  if (!object)
-    return;
-  this->OnChanged(aKind, *object);
-  this->endpointsKnown = this->endpointsKnown || aKind == ObjectKind::Endpoint;
-  this->frontsKnown = this->frontsKnown || aKind == ObjectKind::Front;
+  std::set<ObjectKind> kinds;
+  for (auto const& [kind, document] : aObjects) {
+    auto const log = this->logs.find(kind);
+    if (log == this->logs.end() || log->second.revision != 0)
+      continue;
+    auto const object = Platform::ParseObjectDocument(document);
+    if (!object)
+      continue;
+    // The log's revision stays zero, so that the first list or relayed update corrects these objects.
+    log->second.entries[object->name] = { { object->name, object->revision, document }, 0 };
+    this->OnChanged(kind, *object);
+    kinds.insert(kind);
+  }
+  this->fetchedFromSeed = kinds.contains(ObjectKind::Endpoint) && kinds.contains(ObjectKind::Front);
+  this->NotifyListeners();
 }
 
 }
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -3,18 +3,45 @@
 #include "GatewaySettings.h"
 #include "ObjectWatch.h"
 #include "StoreBackOff.h"
+#include <LibRelay/LibRelay.h>
 #include <random>
 
 namespace Hornbeam::Gateway {
 
 /// Caches the serving table, the endpoints, the data centres out of rotation and the fronts, and tracks how old this
-/// state is. The state comes from the store, or from a peer if the store is unavailable at startup.
+/// state is. The state comes from the store, from relays, or from a seed's cache if the store is unavailable at
+/// startup.
 class StateCache
 {
 public:
   explicit StateCache(Kernel& aKernel);
 
-  void Start();
+  /// Lists all objects once; SetStoreUse() decides what follows.
+  void Start(StoreUse aUse);
+
+  void SetStoreUse(StoreUse aUse);
+
+  /// Whether all objects have been listed once, or were fetched from a seed.
+  bool IsLoaded() const;
+
+  /// Returns the revision of each kind of object.
+  std::vector<std::uint64_t> Revisions() const;
+
+  /// Whether a kind changed since a reader's revisions.
+  bool HasNewerThan(std::vector<std::uint64_t> const& aRevisions) const;
+
+  /// Returns the kinds that changed since a reader's revisions; empty if the reader has the latest.
+  std::vector<std::pair<ObjectKind, ObjectUpdate>> UpdatesSince(std::vector<std::uint64_t> const& aRevisions) const;
+
+  /// Applies an update from the store or from a relay; one that adds nothing is ignored.
+  void Apply(ObjectKind aKind, ObjectUpdate const& aUpdate);
+
+  /// Records that a relay confirmed the state to be that of the store at a time.
+  void Confirm(MonotonicTime aTime);
+
+  /// For how long endpoints that are missing in the store may merely have expired while it was unavailable.
+  Duration ReregistrationTime() const;
+  void ExtendReregistration(Duration aTime);
 
   /// Returns null until a table is known. A request keeps using the table with which it started.
   std::shared_ptr<ServingTable const> Table() const { return this->table; }
@@ -33,22 +60,28 @@
   /// Returns the cached objects as JSON documents of the store, for a peer that cannot reach the store.
   std::vector<std::pair<ObjectKind, std::string>> CachedObjects() const;
 
-  /// Applies an object from a peer's cache. It is ignored if the store is reachable: the store takes precedence.
-  void ApplyFromPeer(ObjectKind aKind, std::string const& aDocument);
+  /// Applies the cached objects of a seed. Kinds that have been listed are ignored: the store takes precedence.
+  void ApplyFromSeed(std::vector<std::pair<ObjectKind, std::string>> const& aObjects);
 
-  bool IsStoreReachable() const;
+  /// Whether all watches reach the store, or a relay has confirmed the state lately.
+  bool IsCurrent() const;
 
-  /// Returns the age of the oldest cached state: the longest time since a watch that cannot reach the store last
-  /// received a response. It is zero while all watches reach the store.
+  /// Returns the age of the cached state: zero while all watches reach the store, otherwise the time since a relay
+  /// confirmed it or, if that is less, the longest time since a watch that cannot reach the store received a response.
   Duration Age() const;
 
   SelectionView MakeSelectionView() const;
 
 private:
   void StartWatch(ObjectKind aKind);
-  void OnList(ObjectKind aKind, std::vector<StoredObject> aObjects);
+  void OnEvents(ObjectKind aKind,
+                std::vector<Platform::ObjectEvent> const& aEvents,
+                std::uint64_t aFrom,
+                std::uint64_t aTo);
+  /// Returns the delay before the next call after a failed one.
+  Duration DelayAfterFailure(ObjectKind aKind);
   void OnChanged(ObjectKind aKind, StoredObject const& aObject);
-  void OnRemoved(ObjectKind aKind, StoredObject const& aObject);
+  void OnRemoved(ObjectKind aKind, std::string const& aName);
   void UpdateTable(StoredObject const& aObject);
   void UpdateEndpoint(StoredObject const& aObject);
   void UpdateDataCentersOutOfRotation(std::set<std::string> aOutOfRotation);
@@ -65,12 +98,15 @@
   std::map<ObjectKind, std::unique_ptr<ObjectWatch>> watches;
   StoreBackOff backOff;
   std::minstd_rand random;
-  std::map<ObjectKind, std::map<std::string, std::string>> documents;
+  std::map<ObjectKind, ObjectLog> logs;
+  StoreUse use{ StoreUse::Watch };
+  /// When a relay, or at startup the lists of all kinds, last confirmed the state.
+  MonotonicTime confirmed{};
   std::shared_ptr<ServingTable const> table;
   EndpointSet endpoints;
   FrontSet fronts;
-  bool endpointsKnown{ false };
-  bool frontsKnown{ false };
+  /// Set once endpoints and fronts have been fetched from a seed.
+  bool fetchedFromSeed{ false };
   /// Until then, the entry of a missing endpoint may merely have expired while the store was unavailable.
   MonotonicTime reregistrationEnd{};
   bool notificationScheduled{ false };
--- /dev/null
+++ b/Libraries/LibRelay/LibRelay.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// LibRelay: decisions about how a front learns the state of the store, without I/O, clock access or logging. In a
+/// large fleet a few fronts watch the store and relay its changes to the others.
+
+#include "ObjectLog.h"
+#include "RelayRoles.h"
+#include "Subscription.h"
--- a/Tests/LibGateway/FrontPeersTests.cpp
+++ b/Tests/LibGateway/FrontPeersTests.cpp
@@ -15,6 +15,7 @@
   handlers.releaseResults = [](std::string const&, std::vector<std::string> const&) {};
   handlers.incarnation = [] { return std::int64_t(7); };
   handlers.cachedObjects = [] { return std::vector<CachedObject>(); };
+  handlers.follow = [](FollowRequest, FollowCallback) { return [] {}; };
   return handlers;
 }
 
@@ -64,6 +65,38 @@
   }
 }
 
+// KJ drops calls in flight when its event loop is destroyed, after the services that serve them: dropping a call must
+// not reach a service that no longer exists.
+TEST(FrontPeers, CancelsNothingAtADestroyedFront)
+{
+  unsigned cancelled = 0;
+  {
+    Clock clock(ClockMode::Running);
+    EventLoop loop(clock);
+    FrontPeers caller(loop);
+    auto peer = std::make_unique<FrontPeers>(loop);
+    auto handlers = SilentHandlers();
+    StageCallback job;
+    FollowCallback poll;
+    handlers.runStage = [&](RemoteStageJob, StageCallback aDone) {
+      job = std::move(aDone);
+      return [&] { ++cancelled; };
+    };
+    handlers.follow = [&](FollowRequest, FollowCallback aDone) {
+      poll = std::move(aDone);
+      return [&] { ++cancelled; };
+    };
+    ASSERT_TRUE(peer->Listen("127.0.0.1:20983", std::move(handlers)));
+    RemoteStageJob remote;
+    remote.job.deadline = clock.Now() + 10s;
+    caller.RunStage("127.0.0.1:20983", remote, [](std::optional<StageResult>) {});
+    caller.Follow("127.0.0.1:20983", { {}, 10s }, [](std::optional<FollowResponse>) {});
+    loop.RunUntil([&] { return job && poll; });
+    peer.reset();
+  }
+  EXPECT_EQ(cancelled, 0U);
+}
+
 // A peer that accepts connections but never responds: the probes time out, which must end every job without a result.
 TEST(FrontPeers, EndsJobsOfAnUnresponsivePeer)
 {
