--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -176,6 +176,7 @@
         wireResult.setEnd(static_cast<Wire::StageEnd>(aResult.end));
         wireResult.setRetryAfterUs(aResult.retryAfter.count());
         wireResult.setBacklogUs(aResult.backlog.count());
+        wireResult.setComputingUs(aResult.computing.count());
         WriteStrings(aResult.handles, wireResult.initHandles(unsigned(aResult.handles.size())));
       })
       .attach(result.CancelUnlessEnded(std::move(cancel), this->front));
@@ -363,6 +364,7 @@
         result.end = ReadEnd(wire.getEnd());
         result.retryAfter = Duration(wire.getRetryAfterUs());
         result.backlog = Duration(wire.getBacklogUs());
+        result.computing = Duration(wire.getComputingUs());
         for (auto const handle : wire.getHandles())
           result.handles.emplace_back(handle.cStr());
         return result;
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -33,6 +33,7 @@
   handles @1 :List(Text);
   retryAfterUs @2 :Int64;
   backlogUs @3 :Int64;
+  computingUs @4 :Int64;
 }
 
 # A cached object of the store, which a front fetches from its peers if the store is unavailable at startup.
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -76,7 +76,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db4ac14a1a2326d3, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(db4ac14a1a2326d3, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -495,6 +495,8 @@
 
   inline  ::int64_t getBacklogUs() const;
 
+  inline  ::int64_t getComputingUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -540,6 +542,9 @@
   inline  ::int64_t getBacklogUs();
   inline void setBacklogUs( ::int64_t value);
 
+  inline  ::int64_t getComputingUs();
+  inline void setComputingUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2108,6 +2113,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t StageResult::Reader::getComputingUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StageResult::Builder::getComputingUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StageResult::Builder::setComputingUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t KnownObject::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -28,6 +28,10 @@
              .Name("hornbeamfront_gateway")
              .Help("Figures of the parts of a front, by name.")
              .Register(this->registry))
+  , parts(prometheus::BuildHistogram()
+            .Name("hornbeamfront_request_part_seconds")
+            .Help("Parts of the time of requests, by name.")
+            .Register(this->registry))
   , timeToFirstByte(LatencyHistogram(this->registry,
                                      "hornbeamfront_first_answer_seconds",
                                      "From the first byte of a request to the first byte of a streamed answer."))
@@ -61,6 +65,19 @@
   this->requestTime.Observe(Seconds(aTime));
 }
 
+void
+GatewayMetrics::ObserveParts(TimelineParts const& aParts)
+{
+  std::pair<char const*, Duration> const named[]{ { "stage-wait", aParts.stageWaiting },
+                                                  { "stage-compute", aParts.stageComputing },
+                                                  { "choose", aParts.choosing },
+                                                  { "first-byte", aParts.firstByte },
+                                                  { "longest-pause", aParts.longestPause } };
+  for (auto const& [name, time] : named)
+    if (time > Duration::zero())
+      this->parts.Add({ { "part", name } }, LatencyBuckets()).Observe(Seconds(time));
+}
+
 void
 GatewayMetrics::SetGauge(std::string const& aName, double aValue)
 {
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/LibCore.h>
+#include <LibServing/RequestTimeline.h>
 #include <map>
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
@@ -22,6 +23,9 @@
   void ObserveTimeToFirstByte(Duration aTime);
   void ObserveRequestTime(Duration aTime);
 
+  /// Records where the time of a request went; parts that were not reached are left out.
+  void ObserveParts(TimelineParts const& aParts);
+
   /// Sets a gauge whose value another service tracks.
   void SetGauge(std::string const& aName, double aValue);
 
@@ -31,6 +35,7 @@
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& endedRequests;
   prometheus::Family<prometheus::Gauge>& gauges;
+  prometheus::Family<prometheus::Histogram>& parts;
   prometheus::Histogram& timeToFirstByte;
   prometheus::Histogram& requestTime;
 
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -27,6 +27,7 @@
   if (this->ended || this->attempting)
     return;
   auto const now = this->proxy.clock.Now();
+  OnReady(this->timeline, now);
   auto const view = this->proxy.stateCache.MakeSelectionView();
   auto const preferred = view.endpoints.byId.find(this->preferredEndpoint);
   std::optional<std::string> chosen;
@@ -96,6 +97,7 @@
     if (auto const request = self.lock())
       request->OnAttemptEnd(aEnd);
   };
+  OnAttemptSent(this->timeline, now);
   OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, now);
   this->call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
   this->ArmStallTimer();
@@ -270,6 +272,7 @@
   if (this->ended || !this->forwarding)
     return;
   this->ArmStallTimer();
+  OnResponseBytes(this->timeline, this->proxy.clock.Now());
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
   if (this->responseBegun) {
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -143,6 +143,7 @@
 {
   auto& plan = *this->stages;
   plan.started[aStage] = true;
+  auto const now = this->proxy.clock.Now();
   auto inputs = InputsOf(plan, aStage);
   if (plan.items[aStage] == 0) {
     CompleteStage(plan, aStage, std::move(inputs));
@@ -168,6 +169,7 @@
     if (auto const request = self.lock())
       request->OnStageResult(aStage, std::move(aResult));
   };
+  OnStageStarted(this->timeline, aStage, now);
   // The callback may run before RunStage() returns.
   this->pendingStages[aStage] = nullptr;
   auto cancel = this->proxy.stages.RunStage(std::move(job), done);
@@ -182,6 +184,7 @@
   if (this->ended)
     return;
   this->pendingStages.erase(aStage);
+  OnStageEnded(this->timeline, aStage, aResult.computing, aResult.owner, this->proxy.clock.Now());
   switch (aResult.end) {
     case StageEnd::Completed:
       for (auto const& [stageService, handles] : CompleteStage(*this->stages, aStage, std::move(aResult.handles)))
@@ -299,12 +302,13 @@
   auto const took = this->proxy.clock.Now() - this->exchange->Received();
   this->proxy.metrics.CountEndedRequest(aOutcome, aStatus);
   this->proxy.metrics.ObserveRequestTime(took);
+  this->proxy.metrics.ObserveParts(PartsOf(this->timeline));
   PART_LOG("request") << "id=" << this->metadata.requestId << " outcome=" << ToString(aOutcome) << " status=" << aStatus
                       << " reason=" << aReason << " route=" << this->route.name << " service=" << this->serviceName
                       << " account=" << this->account.name << " endpoint=" << this->endpoint
                       << " attempts=" << this->endedAttempts << " stage_restarts=" << this->stageRestarts
                       << " table=" << this->table->version << " duration_ms=" << Milliseconds(took)
-                      << " target_ms=" << Milliseconds(this->route.targetLatency)
+                      << " target_ms=" << Milliseconds(this->route.targetLatency) << ' ' << ToLogFields(this->timeline)
                       << " beliefs_age_ms=" << Milliseconds(this->proxy.stateCache.Age());
   this->proxy.activeRequests.erase(strongSelf);
 }
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -118,6 +118,7 @@
   /// Set if an endpoint may have received the request and has not reported that it did not execute it.
   bool mayHaveExecuted{ false };
 
+  RequestTimeline timeline;
   std::optional<ResponseHead> bufferedHead;
   std::string bufferedBody;
   bool responseBegun{ false };
--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -93,8 +93,11 @@
 RelayService::OnResponse(std::string const& aAddress, FollowResponse const& aResponse)
 {
   auto const now = this->clock.Now();
-  if (aResponse.age > kMaxRelayedAge)
-    PART_LOG("relay") << "event=old-state address=" << aAddress << " relay_age_ms=" << Milliseconds(aResponse.age)
+  bool const old = aResponse.age > kMaxRelayedAge;
+  bool const changed = old ? this->oldRelays.insert(aAddress).second : this->oldRelays.erase(aAddress) != 0;
+  if (changed)
+    PART_LOG("relay") << "event=" << (old ? "old-state" : "recent-state") << " address=" << aAddress
+                      << " relay_age_ms=" << Milliseconds(aResponse.age)
                       << " age_ms=" << Milliseconds(this->stateCache.Age());
   OnRelayResponse(this->subscription, aAddress, { aResponse.age, aResponse.watchesStore }, now);
   this->stateCache.Confirm(now - aResponse.age);
--- a/Libraries/LibGateway/RelayService.h
+++ b/Libraries/LibGateway/RelayService.h
@@ -46,6 +46,8 @@
   Subscription subscription;
   /// This front's share of kMaxFallbackSpread.
   Duration fallbackSpread{ 0 };
+  /// Relays whose last response had old state.
+  std::set<std::string> oldRelays;
   bool following{ false };
   std::map<std::uint64_t, PendingPoll> polls;
   std::uint64_t lastPoll{ 0 };
--- a/Libraries/LibGateway/StageService.cpp
+++ b/Libraries/LibGateway/StageService.cpp
@@ -63,11 +63,12 @@
     aPending->End({ 0, StageEnd::Failed, {}, Duration::zero() });
     return;
   }
-  auto const finish = [this, aPending](StageResult aResult) {
+  auto const owner = OwnerOf(this->stateCache.Fronts(), aPending->job.service, now);
+  auto const finish = [this, aPending, name = owner ? owner->name : this->settings.name](StageResult aResult) {
+    aResult.owner = name;
     RecordBacklog(this->backlogs, aPending->job.service, aResult.backlog, this->clock.Now());
     aPending->End(std::move(aResult));
   };
-  auto const owner = OwnerOf(this->stateCache.Fronts(), aPending->job.service, now);
   if (!owner || owner->name == this->settings.name) {
     aPending->cancel = this->owner.RunStage(aPending->job, [finish, aPending, this](StageResult aResult) {
       if (aResult.end == StageEnd::HandedOff)
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -15,6 +15,7 @@
                                     ObjectKind::Endpoint,
                                     ObjectKind::DataCenterOutOfRotation,
                                     ObjectKind::Front };
+static constexpr auto kFallbackKind = ObjectKind::DataCenterOutOfRotation;
 
 StateCache::StateCache(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
@@ -57,6 +58,8 @@
   };
   events.onFailure = [this, aKind] { return this->DelayAfterFailure(aKind); };
   events.onResponse = [this, aKind] {
+    if (this->use == StoreUse::Fallback)
+      this->EnableWatches();
     for (auto const kind : OnStoreResponse(this->backOff, aKind))
       this->watches.at(kind)->RetryNow();
   };
@@ -84,12 +87,20 @@
     return;
   PART_LOG("store") << "event=use watching=" << (aUse != StoreUse::None) << " fallback=" << (aUse == StoreUse::Fallback)
                     << " age_ms=" << Milliseconds(this->Age());
-  bool const stops = aUse == StoreUse::None;
   this->use = aUse;
-  if (stops)
+  this->EnableWatches();
+}
+
+void
+StateCache::EnableWatches()
+{
+  if (this->use == StoreUse::None)
     this->backOff = {};
+  // In a fallback, one watch tries alone whether the store is reachable from here.
+  bool const tries =
+    this->use == StoreUse::Fallback && this->watches.at(kFallbackKind)->Reachability() != StoreReachability::Reachable;
   for (auto const& [kind, watch] : this->watches)
-    watch->SetWatching(!stops);
+    watch->SetWatching(this->use != StoreUse::None && (!tries || kind == kFallbackKind));
 }
 
 void
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -74,6 +74,8 @@
 
 private:
   void StartWatch(ObjectKind aKind);
+  /// Enables the watches according to this->use.
+  void EnableWatches();
   void OnEvents(ObjectKind aKind,
                 std::vector<Platform::ObjectEvent> const& aEvents,
                 std::uint64_t aFrom,
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -83,8 +83,10 @@
     bool const expired = aNow - aSubscription.confirmed > kMaxRelayedAge + aSpread;
     if (!expired)
       return StoreUse::None;
-  } else if (!aRoles.isRelay && lasts(aSubscription.recentSince, kStepDownDelay)) {
-    return StoreUse::None;
+  } else if (!aRoles.isRelay) {
+    auto const delay = aSubscription.use == StoreUse::Fallback ? Duration::zero() : Duration(kStepDownDelay);
+    if (lasts(aSubscription.recentSince, delay))
+      return StoreUse::None;
   }
   if (aRoles.isRelay || IsRecent(aSubscription, aNow))
     return aSubscription.use == StoreUse::None ? StoreUse::Watch : aSubscription.use;
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -11,8 +11,8 @@
   None,
   /// Watches the store.
   Watch,
-  /// Watches the store because the relays have no recent state. They respond, so the store itself may be down; failed
-  /// calls are repeated rarely, because relays report its return.
+  /// Tries to watch the store because the relays have no recent state. They respond, so the store itself may be down;
+  /// failed calls are repeated rarely, because relays report its return.
   Fallback,
 };
 
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -6,6 +6,7 @@
 #include "EndpointSet.h"
 #include "FrontSet.h"
 #include "RequestStages.h"
+#include "RequestTimeline.h"
 #include "RetryQuota.h"
 #include "ServingTable.h"
 #include "StagePool.h"
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -63,6 +63,10 @@
   Duration retryAfter{ 0 };
   /// How long the pool needs for its waiting jobs that can still be on time.
   Duration backlog{ 0 };
+  /// The duration of the call that completed the last item.
+  Duration computing{ 0 };
+  /// The front whose pool served the job; set by the front that submitted it.
+  std::string owner;
 };
 
 struct StageItem
@@ -141,6 +145,8 @@
   unsigned errors{ 0 };
   bool cancelled{ false };
   unsigned itemsInFlight{ 0 };
+  /// The duration of the last call that contained an item of the job.
+  Duration lastCallTime{ 0 };
 };
 
 struct RunningCall
