LibRelay: Send changes between data centres only if they did not arrive otherwise

Change: the second relay, and all relays of a front that watches the store itself, only tell their revisions, 150 ms after a change; what has not arrived by then is fetched from them. Tests: the simulated fleets of 195 and 370 fronts, with a bound on objects sent between data centres, delays as before; a notice that leads to one fetch.

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -119,6 +119,13 @@
   }
 };
 
+void
+WriteRevisions(std::vector<std::uint64_t> const& aRevisions, capnp::List<std::uint64_t>::Builder aWire)
+{
+  for (unsigned index = 0; index < aRevisions.size(); ++index)
+    aWire.set(index, aRevisions[index]);
+}
+
 void
 WriteUpdate(FollowResponse::KindUpdate const& aUpdate, Wire::RelayedUpdate::Builder aWire)
 {
@@ -215,6 +222,7 @@
     for (auto const revision : aContext.getParams().getRevisions())
       request.revisions.push_back(revision);
     request.wait = Duration(aContext.getParams().getWaitUs());
+    request.kind = aContext.getParams().getNoticeOnly() ? PollKind::Notice : PollKind::Changes;
     aContext.releaseParams();
     aContext.allowCancellation();
     CallResult<FollowResponse> result;
@@ -226,6 +234,7 @@
         wire.setAgeUs(aResponse.age.count());
         wire.setReregistrationUs(aResponse.reregistrationTime.count());
         wire.setWatching(aResponse.watchesStore);
+        WriteRevisions(aResponse.revisions, wire.initRevisions(unsigned(aResponse.revisions.size())));
         auto updates = wire.initUpdates(unsigned(aResponse.updates.size()));
         for (unsigned index = 0; index < aResponse.updates.size(); ++index)
           WriteUpdate(aResponse.updates[index], updates[index]);
@@ -435,14 +444,15 @@
   auto call = [aRequest](Wire::GatewayPeer::Client& aClient) {
     auto request = aClient.followRequest();
     request.setWaitUs(aRequest.wait.count());
-    auto revisions = request.initRevisions(unsigned(aRequest.revisions.size()));
-    for (unsigned index = 0; index < aRequest.revisions.size(); ++index)
-      revisions.set(index, aRequest.revisions[index]);
+    request.setNoticeOnly(aRequest.kind == PollKind::Notice);
+    WriteRevisions(aRequest.revisions, request.initRevisions(unsigned(aRequest.revisions.size())));
     return request.send().then([](auto&& aResponse) {
       FollowResponse response;
       response.age = Duration(aResponse.getAgeUs());
       response.reregistrationTime = Duration(aResponse.getReregistrationUs());
       response.watchesStore = aResponse.getWatching();
+      for (auto const revision : aResponse.getRevisions())
+        response.revisions.push_back(revision);
       for (auto const update : aResponse.getUpdates())
         response.updates.push_back(ReadUpdate(update));
       return response;
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -28,6 +28,7 @@
   std::vector<std::uint64_t> revisions;
   /// How long to wait for a change.
   Duration wait{ 0 };
+  PollKind kind{ PollKind::Changes };
 };
 
 struct FollowResponse
@@ -38,6 +39,8 @@
     ObjectUpdate update;
   };
   std::vector<KindUpdate> updates;
+  /// The relay's revision of each kind of object, in the order of the kinds.
+  std::vector<std::uint64_t> revisions;
   /// The age of the relay's state; zero while the relay watches the store.
   Duration age{ 0 };
   /// For how long endpoints that are missing in the store may merely have expired while it was unavailable.
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -283,7 +283,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b019ef12e5d94f06, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b019ef12e5d94f06, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -298,7 +298,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecf5ad2e27bb051e, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ecf5ad2e27bb051e, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1584,6 +1584,8 @@
 
   inline  ::int64_t getWaitUs() const;
 
+  inline bool getNoticeOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1623,6 +1625,9 @@
   inline  ::int64_t getWaitUs();
   inline void setWaitUs( ::int64_t value);
 
+  inline bool getNoticeOnly();
+  inline void setNoticeOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1675,6 +1680,9 @@
 
   inline bool getWatching() const;
 
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1719,6 +1727,14 @@
   inline bool getWatching();
   inline void setWatching(bool value);
 
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2635,6 +2651,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GatewayPeer::FollowParams::Reader::getNoticeOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool GatewayPeer::FollowParams::Builder::getNoticeOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::FollowParams::Builder::setNoticeOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GatewayPeer::FollowResults::Reader::hasUpdates() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2711,6 +2741,44 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GatewayPeer::FollowResults::Reader::hasRevisions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::FollowResults::Builder::hasRevisions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GatewayPeer::FollowResults::Reader::getRevisions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayPeer::FollowResults::Builder::getRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::FollowResults::Builder::setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void GatewayPeer::FollowResults::Builder::setRevisions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayPeer::FollowResults::Builder::initRevisions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GatewayPeer::FollowResults::Builder::adoptRevisions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GatewayPeer::FollowResults::Builder::disownRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -7,9 +7,26 @@
 static constexpr Duration kMaxPollTime = 5s;
 /// Changes of several kinds or from several sources that closely follow each other are sent together.
 static constexpr Duration kAnswerDelay = 20ms;
+/// By then, changes have arrived by a shorter way than from a relay in another data centre.
+static constexpr Duration kNoticeDelay = 150ms;
 /// Bounds the memory and the link of a relay; further followers choose another one.
 static constexpr std::size_t kMaxFollowers = 256;
 
+static Duration
+ChangeDelay(PollKind aKind)
+{
+  return aKind == PollKind::Notice ? kNoticeDelay : Duration::zero();
+}
+
+static bool
+HasNewerRevision(std::vector<std::uint64_t> const& aRevisions, std::vector<std::uint64_t> const& aThan)
+{
+  for (std::size_t index = 0; index < std::min(aRevisions.size(), aThan.size()); ++index)
+    if (aRevisions[index] > aThan[index])
+      return true;
+  return false;
+}
+
 RelayService::RelayService(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
   , stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
@@ -76,7 +93,7 @@
 void
 RelayService::Poll(RelayPoll const& aPoll)
 {
-  FollowRequest const request{ this->stateCache.Revisions(), aPoll.wait };
+  FollowRequest const request{ this->stateCache.Revisions(), aPoll.wait, aPoll.kind };
   this->peers.Follow(aPoll.address, request, [this, address = aPoll.address](std::optional<FollowResponse> aResponse) {
     if (aResponse) {
       this->OnResponse(address, *aResponse);
@@ -99,20 +116,25 @@
     PART_LOG("relay") << "event=" << (old ? "old-state" : "recent-state") << " address=" << aAddress
                       << " relay_age_ms=" << Milliseconds(aResponse.age)
                       << " age_ms=" << Milliseconds(this->stateCache.Age());
-  OnRelayResponse(this->subscription, aAddress, { aResponse.age, aResponse.watchesStore }, now);
   this->stateCache.Confirm(now - aResponse.age);
   this->stateCache.ExtendReregistration(aResponse.reregistrationTime);
   for (auto const& [kind, update] : aResponse.updates)
     this->stateCache.Apply(static_cast<ObjectKind>(kind), update);
+  bool const hasNews = HasNewerRevision(aResponse.revisions, this->stateCache.Revisions());
+  RelayStatus const status{ aResponse.age, aResponse.watchesStore, hasNews };
+  OnRelayResponse(this->subscription, aAddress, status, now);
 }
 
 FollowResponse
 RelayService::MakeResponse(FollowRequest const& aRequest) const
 {
   FollowResponse response;
+  response.revisions = this->stateCache.Revisions();
   response.age = this->stateCache.Age();
   response.reregistrationTime = this->stateCache.ReregistrationTime();
   response.watchesStore = this->subscription.use != StoreUse::None;
+  if (aRequest.kind == PollKind::Notice)
+    return response;
   for (auto& [kind, update] : this->stateCache.UpdatesSince(aRequest.revisions))
     response.updates.push_back({ unsigned(kind), std::move(update) });
   return response;
@@ -123,11 +145,13 @@
 {
   auto const id = ++this->lastPoll;
   auto const wait = std::clamp<Duration>(aRequest.wait, Duration::zero(), kMaxPollTime);
-  bool const answerNow = this->polls.size() >= kMaxFollowers || this->stateCache.HasNewerThan(aRequest.revisions);
+  bool const full = this->polls.size() >= kMaxFollowers;
+  bool const newer = HasNewerRevision(this->stateCache.Revisions(), aRequest.revisions);
+  auto const delay = full ? Duration::zero() : newer ? std::min(wait, ChangeDelay(aRequest.kind)) : wait;
   auto& poll = this->polls[id];
   poll.request = std::move(aRequest);
   poll.done = std::move(aDone);
-  poll.timer = this->clock.Schedule(answerNow ? Duration::zero() : wait, [this, id] { this->AnswerPoll(id); });
+  poll.timer = this->clock.Schedule(delay, [this, id] { this->AnswerPoll(id); });
   return [this, id] {
     auto const found = this->polls.find(id);
     if (found == this->polls.end())
@@ -153,12 +177,20 @@
 RelayService::AnswerPolls()
 {
   this->answersScheduled = false;
+  auto const revisions = this->stateCache.Revisions();
   std::vector<std::uint64_t> changed;
-  for (auto const& [id, poll] : this->polls)
-    if (this->stateCache.HasNewerThan(poll.request.revisions))
+  for (auto& [id, poll] : this->polls)
+    if (HasNewerRevision(revisions, poll.request.revisions))
       changed.push_back(id);
-  for (auto const id : changed)
-    this->AnswerPoll(id);
+  for (auto const id : changed) {
+    auto& poll = this->polls.at(id);
+    if (poll.request.kind == PollKind::Changes) {
+      this->AnswerPoll(id);
+    } else if (!std::exchange(poll.noticeScheduled, true)) {
+      this->clock.Cancel(poll.timer);
+      poll.timer = this->clock.Schedule(ChangeDelay(poll.request.kind), [this, id] { this->AnswerPoll(id); });
+    }
+  }
 }
 
 }
--- a/Libraries/LibGateway/RelayService.h
+++ b/Libraries/LibGateway/RelayService.h
@@ -25,6 +25,7 @@
     FollowRequest request;
     FollowCallback done;
     TimerId timer{ 0 };
+    bool noticeScheduled{ false };
   };
 
   void Tick();
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -178,15 +178,6 @@
   return revisions;
 }
 
-bool
-StateCache::HasNewerThan(std::vector<std::uint64_t> const& aRevisions) const
-{
-  for (std::size_t index = 0; index < std::min(kKinds.size(), aRevisions.size()); ++index)
-    if (this->logs.at(kKinds[index]).revision > aRevisions[index])
-      return true;
-  return false;
-}
-
 std::vector<std::pair<ObjectKind, ObjectUpdate>>
 StateCache::UpdatesSince(std::vector<std::uint64_t> const& aRevisions) const
 {
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -27,9 +27,6 @@
   /// Returns the revision of each kind of object.
   std::vector<std::uint64_t> Revisions() const;
 
-  /// Whether a kind changed since a reader's revisions.
-  bool HasNewerThan(std::vector<std::uint64_t> const& aRevisions) const;
-
   /// Returns the kinds that changed since a reader's revisions; empty if the reader has the latest.
   std::vector<std::pair<ObjectKind, ObjectUpdate>> UpdatesSince(std::vector<std::uint64_t> const& aRevisions) const;
 
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -1,5 +1,6 @@
 #include "Subscription.h"
 #include <algorithm>
+#include <utility>
 
 namespace Hornbeam::Gateway {
 
@@ -99,13 +100,19 @@
   Track(aSubscription.recentSince, IsRecent(aSubscription, aNow), aNow);
   Track(aSubscription.relaySince, aRoles.isRelay, aNow);
   SubscriptionDecisions decisions;
+  // A front that watches the store itself, and a second relay, only need to notice that something did not arrive.
+  auto kind = aSubscription.use == StoreUse::Watch ? PollKind::Notice : PollKind::Changes;
   for (auto& address : ChooseRelays(aSubscription, aRoles, aNow)) {
     auto& relay = aSubscription.relays[address];
-    if (relay.polling)
-      continue;
-    relay.polling = true;
-    decisions.polls.push_back(
-      { std::move(address), relay.lastResponse == MonotonicTime() ? Duration::zero() : kPollTime });
+    if (!relay.polling) {
+      bool const isFirst = relay.lastResponse == MonotonicTime();
+      bool const hasNews = std::exchange(relay.hasNews, false);
+      relay.polling = true;
+      relay.lastPoll = hasNews ? PollKind::Changes : kind;
+      decisions.polls.push_back(
+        { std::move(address), relay.lastPoll, isFirst || hasNews ? Duration::zero() : kPollTime });
+    }
+    kind = PollKind::Notice;
   }
   std::erase_if(aSubscription.relays, [&](auto const& aEntry) {
     auto const& relay = aEntry.second;
@@ -122,6 +129,7 @@
   auto& relay = aSubscription.relays[aAddress];
   relay.polling = false;
   relay.lastResponse = aNow;
+  relay.hasNews = aStatus.hasNews && relay.lastPoll == PollKind::Notice;
   relay.avoidedUntil = aStatus.age > kMaxRelayedAge || !aStatus.watchesStore ? aNow + kAvoidedPause : MonotonicTime();
   aSubscription.confirmed = std::max<MonotonicTime>(aSubscription.confirmed, aNow - aStatus.age);
 }
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -16,6 +16,15 @@
   Fallback,
 };
 
+enum class PollKind
+{
+  /// The response contains the changes.
+  Changes,
+  /// The response only tells the relay's revisions, a little later. Changes cross from one data centre to another only
+  /// if they did not arrive by a shorter way meanwhile.
+  Notice,
+};
+
 /// The state of a front that follows relays. Each poll of a relay is answered at its next change, or without one after
 /// a fixed time, with the age of the relay's state.
 struct Subscription
@@ -23,11 +32,14 @@
   struct Relay
   {
     bool polling{ false };
+    PollKind lastPoll{ PollKind::Changes };
     MonotonicTime lastResponse{};
     /// The relay did not respond; it is not polled until this time.
     MonotonicTime failedUntil{};
     /// The relay's state was old, or it did not watch the store itself; others are preferred until this time.
     MonotonicTime avoidedUntil{};
+    /// A notice of the relay told of changes that this front does not have.
+    bool hasNews{ false };
   };
   std::map<std::string, Relay> relays;
   /// The latest time at which this front's state, as learnt from relays, was that of the store.
@@ -42,6 +54,7 @@
 struct RelayPoll
 {
   std::string address;
+  PollKind kind{ PollKind::Changes };
   /// How long the relay may wait for a change; none for a relay of which nothing is known yet.
   Duration wait{ 0 };
 
@@ -66,6 +79,8 @@
 {
   Duration age{ 0 };
   bool watchesStore{ false };
+  /// Whether the relay has changes that this front does not have, after the response was applied.
+  bool hasNews{ false };
 };
 
 void
--- a/Tests/LibRelay/FleetLoad.cpp
+++ b/Tests/LibRelay/FleetLoad.cpp
@@ -8,6 +8,7 @@
 /// As in the front: changes that closely follow each other are fetched, and answered, together.
 static constexpr Duration kEventBatchDelay = 400ms;
 static constexpr Duration kAnswerDelay = 20ms;
+static constexpr Duration kNoticeDelay = 150ms;
 static constexpr Duration kTickInterval = 250ms;
 static constexpr Duration kPollTimeoutMargin = 700ms;
 static constexpr Duration kRetryDelay = 200ms;
@@ -201,16 +202,21 @@
   }
   this->After(aFront, kAnswerDelay, [this, &aFront] {
     for (auto const& poll : this->polls)
-      if (poll->to == aFront.entry.name)
-        for (auto const& [kind, known] : poll->revisions)
-          if (aFront.logs[kind].revision > known) {
-            this->Answer(poll);
-            break;
-          }
+      if (poll->to == aFront.entry.name && HasNews(aFront, *poll))
+        this->After(aFront, poll->kind == PollKind::Notice ? kNoticeDelay : Duration::zero(), [this, poll] {
+          this->Answer(poll);
+        });
     std::erase_if(this->polls, [](auto const& aPoll) { return aPoll->answered; });
   });
 }
 
+bool
+FleetLoad::HasNews(Front& aFront, Poll const& aPoll)
+{
+  return std::ranges::any_of(aPoll.revisions,
+                             [&](auto const& aKnown) { return aFront.logs[aKnown.first].revision > aKnown.second; });
+}
+
 Duration
 FleetLoad::AgeOf(Front& aFront)
 {
@@ -259,7 +265,8 @@
 FleetLoad::SendPoll(Front& aFront, RelayPoll const& aPoll)
 {
   auto& relay = this->Find(aPoll.address);
-  auto const poll = std::make_shared<Poll>(Poll{ aFront.entry.name, aPoll.address, aFront.process, relay.process, {} });
+  auto const poll =
+    std::make_shared<Poll>(Poll{ aFront.entry.name, aPoll.address, aFront.process, relay.process, {}, aPoll.kind });
   for (auto const& [kind, log] : aFront.logs)
     poll->revisions[kind] = log.revision;
   auto const fail = [this, &aFront, poll] {
@@ -278,9 +285,8 @@
     auto const followers = std::ranges::count_if(
       this->polls, [&](auto const& aOther) { return !aOther->answered && aOther->to == relay.entry.name; });
     this->maxFollowers = std::max(this->maxFollowers, std::size_t(followers));
-    bool const newer = std::ranges::any_of(
-      poll->revisions, [&](auto const& aKnown) { return relay.logs[aKnown.first].revision > aKnown.second; });
-    this->After(relay, newer ? Duration::zero() : wait, [this, poll] { this->Answer(poll); });
+    auto const delay = poll->kind == PollKind::Notice ? kNoticeDelay : Duration::zero();
+    this->After(relay, HasNews(relay, *poll) ? std::min(wait, delay) : wait, [this, poll] { this->Answer(poll); });
   });
 }
 
@@ -291,17 +297,26 @@
   if (aPoll->answered || relay.frozen)
     return;
   aPoll->answered = true;
+  auto& from = this->Find(aPoll->from);
   std::vector<std::pair<Kind, ObjectUpdate>> updates;
-  for (auto const& [kind, known] : aPoll->revisions)
-    updates.emplace_back(kind, UpdateSince(relay.logs[kind], known));
+  std::map<Kind, std::uint64_t> revisions;
+  for (auto const& [kind, known] : aPoll->revisions) {
+    revisions[kind] = relay.logs[kind].revision;
+    if (aPoll->kind == PollKind::Changes)
+      updates.emplace_back(kind, UpdateSince(relay.logs[kind], known));
+    if (!updates.empty() && relay.entry.dataCenter != from.entry.dataCenter)
+      this->remoteObjects += updates.back().second.objects.size();
+  }
   RelayStatus const status{ this->AgeOf(relay), relay.watching };
-  auto& from = this->Find(aPoll->from);
-  this->After(from, kPeerTime, [this, &from, aPoll, updates = std::move(updates), status] {
+  this->After(from, kPeerTime, [this, &from, aPoll, updates = std::move(updates), revisions, status] {
     if (from.process != aPoll->fromProcess || from.frozen)
       return;
-    OnRelayResponse(from.subscription, aPoll->to, status, this->clock.Now());
     for (auto const& [kind, update] : updates)
       this->Apply(from, kind, update);
+    auto applied = status;
+    for (auto const& [kind, revision] : revisions)
+      applied.hasNews = applied.hasNews || revision > from.logs[kind].revision;
+    OnRelayResponse(from.subscription, aPoll->to, applied, this->clock.Now());
     this->Update(from);
   });
 }
@@ -370,6 +385,7 @@
   this->storeCalls = 0;
   this->refusedCalls = 0;
   this->maxFollowers = 0;
+  this->remoteObjects = 0;
   this->changes.clear();
 }
 
--- a/Tests/LibRelay/FleetLoad.h
+++ b/Tests/LibRelay/FleetLoad.h
@@ -40,6 +40,8 @@
   std::uint64_t storeCalls{ 0 };
   std::uint64_t refusedCalls{ 0 };
   std::size_t maxFollowers{ 0 };
+  /// Changed objects sent between fronts of different data centres.
+  std::uint64_t remoteObjects{ 0 };
   double storeReadsPerSecond{ 16'000 };
 
 private:
@@ -76,6 +78,7 @@
     unsigned fromProcess{ 0 };
     unsigned toProcess{ 0 };
     std::map<Kind, std::uint64_t> revisions;
+    PollKind kind{ PollKind::Changes };
     bool answered{ false };
   };
 
@@ -91,6 +94,7 @@
   void Tick(Front& aFront);
   void SetUse(Front& aFront, StoreUse aUse);
   void SendPoll(Front& aFront, RelayPoll const& aPoll);
+  static bool HasNews(Front& aFront, Poll const& aPoll);
   void Answer(std::shared_ptr<Poll> const& aPoll);
   void OnChanged(Front& aFront);
   Duration AgeOf(Front& aFront);
--- a/Tests/LibRelay/RelayTests.cpp
+++ b/Tests/LibRelay/RelayTests.cpp
@@ -40,6 +40,26 @@
   EXPECT_TRUE(DecideSubscription(subscription, FollowerRoles(), 0ms, kStart).polls.empty());
 }
 
+// A change that the first relay does not deliver, because it has lost the store without a sign of it.
+TEST(Subscription, FetchesChangesThatOnlyTheSecondRelayKnows)
+{
+  auto subscription = FollowingSince(kStart);
+  auto const polls = DecideSubscription(subscription, FollowerRoles(), 0ms, kStart).polls;
+  ASSERT_EQ(polls.size(), 2U);
+  EXPECT_EQ(polls[0].kind, PollKind::Changes);
+  EXPECT_EQ(polls[1].kind, PollKind::Notice);
+  OnRelayResponse(subscription, "b1", { 0ms, true, true }, kStart + 200ms);
+  auto const next = DecideSubscription(subscription, FollowerRoles(), 0ms, kStart + 200ms).polls;
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0], (RelayPoll{ "b1", PollKind::Changes, 0ms }));
+  // If they still cannot be applied, they are not fetched again in a tight loop.
+  OnRelayResponse(subscription, "b1", { 0ms, true, true }, kStart + 210ms);
+  auto const last = DecideSubscription(subscription, FollowerRoles(), 0ms, kStart + 210ms).polls;
+  ASSERT_EQ(last.size(), 1U);
+  EXPECT_EQ(last[0].kind, PollKind::Notice);
+  EXPECT_GT(last[0].wait, 0ms);
+}
+
 // A relay that is cut off or frozen: the other one goes on, and a third one takes its place.
 TEST(Subscription, ReplacesARelayThatDoesNotRespond)
 {
@@ -218,6 +238,8 @@
   EXPECT_LE(this->fleet.storeCalls, watchedByAll / 5);
   EXPECT_LE(this->fleet.LongestDelay(), 500ms);
   EXPECT_LE(this->fleet.maxFollowers, 128U);
+  // Within each data centre, the changes come from its relays.
+  EXPECT_LE(this->fleet.remoteObjects, watchedByAll / 20);
 }
 
 // A mass restart: all fronts come back at the same moment and ask the store at its real rates.
