--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -18,9 +18,6 @@
 static constexpr unsigned kMaxItemErrors = 3;
 /// Weight of the latest call in an endpoint's slowness.
 static constexpr double kSlownessWeight = 0.4;
-/// How long an endpoint that had no memory for some items of a call counts as full, apart from what this owner releases
-/// meanwhile. The memory is occupied by results of a former owner, which are released with their requests, or expire.
-static constexpr Duration kForeignResultTime = 700ms;
 /// Results may slightly outlive their stated lifetime; their memory stays reserved until then.
 static constexpr Duration kLifetimeMargin = 200ms;
 
@@ -219,19 +216,6 @@
   aEndpoint.slowness += kSlownessWeight * (ratio - aEndpoint.slowness);
 }
 
-/// Reserves the rest of an endpoint's memory for a while, because it turned out to be occupied by results that this
-/// owner does not know. An item that is sent without room loses the time of a call.
-static void
-ReserveForeignResults(StagePool& aPool, StageEndpoint& aEndpoint, MonotonicTime aNow)
-{
-  auto const& id = aEndpoint.entry.id;
-  auto& foreign = aPool.held["foreign " + id];
-  aEndpoint.reservedBytes -= std::min(aEndpoint.reservedBytes, foreign.bytes);
-  auto const rest = aPool.limits.resultMemory - std::min(aPool.limits.resultMemory, aEndpoint.reservedBytes);
-  foreign = { id, rest, aNow + kForeignResultTime };
-  aEndpoint.reservedBytes += rest;
-}
-
 /// An endpoint keeps working after its connection broke, and the handles of its results are never reported. Their
 /// memory stays reserved until the results expire.
 static void
@@ -351,11 +335,6 @@
     else if (!pending.cancelled)
       pending.waiting.push_front(item.segment);
   }
-  auto const endedWith = [&](ItemEnd aItemEnd) {
-    return std::ranges::any_of(aResults, [=](ItemResult const& aResult) { return aResult.end == aItemEnd; });
-  };
-  if (endpoint != nullptr && responded && endedWith(ItemEnd::NoMemory) && endedWith(ItemEnd::Completed))
-    ReserveForeignResults(aPool, *endpoint, aNow);
   for (auto const id : affected) {
     auto const left = aPool.jobs.find(id);
     if (left == aPool.jobs.end())
