LibRelay: Pass on the gaps of a front's sources

Cause: a front that got past a gap of its relay (a list after a failure hides objects that existed only meanwhile) by an update with changes did not record the gap itself. A front that followed it from inside the gap kept an object that no longer existed. Change: an update that spans a gap leaves a gap in the log that applies it. A unit test of the case.

--- a/Libraries/LibRelay/ObjectLog.cpp
+++ b/Libraries/LibRelay/ObjectLog.cpp
@@ -72,8 +72,10 @@
         entry = { { name, aUpdate.to, std::nullopt }, aUpdate.to };
         changed.push_back(entry.object);
       }
-    RecordGap(aLog, aUpdate.to);
   }
+  // An update that spans a gap of its sender hides the same objects from the readers of this log.
+  if (aUpdate.complete || aUpdate.readerLimit < aUpdate.to)
+    RecordGap(aLog, aUpdate.to);
   aLog.revision = aUpdate.to;
   ForgetOldRemovals(aLog);
   return changed;
--- a/Meta/check-model.sh
+++ b/Meta/check-model.sh
@@ -66,11 +66,21 @@
 search_model StoreWatch NO_LIST -DNO_LIST
 search_model StoreWatch LONG_FIRST_WATCH -DLONG_FIRST_WATCH
 
+search_model ObjectLog log &
+search_model ObjectLog NO_ORDER -DNO_ORDER &
+search_model ObjectLog NO_GAP -DNO_GAP &
+wait
+search_model ObjectLog NO_LIMIT -DNO_LIMIT &
+search_model ObjectLog NO_PASSING -DNO_PASSING &
+wait
+
+exhausted log "lists, watches and updates between three fronts, late and in any order"
 exhausted watch "writes, discarded history, disconnects and a restart while a front watches the table"
 exhausted epochs "three epochs and a restart"
 exhausted table "two epochs and a table edit"
 exhausted rejoin "two epochs, a table edit, and a front that restarts and rejoins"
-for fault in NO_WAIT NO_MAJORITY LEASE_FROM_ANSWER NO_CHECK NO_TABLE_CHECK TAKE_OLDER NO_LIST LONG_FIRST_WATCH; do
+for fault in NO_WAIT NO_MAJORITY LEASE_FROM_ANSWER NO_CHECK NO_TABLE_CHECK TAKE_OLDER NO_LIST LONG_FIRST_WATCH \
+  NO_ORDER NO_GAP NO_LIMIT NO_PASSING; do
   caught "$fault"
 done
 echo "$passes passed, $failures failed"
--- a/Tests/LibRelay/ObjectLogTests.cpp
+++ b/Tests/LibRelay/ObjectLogTests.cpp
@@ -76,6 +76,20 @@
   EXPECT_EQ(late.revision, 10U);
 }
 
+// The gap of a relay is passed on: a follower that got past it by an update with changes must not hide it from a front
+// that follows the follower. Found by Specifications/ObjectLog.pml.
+TEST(ObjectLog, PassesOnTheGapsOfItsSources)
+{
+  auto relay = LogOf({ Present("a", 3) }, 5);
+  ApplyUpdate(relay, { true, 0, 20, { Present("a", 3) } });
+  auto follower = LogOf({ Present("a", 3) }, 5);
+  ApplyUpdate(follower, UpdateSince(relay, 5));
+  EXPECT_EQ(follower.revision, 20U);
+  auto reader = LogOf({ Present("a", 3), Present("b", 9) }, 10);
+  ApplyUpdate(reader, UpdateSince(follower, 10));
+  EXPECT_EQ(ObjectsOf(reader), ObjectsOf(relay));
+}
+
 // A relay that relists must not make every follower fetch every object again.
 TEST(ObjectLog, SendsNothingThatDidNotChange)
 {
