--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -176,6 +176,7 @@
       return;
     PART_LOG("presence") << "event=state-fetched-from-peer address=" << seed << " objects=" << aObjects->size();
     std::vector<std::pair<ObjectKind, std::string>> objects;
+    objects.reserve(aObjects->size());
     for (auto& object : *aObjects)
       objects.emplace_back(static_cast<ObjectKind>(object.kind), std::move(object.document));
     this->stateCache.ApplyFromSeed(objects);
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -171,6 +171,7 @@
 StateCache::Revisions() const
 {
   std::vector<std::uint64_t> revisions;
+  revisions.reserve(kKinds.size());
   for (auto const kind : kKinds)
     revisions.push_back(this->logs.at(kind).revision);
   return revisions;
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -49,6 +49,7 @@
   consider(true, false);
   consider(true, true);
   std::vector<std::string> addresses;
+  addresses.reserve(chosen.size());
   for (auto& relay : chosen)
     addresses.push_back(std::move(relay.address));
   return addresses;
