LibGateway: Do not skip changes that a watch of the store missed

After event=history-gone at 11 to 13 s the watches of all relays received no events until 26 s: the store had dropped its history again under waiting watches of 25 s, so the whole fleet had old state that counted as recent. Change: a front with followers watches for 2 s at most; dropped history counts as a disturbance (short watches); a watch that ends without events keeps its revision, so the store reports the dropped history.

--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -8,6 +8,8 @@
 /// Watches that start within this time after a disconnect also last no longer than this time: if the store then drops
 /// its event history, a watch that is already waiting receives no changes. See Specifications/StoreWatch.pml.
 static constexpr Duration kShortWatchTime = 1s;
+/// Limits the time for which a whole fleet misses changes because its relays' watches receive none.
+static constexpr Duration kRelayWatchTime = 2s;
 /// Changes that closely follow each other are fetched in one batch, because each response costs every watching front a
 /// billed call. The delay must leave time to apply operators' changes and to stop using leaving endpoints within two
 /// seconds.
@@ -18,6 +20,7 @@
   , clock(aClock)
   , kind(aKind)
   , events(std::move(aEvents))
+  , longestWatch(kWatchTime)
 {
 }
 
@@ -39,6 +42,12 @@
     this->events.onReachabilityChange(aReachability);
 }
 
+void
+ObjectWatch::SetHasFollowers(bool aHasFollowers)
+{
+  this->longestWatch = aHasFollowers ? kRelayWatchTime : kWatchTime;
+}
+
 void
 ObjectWatch::SetWatching(bool aWatching)
 {
@@ -112,7 +121,8 @@
   this->active = this->watching;
   if (!this->watching)
     return;
-  auto const time = this->clock.Now() - this->lastDisconnectTime < kShortWatchTime ? kShortWatchTime : kWatchTime;
+  auto const time =
+    this->clock.Now() - this->lastDisconnectTime < kShortWatchTime ? kShortWatchTime : this->longestWatch;
   auto const onResponse = [this, call = ++this->currentCall](Platform::ObjectEvents aResponse) {
     if (this->IsCurrentCall(call))
       this->OnEvents(std::move(aResponse));
@@ -128,6 +138,8 @@
       break;
     case Platform::StoreOutcome::HistoryGone:
       PART_LOG("store") << "event=history-gone kind=" << ToString(this->kind) << " revision=" << this->revision;
+      // The store may drop its history again: a watch that is then waiting receives no changes until it ends.
+      this->NoteDisconnect();
       this->List();
       return;
     default:
@@ -135,12 +147,13 @@
       return;
   }
   this->OnResponse();
-  auto const from = this->revision;
-  this->revision = std::max(this->revision, aResponse.revision);
   if (aResponse.events.empty()) {
+    // The revision stays: the store may have dropped changes that this watch did not receive, and then says so.
     this->Watch();
     return;
   }
+  auto const from = this->revision;
+  this->revision = std::max(this->revision, aResponse.revision);
   this->events.onEvents(aResponse.events, from, this->revision);
   this->clock.Schedule(kEventBatchDelay, [this, call = this->currentCall] {
     if (this->IsCurrentCall(call))
--- a/Libraries/LibGateway/ObjectWatch.h
+++ b/Libraries/LibGateway/ObjectWatch.h
@@ -44,6 +44,9 @@
   /// Enables or disables the long polls. Disabling also stops retries, but not before the first list.
   void SetWatching(bool aWatching);
 
+  /// Tells whether other fronts follow this one; its long polls are then shorter.
+  void SetHasFollowers(bool aHasFollowers);
+
   /// Retries immediately if a retry after a failure is pending.
   void RetryNow();
 
@@ -68,6 +71,7 @@
   Clock& clock;
   ObjectKind kind;
   ObjectWatchEvents events;
+  Duration longestWatch;
   StoreReachability reachability{ StoreReachability::Unknown };
   MonotonicTime lastResponseTime{};
   MonotonicTime lastDisconnectTime{};
--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -86,6 +86,7 @@
   }
   auto const decisions = DecideSubscription(this->subscription, this->roles, this->fallbackSpread, this->clock.Now());
   this->stateCache.SetStoreUse(decisions.use);
+  this->stateCache.SetHasFollowers(!this->polls.empty());
   for (auto const& poll : decisions.polls)
     this->Poll(poll);
 }
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -91,6 +91,13 @@
   this->EnableWatches();
 }
 
+void
+StateCache::SetHasFollowers(bool aHasFollowers)
+{
+  for (auto const& [kind, watch] : this->watches)
+    watch->SetHasFollowers(aHasFollowers);
+}
+
 void
 StateCache::EnableWatches()
 {
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -21,6 +21,9 @@
 
   void SetStoreUse(StoreUse aUse);
 
+  /// Tells whether other fronts follow this one.
+  void SetHasFollowers(bool aHasFollowers);
+
   /// Whether all objects have been listed once, or were fetched from a seed.
   bool IsLoaded() const;
 
