LibGateway: Name the requests that a stopping front did not finish

What operators saw: event=stop active=5, and no line about the five. Nothing told which requests were cut at a stop, nor how far they were (docs/incidents/requests-cut-at-planned-stops.md, hypotheses 1 and 2).

One line for each, with route, endpoint, age and the parts of its time. No behaviour changes.

--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -159,6 +159,7 @@
   bool const idle = this->proxy->ActiveRequests() == 0 && elapsed >= kMinDrainingTime;
   if (idle || elapsed >= this->settings.graceTime - kGraceMargin) {
     PART_LOG("front") << "event=stop active=" << this->proxy->ActiveRequests() << " after_ms=" << Milliseconds(elapsed);
+    this->proxy->LogActiveRequests();
     this->onStopped();
     return;
   }
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -242,6 +242,18 @@
   this->StartStages();
 }
 
+void
+ProxiedRequest::LogUnfinished() const
+{
+  auto const now = this->proxy.clock.Now();
+  PART_WARNING("request") << "id=" << this->metadata.requestId << " event=unfinished-at-stop route=" << this->route.name
+                          << " endpoint=" << this->endpoint << " attempting=" << this->attempting
+                          << " response_begun=" << this->responseBegun
+                          << " age_ms=" << Milliseconds(now - this->exchange->Received())
+                          << " remaining_ms=" << Milliseconds(this->deadline - now) << ' '
+                          << ToLogFields(this->timeline);
+}
+
 void
 ProxiedRequest::OnDeadline()
 {
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -38,6 +38,9 @@
   /// Selects an endpoint and sends the request to it, or queues the request until an endpoint is available.
   void TryEndpoint();
 
+  /// Logs how far the request is when its process ends before it.
+  void LogUnfinished() const;
+
   int Priority() const { return this->priority; }
   MonotonicTime Received() const { return this->exchange->Received(); }
 
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -62,6 +62,13 @@
   request->Begin();
 }
 
+void
+ProxyService::LogActiveRequests() const
+{
+  for (auto const& request : this->activeRequests)
+    request->LogUnfinished();
+}
+
 void
 ProxyService::RetryWaiting()
 {
--- a/Libraries/LibGateway/ProxyService.h
+++ b/Libraries/LibGateway/ProxyService.h
@@ -20,6 +20,9 @@
 
   std::size_t ActiveRequests() const { return this->activeRequests.size(); }
 
+  /// Logs a line for each request that has not ended.
+  void LogActiveRequests() const;
+
 private:
   friend class ProxiedRequest;
 
