Tests: Show the requests that a planned stop cuts

What callers see: a stream is cut in the middle 7.5 s after SIGTERM although it was sent 4.4 s after it; a request read as the process ends gets neither answer nor refusal; while all fronts stop, the directory names nobody.

--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -82,8 +82,12 @@
   settings.seeds = { this->AddressOf(0, 3) };
   settings.retries.slack = 50;
   settings.cold = { 1.5, 5 };
-  this->fronts.push_back(
-    std::make_unique<GatewayFront>(settings, this->loop, [this, aFront] { this->stopped[aFront] = true; }));
+  settings.graceTime = this->graceTime;
+  this->fronts.push_back(std::make_unique<GatewayFront>(settings, this->loop, [this, aFront] {
+    this->stopped[aFront] = true;
+    if (this->onStopped)
+      this->onStopped(aFront);
+  }));
   VERIFY(this->fronts.back()->Open());
   this->fronts.back()->Start();
 }
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -63,6 +63,10 @@
   std::vector<std::unique_ptr<StandInEndpoint>> endpoints;
   std::vector<std::unique_ptr<Gateway::GatewayFront>> fronts;
   std::vector<bool> stopped;
+  /// Called when a front's process would end.
+  std::function<void(unsigned aFront)> onStopped;
+  /// The grace time of fronts that are started from now on.
+  Duration graceTime{ 8s };
   Gateway::ConnectionPool callers{ this->loop.UvLoop(), this->clock };
 
 private:
