LibGateway: Refuse what a stopping front cannot finish

Cause: a front that stops took each request as if it had the whole timeout of its route (20 s), and ended 7.5 s after SIGTERM with whatever was left. Class: work taken that cannot be finished in time.

Evidence: event=draining at 4.500 s, requests read at 8.946 s, sent to endpoints at 9.95 s, event=stop active=5 at 12.030 s. Ruled out: the platform's kill (8 s after SIGTERM, after the process had ended), endpoints (they were at work when the connection closed).

StopPlan decides, without I/O: a request is accepted if it ends before the stop even at its deadline, or, in the first 2.5 s, if the longest of the last 64 requests of its route says so; later, twice that, if no other front can serve it. What was accepted and is not yet at an endpoint is looked at again before each send. Refusals come at once. Their Retry-After is 0.1 s if most other fronts are there, 0.7 s (a new directory response) if more have left lately than are there, and 1 s (a restart) if there is none. What is left at the end gets a final answer unless its response has begun.

The two platform tests failed before; the fleets of StopPlanTests cut nothing.

--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -3,11 +3,7 @@
 
 namespace Hornbeam::Gateway {
 
-/// Callers may still connect here for as long as their cached directory response is valid.
-static constexpr Duration kMinDrainingTime = 3s;
-/// The process exits this long before the platform sends SIGKILL.
-static constexpr Duration kGraceMargin = 500ms;
-static constexpr Duration kDrainCheckInterval = 100ms;
+static constexpr Duration kStopCheckInterval = 50ms;
 
 GatewayFront::GatewayFront(GatewaySettings aSettings, EventLoop& aLoop, std::function<void()> aOnStopped)
   : settings(std::move(aSettings))
@@ -141,29 +137,51 @@
 void
 GatewayFront::BeginDraining()
 {
-  if (this->drainingSince)
+  if (this->stop)
     return;
-  this->drainingSince = this->loop.RuntimeClock().Now();
-  PART_LOG("front") << "event=draining active=" << this->proxy->ActiveRequests();
+  auto const now = this->loop.RuntimeClock().Now();
+  // Some callers use a directory response for three times its lifetime.
+  this->stop = PlanStop(this->settings.graceTime, 3 * this->settings.directoryLifetime, now);
+  PART_LOG("front") << "event=draining active=" << this->proxy->ActiveRequests()
+                    << " requests_end_ms=" << Milliseconds(this->stop->requestsEnd - now);
   this->directory->BeginDraining();
   this->presence->Deregister();
   this->stageOwner->HandOff();
   this->callers->Context().use = ConnectionUse::Close;
-  this->CheckDraining();
+  this->proxy->BeginStop(*this->stop);
+  this->ContinueStop();
+}
+
+StopProgress
+GatewayFront::MakeStopProgress() const
+{
+  StopProgress progress;
+  progress.requests = this->proxy->ActiveRequests();
+  progress.step = this->stopStep;
+  return progress;
 }
 
 void
-GatewayFront::CheckDraining()
+GatewayFront::ContinueStop()
 {
-  auto const elapsed = this->loop.RuntimeClock().Now() - *this->drainingSince;
-  bool const idle = this->proxy->ActiveRequests() == 0 && elapsed >= kMinDrainingTime;
-  if (idle || elapsed >= this->settings.graceTime - kGraceMargin) {
-    PART_LOG("front") << "event=stop active=" << this->proxy->ActiveRequests() << " after_ms=" << Milliseconds(elapsed);
-    this->proxy->LogActiveRequests();
+  auto& clock = this->loop.RuntimeClock();
+  auto const progress = this->MakeStopProgress();
+  auto const step = NextStopStep(*this->stop, progress, clock.Now());
+  auto const elapsed = clock.Now() - this->stop->began;
+  bool const advanced = step != std::exchange(this->stopStep, step);
+  if (advanced)
+    PART_LOG("front") << "event=" << (step == StopStep::EndProcess ? "stop" : "closing")
+                      << " active=" << progress.requests << " connections=" << progress.connections
+                      << " after_ms=" << Milliseconds(elapsed);
+  if (step == StopStep::EndProcess) {
+    this->proxy->EndRequests();
     this->onStopped();
     return;
   }
-  this->loop.RuntimeClock().Schedule(kDrainCheckInterval, [this] { this->CheckDraining(); });
+  if (step == StopStep::CloseConnections && advanced)
+    this->proxy->EndRequests();
+  this->proxy->RefuseUnfinishable();
+  clock.Schedule(kStopCheckInterval, [this] { this->ContinueStop(); });
 }
 
 }
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -17,8 +17,8 @@
 
   void Start();
 
-  /// Shuts down gracefully: deregisters so that callers and peers use other fronts, completes the requests in flight
-  /// within the grace time, and then calls aOnStopped.
+  /// Shuts down gracefully: deregisters so that callers and peers use other fronts, refuses what cannot end in time,
+  /// completes the rest within the grace time, closes all connections, and then calls aOnStopped.
   void BeginDraining();
 
   /// Stops serving RPC calls of other fronts. To them, this front is then unreachable.
@@ -32,7 +32,8 @@
 
 private:
   FrontPeerHandlers PeerHandlers();
-  void CheckDraining();
+  void ContinueStop();
+  StopProgress MakeStopProgress() const;
   void ApplyCallerLimits();
   HttpListener& AddEntry(ExchangeHandler aHandler);
 
@@ -53,7 +54,8 @@
   std::unique_ptr<DirectoryService> directory;
   std::vector<std::unique_ptr<HttpListener>> entries;
   HttpListener* callers{ nullptr };
-  std::optional<MonotonicTime> drainingSince;
+  std::optional<StopPlan> stop;
+  StopStep stopStep{ StopStep::Serve };
 };
 
 }
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -24,7 +24,7 @@
 void
 ProxiedRequest::TryEndpoint()
 {
-  if (this->ended || this->attempting)
+  if (this->ended || this->attempting || this->RefuseIfUnfinishable())
     return;
   auto const now = this->proxy.clock.Now();
   OnReady(this->timeline, now);
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -41,6 +41,12 @@
 {
 }
 
+MonotonicTime
+DeadlineOf(Route const& aRoute, std::optional<Duration> aClientTimeout, MonotonicTime aReceived)
+{
+  return aReceived + std::min(aRoute.timeout, aClientTimeout.value_or(aRoute.timeout)) - kResponseMargin;
+}
+
 bool
 ProxiedRequest::IsRetryable() const
 {
@@ -71,8 +77,7 @@
 ProxiedRequest::Begin()
 {
   auto const received = this->exchange->Received();
-  auto const timeout = std::min(this->route.timeout, this->metadata.clientTimeout.value_or(this->route.timeout));
-  this->deadline = received + timeout - kResponseMargin;
+  this->deadline = DeadlineOf(this->route, this->metadata.clientTimeout, received);
   this->targetTime = received + this->route.targetLatency;
   this->priority = this->account.priority.value_or(this->route.priority);
   double const draw = double(this->proxy.random() - std::minstd_rand::min()) /
@@ -254,6 +259,30 @@
                           << ToLogFields(this->timeline);
 }
 
+bool
+ProxiedRequest::RefuseIfUnfinishable()
+{
+  if (this->ended || !this->proxy.stop || this->attempting || this->mayHaveExecuted || this->responseBegun)
+    return this->ended;
+  RemainingWork const work{ this->route.name, this->route.targetLatency, this->deadline };
+  auto const needed = EstimateAnswering(this->proxy.durations, work);
+  if (!CanFinishBeforeStop(*this->proxy.stop, work, needed, this->proxy.clock.Now()))
+    this->Refuse("stopping", RetryAfterDuringStop(this->proxy.FindOthers()));
+  return this->ended;
+}
+
+void
+ProxiedRequest::EndForStop()
+{
+  if (this->ended)
+    return;
+  this->LogUnfinished();
+  if (this->attempting && !this->responseBegun)
+    this->Fail(504, "stopping");
+  else
+    this->Refuse("stopping", RetryAfterDuringStop(this->proxy.FindOthers()));
+}
+
 void
 ProxiedRequest::OnDeadline()
 {
@@ -311,7 +340,10 @@
     this->exchange->Abort();
   this->CancelStages();
   this->ReleaseResults();
-  auto const took = this->proxy.clock.Now() - this->exchange->Received();
+  auto const now = this->proxy.clock.Now();
+  auto const took = now - this->exchange->Received();
+  if (aOutcome == RequestOutcome::Completed)
+    RecordDurations(this->proxy.durations, this->route.name, took, now - this->timeline.sent);
   this->proxy.metrics.CountEndedRequest(aOutcome, aStatus);
   this->proxy.metrics.ObserveRequestTime(took);
   this->proxy.metrics.ObserveParts(PartsOf(this->timeline));
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -20,6 +20,10 @@
 std::string_view
 ToString(RequestOutcome aOutcome);
 
+/// Returns when a request must have ended; aClientTimeout and aReceived are those of its caller.
+MonotonicTime
+DeadlineOf(Route const& aRoute, std::optional<Duration> aClientTimeout, MonotonicTime aReceived);
+
 /// A caller's request: runs its stages, then sends it to endpoints until an attempt succeeds or it may not be retried.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
 {
@@ -38,8 +42,11 @@
   /// Selects an endpoint and sends the request to it, or queues the request until an endpoint is available.
   void TryEndpoint();
 
-  /// Logs how far the request is when its process ends before it.
-  void LogUnfinished() const;
+  /// During a stop, refuses the request if it was not executed and cannot end in time. Returns whether it has ended.
+  bool RefuseIfUnfinishable();
+
+  /// Ends the request because the process ends: refuses it if it was not executed, and cuts its response otherwise.
+  void EndForStop();
 
   int Priority() const { return this->priority; }
   MonotonicTime Received() const { return this->exchange->Received(); }
@@ -80,6 +87,8 @@
   void FinishResponse();
 
   void OnDeadline();
+  /// Logs how far the request is when its process ends before it.
+  void LogUnfinished() const;
   /// Ends the request with a response that guarantees that it was not executed, or as failed if it may have been.
   void Refuse(std::string_view aReason, Duration aRetryAfter);
   void Fail(unsigned aStatus, std::string_view aReason);
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -57,16 +57,53 @@
   auto const key = CheckKey(*table, *route, metadata->key);
   if (key.verdict == KeyVerdict::Unknown)
     return refuse(401, "unknown-key", std::nullopt);
+  auto const deadline = DeadlineOf(*route, metadata->clientTimeout, aExchange->Received());
+  if (auto const retryAfter = this->RefusalDuringStop({ route->name, route->targetLatency, deadline }))
+    return refuse(503, "stopping", retryAfter);
   auto const request = std::make_shared<ProxiedRequest>(*this, aExchange, table, *route, key.account, *metadata);
   this->activeRequests.insert(request);
   request->Begin();
 }
 
+OtherFronts
+ProxyService::FindOthers() const
+{
+  return FindOtherFronts(this->stateCache.Fronts(), this->settings.name, this->clock.Now());
+}
+
+std::optional<Duration>
+ProxyService::RefusalDuringStop(RemainingWork const& aWork) const
+{
+  if (!this->stop)
+    return std::nullopt;
+  auto const needed = EstimateWhole(this->durations, aWork);
+  auto const others = this->FindOthers();
+  if (this->accepting && AcceptsDuringStop(*this->stop, aWork, needed, others, this->clock.Now()))
+    return std::nullopt;
+  return RetryAfterDuringStop(others);
+}
+
+void
+ProxyService::BeginStop(StopPlan const& aPlan)
+{
+  this->stop = aPlan;
+  this->RefuseUnfinishable();
+}
+
+void
+ProxyService::RefuseUnfinishable()
+{
+  // A refused request leaves the set.
+  for (auto const& request : std::vector(this->activeRequests.begin(), this->activeRequests.end()))
+    request->RefuseIfUnfinishable();
+}
+
 void
-ProxyService::LogActiveRequests() const
+ProxyService::EndRequests()
 {
-  for (auto const& request : this->activeRequests)
-    request->LogUnfinished();
+  this->accepting = false;
+  for (auto const& request : std::vector(this->activeRequests.begin(), this->activeRequests.end()))
+    request->EndForStop();
 }
 
 void
--- a/Libraries/LibGateway/ProxyService.h
+++ b/Libraries/LibGateway/ProxyService.h
@@ -20,12 +20,22 @@
 
   std::size_t ActiveRequests() const { return this->activeRequests.size(); }
 
-  /// Logs a line for each request that has not ended.
-  void LogActiveRequests() const;
+  /// From now on, refuses what cannot end before the stop.
+  void BeginStop(StopPlan const& aPlan);
+
+  /// Refuses the accepted requests that cannot end before the stop any more.
+  void RefuseUnfinishable();
+
+  /// Refuses all further requests, and ends those in progress.
+  void EndRequests();
 
 private:
   friend class ProxiedRequest;
 
+  /// Returns the Retry-After of a request that was just read and cannot end before the stop; nothing if it is accepted.
+  std::optional<Duration> RefusalDuringStop(RemainingWork const& aWork) const;
+  OtherFronts FindOthers() const;
+
   /// Retries the requests that wait for an endpoint, in order of priority.
   void RetryWaiting();
   void ScheduleRetryWaiting();
@@ -39,6 +49,10 @@
   std::set<std::shared_ptr<ProxiedRequest>> activeRequests;
   std::vector<std::weak_ptr<ProxiedRequest>> waitingRequests;
   std::map<std::string, RetryQuota> retryBudgets;
+  DurationHistory durations;
+  std::optional<StopPlan> stop;
+  /// Cleared when requests in progress are ended for the stop.
+  bool accepting{ true };
   bool retryScheduled{ false };
   std::minstd_rand random;
 };
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -307,7 +307,7 @@
     }
     case ObjectKind::Front:
       PART_LOG("fronts") << "event=removed name=" << aName;
-      this->fronts.byName.erase(aName);
+      RemoveFront(this->fronts, aName, this->clock.Now());
       break;
   }
 }
--- a/Libraries/LibServing/FrontSet.cpp
+++ b/Libraries/LibServing/FrontSet.cpp
@@ -8,6 +8,8 @@
 /// A front may own keys if it has at least this fraction of the strongest front's processor cores. Machines of one
 /// class differ by less.
 static constexpr double kMinOwnerCoreRatio = 0.5;
+/// Callers may still use the cached address of a front that left within this time.
+static constexpr Duration kRecentDeparture = 5s;
 
 void
 ApplyFront(FrontSet& aSet, FrontEntry const& aEntry, std::uint64_t aRevision)
@@ -17,6 +19,15 @@
     front.suspectUntil = {};
   front.entry = aEntry;
   front.revision = aRevision;
+  aSet.departures.erase(aEntry.name);
+}
+
+void
+RemoveFront(FrontSet& aSet, std::string const& aName, MonotonicTime aNow)
+{
+  aSet.byName.erase(aName);
+  std::erase_if(aSet.departures, [&](auto const& aEntry) { return aNow - aEntry.second > kRecentDeparture; });
+  aSet.departures[aName] = aNow;
 }
 
 void
@@ -56,6 +67,19 @@
   return best == nullptr ? std::nullopt : std::optional(best->entry);
 }
 
+OtherFronts
+FindOtherFronts(FrontSet const& aSet, std::string const& aName, MonotonicTime aNow)
+{
+  auto const present = std::ranges::count_if(
+    aSet.byName, [&](auto const& aEntry) { return aEntry.first != aName && aEntry.second.suspectUntil <= aNow; });
+  auto const departed = std::ranges::count_if(aSet.departures, [&](auto const& aEntry) {
+    return aEntry.first != aName && aNow - aEntry.second <= kRecentDeparture;
+  });
+  if (present == 0)
+    return OtherFronts::None;
+  return present < departed ? OtherFronts::Few : OtherFronts::Most;
+}
+
 bool
 IsAmongOwners(FrontSet const& aSet, std::string const& aKey, std::string const& aName, std::size_t aCount)
 {
--- a/Libraries/LibServing/FrontSet.h
+++ b/Libraries/LibServing/FrontSet.h
@@ -36,11 +36,16 @@
 struct FrontSet
 {
   std::map<std::string, KnownFront> byName;
+  /// When fronts that have no entry any more left, by name; only the latest departures.
+  std::map<std::string, MonotonicTime> departures;
 };
 
 void
 ApplyFront(FrontSet& aSet, FrontEntry const& aEntry, std::uint64_t aRevision);
 
+void
+RemoveFront(FrontSet& aSet, std::string const& aName, MonotonicTime aNow);
+
 /// Records that a call to a front failed.
 void
 SuspectFront(FrontSet& aSet, std::string const& aName, MonotonicTime aNow);
@@ -54,6 +59,19 @@
 std::optional<FrontEntry>
 OwnerOf(FrontSet const& aSet, std::string const& aKey, MonotonicTime aNow);
 
+/// What a front knows of the other ones.
+enum class OtherFronts
+{
+  None,
+  /// More fronts have left lately than are there: callers with a cached address may well meet another one that stops.
+  Few,
+  Most,
+};
+
+/// Returns which part of the fronts other than aName is in the store and trusted.
+OtherFronts
+FindOtherFronts(FrontSet const& aSet, std::string const& aName, MonotonicTime aNow);
+
 /// Returns whether aName is among the aCount fronts with the greatest weight for a key.
 bool
 IsAmongOwners(FrontSet const& aSet, std::string const& aKey, std::string const& aName, std::size_t aCount);
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -10,3 +10,4 @@
 #include "RetryQuota.h"
 #include "ServingTable.h"
 #include "StagePool.h"
+#include "StopPlan.h"
