LibGateway: Name a stopping front in its directory while there is no other

What callers saw: while all fronts of a site were stopping, none of them was named, although all still served. Callers kept old addresses, some of processes that had ended.

Cause: a stopping front never named itself.

PlatformStop.NamesItselfInTheDirectoryWhileNoOtherFrontIsThere failed before (both directories empty) and passes.

--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -40,7 +40,8 @@
     // different subset.
     candidates.emplace_back(RendezvousWeight(this->settings.name, name), front.entry.callerAddress);
   }
-  if (candidates.empty() && !this->draining)
+  // A draining front still serves what it can finish, which is better than no address.
+  if (candidates.empty())
     candidates.emplace_back(0, this->settings.callerAddress);
   std::ranges::sort(candidates, std::greater());
   candidates.resize(std::min(candidates.size(), kMaxAddresses));
@@ -63,7 +64,9 @@
     RespondText(*aExchange, 503, "text/plain", "no front is known");
     return;
   }
-  auto const body = Platform::EncodeDirectoryResponse(addresses, this->settings.directoryLifetime);
+  bool const namesStoppingFront = this->draining && addresses.front() == this->settings.callerAddress;
+  auto const lifetime = namesStoppingFront ? kLifetimeWhileStopping : this->settings.directoryLifetime;
+  auto const body = Platform::EncodeDirectoryResponse(addresses, lifetime);
   RespondText(*aExchange, 200, "application/json", body);
 }
 
--- a/Tests/Platform/PlatformStopTests.cpp
+++ b/Tests/Platform/PlatformStopTests.cpp
@@ -112,7 +112,7 @@
 }
 
 // Two fronts that stopped at the same time left the directory empty, although both still served.
-TEST(PlatformStop, DISABLED_NamesItselfInTheDirectoryWhileNoOtherFrontIsThere)
+TEST(PlatformStop, NamesItselfInTheDirectoryWhileNoOtherFrontIsThere)
 {
   PlainWorld plain(2);
   auto& world = plain.world;
