LibGateway: Let directory responses expire before a stopping front ends

What callers saw: refused connections 3 to 6 s after SIGTERM, and site-wide restarts during which no front was there for a second and longer.

Cause: responses of the directory lasted 2 s, and callers may use them three times as long; a stopping front went after 3 s when idle. To wait 6 s would have kept all fronts of a restart in turn away at the same time.

With 0.7 s, all callers have asked again 2.1 s after the last response that names the front, and an idle front ends 2.4 s after SIGTERM.

Test: fleets of 7, 195 and 370 fronts in StopPlanTests leave no caller at a closed port.

--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -5,7 +5,7 @@
 namespace Hornbeam::Gateway {
 
 /// Directory responses expire sooner than the platform requires, so that callers leave a stopped front quickly.
-static constexpr Duration kDirectoryLifetime = 2s;
+static constexpr Duration kDirectoryLifetime = 700ms;
 
 namespace {
 
