--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -20,6 +20,7 @@
 static constexpr std::size_t kMaxBufferedResponseBytes = 262144;
 /// If more bytes than this are unsent to a slow caller, reading from the endpoint is paused.
 static constexpr std::size_t kMaxUnsentBytes = 131072;
+static constexpr std::size_t kMaxLoggedEventId = 32;
 
 void
 ProxiedRequest::TryEndpoint()
@@ -66,6 +67,7 @@
   this->attempting = true;
   this->headReceived = false;
   this->forwarding = false;
+  this->attemptBytes = 0;
   this->bufferedHead.reset();
   this->bufferedBody.clear();
   Platform::EndpointRequestFields fields;
@@ -252,13 +254,26 @@
                    now);
 }
 
+std::string
+ProxiedRequest::AttemptProgress() const
+{
+  auto const begun = this->timeline.firstByte;
+  auto const age = this->proxy.clock.Now() - begun;
+  return "head_received=" + std::to_string(this->headReceived) +
+         " answer_age_ms=" + (begun == MonotonicTime() ? "-" : std::to_string(Milliseconds(age))) +
+         " answer_bytes=" + std::to_string(this->attemptBytes) +
+         " last_event=" + this->eventStream.lastId.value_or("-").substr(0, kMaxLoggedEventId) +
+         " parts=" + ToLogField(SharedParts(this->metadata.prefixHashes));
+}
+
 void
 ProxiedRequest::HandleFailedAttempt(std::string_view aCause)
 {
   auto const strongSelf = this->shared_from_this();
   PART_LOG("request") << "id=" << this->metadata.requestId << " decision=attempt-failed cause=" << aCause
                       << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts
-                      << " may_have_executed=" << this->mayHaveExecuted << " response_begun=" << this->responseBegun;
+                      << " may_have_executed=" << this->mayHaveExecuted << " response_begun=" << this->responseBegun
+                      << ' ' << this->AttemptProgress();
   bool const retryable = this->IsRetryable() || !this->mayHaveExecuted;
   if (retryable && this->TryAcquireRetry())
     this->Retry(aCause);
@@ -272,6 +287,7 @@
   if (this->ended || !this->forwarding)
     return;
   this->ArmStallTimer();
+  this->attemptBytes += aData.size();
   OnResponseBytes(this->timeline, this->proxy.clock.Now());
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -63,6 +63,8 @@
   void OnNotExecuted(Platform::EndpointResponse const& aResponse);
   void HandleFailedAttempt(std::string_view aCause);
   bool RetryOnError();
+  /// Describes how far the attempt's answer was, as fields of a log line.
+  std::string AttemptProgress() const;
   /// Abandons the attempt in flight and starts another one.
   void AbandonAndRetry(std::string_view aCause);
   void Retry(std::string_view aCause);
@@ -111,6 +113,8 @@
   bool headReceived{ false };
   /// Set if the head of the response was accepted, so that its body is forwarded to the caller.
   bool forwarding{ false };
+  /// Bytes of the response that the attempt has delivered.
+  std::size_t attemptBytes{ 0 };
   std::vector<std::string> triedEndpoints;
   /// The number of attempts that have ended.
   unsigned endedAttempts{ 0 };
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -5,6 +5,7 @@
 #include "EndpointSelection.h"
 #include "EndpointSet.h"
 #include "FrontSet.h"
+#include "PromptParts.h"
 #include "RequestStages.h"
 #include "RequestTimeline.h"
 #include "RetryQuota.h"
