Tests: Show that a crashing prompt part ends one endpoint after the other

The stand-in endpoint closes its listening address while it is down, for which HttpListener gets Close().

--- a/Libraries/LibExchange/ServerConnection.h
+++ b/Libraries/LibExchange/ServerConnection.h
@@ -126,6 +126,8 @@
   HttpListener& operator=(HttpListener const&) = delete;
 
   bool Open(std::string const& aAddress) { return this->listener.Open(aAddress); }
+  /// Stops listening; connections stay open. The listener can be opened again.
+  void Close() { this->listener.Close(); }
   ServerContext& Context() { return this->context; }
 
 private:
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -30,6 +30,8 @@
 void
 StandInEndpoint::Handle(std::shared_ptr<Exchange> const& aExchange)
 {
+  if (this->down)
+    return aExchange->Abort();
   auto const& request = aExchange->Request();
   auto const expected = FieldOf(*aExchange, "Hornbeamfront-Expected-Instance");
   if (!expected.empty() && expected != this->id) {
@@ -63,6 +65,8 @@
   }
   if (fault == EndpointFault::Silent)
     return;
+  if (!this->crashingPart.empty())
+    this->exchanges.insert(aExchange);
   this->clock.Schedule(this->workTime, [this, aExchange, fault] {
     if (this->kind == EndpointKind::Model)
       this->Stream(aExchange, fault);
@@ -107,7 +111,14 @@
 {
   if (aFault == EndpointFault::LostResponse)
     return aExchange->Abort();
+  if (!this->crashingPart.empty() && !this->exchanges.contains(aExchange))
+    return;
   aExchange->BeginStream(HeadFor(*aExchange, 200, "text/event-stream", aFault));
+  if (this->HasCrashingPart(*aExchange))
+    this->clock.Schedule(10ms, [this, aExchange] {
+      if (this->exchanges.contains(aExchange))
+        this->Crash();
+    });
   auto const last = FieldOf(*aExchange, "Last-Event-Id");
   this->SendEvent(aExchange, last.empty() ? 1 : unsigned(std::stoul(last)) + 1, aFault);
 }
@@ -120,7 +131,10 @@
     this->clock.Schedule(5ms, [aExchange] { aExchange->Abort(); });
     return;
   }
+  if (!this->crashingPart.empty() && !this->exchanges.contains(aExchange))
+    return;
   if (aEvent > this->events) {
+    this->exchanges.erase(aExchange);
     aExchange->EndStream();
     return;
   }
@@ -148,6 +162,37 @@
   });
 }
 
+bool
+StandInEndpoint::HasCrashingPart(Exchange const& aExchange) const
+{
+  auto const parts = "," + FieldOf(aExchange, "Hornbeamfront-Prefix-Hash");
+  return !this->crashingPart.empty() && parts.find("," + this->crashingPart + ":") != std::string::npos;
+}
+
+void
+StandInEndpoint::Crash()
+{
+  this->crashTimes.push_back(this->clock.Now());
+  this->down = true;
+  this->entry.Close();
+  auto const broken = std::move(this->exchanges);
+  this->exchanges.clear();
+  for (auto const& exchange : broken)
+    exchange->Abort();
+  this->clock.Schedule(this->downTime, [this] { this->Return(); });
+}
+
+void
+StandInEndpoint::Return()
+{
+  VERIFY(this->entry.Open(this->address));
+  this->down = false;
+  auto const previous = this->id;
+  this->id = previous.substr(0, previous.find("-r")) + "-r" + std::to_string(this->crashTimes.size());
+  if (this->onReturn)
+    this->onReturn(previous);
+}
+
 std::string
 StandInEndpoint::Suffix(std::string const& aRequestId) const
 {
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -70,6 +70,13 @@
   unsigned events{ 5 };
   /// Longer than the time without data after which a front abandons an attempt.
   Duration pauseTime{ 1500ms };
+  /// The endpoint crashes when it begins to answer a request whose prompt has this part; empty for none.
+  std::string crashingPart;
+  /// When a crashed endpoint listens again.
+  Duration downTime{ 1s };
+  /// Called when the endpoint is back; it then has another id.
+  std::function<void(std::string const& aPreviousId)> onReturn;
+  std::vector<MonotonicTime> crashTimes;
   /// Responses, events and results include the id of their request.
   bool includesRequestIds{ false };
   std::vector<SeenRequest> seen;
@@ -83,6 +90,9 @@
   void Stream(std::shared_ptr<Gateway::Exchange> const& aExchange, EndpointFault aFault);
   void SendEvent(std::shared_ptr<Gateway::Exchange> const& aExchange, unsigned aEvent, EndpointFault aFault);
   void RunItems(std::shared_ptr<Gateway::Exchange> const& aExchange);
+  bool HasCrashingPart(Gateway::Exchange const& aExchange) const;
+  void Crash();
+  void Return();
   std::string Suffix(std::string const& aRequestId) const;
   void ReleaseItems(std::shared_ptr<Gateway::Exchange> const& aExchange);
 
@@ -93,6 +103,9 @@
   std::string publicAddress;
   Gateway::HttpListener entry;
   std::uint64_t itemsCompleted{ 0 };
+  /// Requests of the present process.
+  std::set<std::shared_ptr<Gateway::Exchange>> exchanges;
+  bool down{ false };
 };
 
 }
