--- a/Tests/LibRelay/RelayTests.cpp
+++ b/Tests/LibRelay/RelayTests.cpp
@@ -60,6 +60,37 @@
   EXPECT_GT(last[0].wait, 0ms);
 }
 
+// A notice of changes that this front does not have: counted as a confirmation, it would keep the front from turning to
+// the store while the changes do not arrive.
+TEST(Subscription, DISABLED_DoesNotTakeANoticeOfMissingChangesForAConfirmation)
+{
+  auto subscription = FollowingSince(kStart);
+  DecideSubscription(subscription, FollowerRoles(), 0ms, kStart);
+  auto now = kStart;
+  for (; now < kStart + kMaxRelayedAge + 600ms; now += 300ms) {
+    OnRelayResponse(subscription, "a1", { 0ms, true, true }, now);
+    OnRelayResponse(subscription, "b1", { 0ms, true, true }, now);
+    DecideSubscription(subscription, FollowerRoles(), 0ms, now);
+  }
+  EXPECT_NE(subscription.use, StoreUse::None);
+}
+
+// A relay that has as many followers as it can serve answers at once: polled again at once, it would be asked in a
+// tight loop.
+TEST(Subscription, DISABLED_PausesBeforeItPollsAnAvoidedRelayThatAnswersAtOnce)
+{
+  RelayRoles const roles{ false, true, { { "a1", "a" } } };
+  auto subscription = FollowingSince(kStart);
+  std::size_t polls = 0;
+  for (auto now = kStart; now < kStart + 1s; now += 5ms) {
+    auto const made = DecideSubscription(subscription, roles, 0ms, now).polls.size();
+    polls += made;
+    if (made != 0)
+      OnRelayResponse(subscription, "a1", { 0ms, false }, now + 2ms);
+  }
+  EXPECT_LE(polls, 10U);
+}
+
 // A relay that is cut off or frozen: the other one goes on, and a third one takes its place.
 TEST(Subscription, ReplacesARelayThatDoesNotRespond)
 {
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -157,10 +157,12 @@
 void
 StandInEndpoint::ReleaseItems(std::shared_ptr<Exchange> const& aExchange)
 {
-  auto const body = json::parse(aExchange->Request().body, nullptr, false);
-  for (auto const& handle : body["handle_ids"])
-    this->heldResults.erase(handle.get<std::string>());
-  aExchange->Respond({ 200, {} }, "{}");
+  this->clock.Schedule(this->releaseTime, [this, aExchange] {
+    auto const body = json::parse(aExchange->Request().body, nullptr, false);
+    for (auto const& handle : body["handle_ids"])
+      this->heldResults.erase(handle.get<std::string>());
+    aExchange->Respond({ 200, {} }, "{}");
+  });
 }
 
 }
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -67,6 +67,8 @@
   /// Returns the fault of a request by its number, starting at 0.
   std::function<EndpointFault(std::size_t)> faultOf;
   Duration workTime{ 5ms };
+  /// How long releasing results takes.
+  Duration releaseTime{ 0 };
   unsigned events{ 5 };
   /// Longer than the time without data after which a front abandons an attempt.
   Duration pauseTime{ 1500ms };
