LibGateway: Stay until a stage owner's calls and releases have ended

A front stopped 3 s after SIGTERM as soon as its own requests had ended. Calls that it made as a stage owner for other fronts were cut: their items were computed again elsewhere, and the memory for the first results stayed occupied at the endpoint until they expired. Releases that were scheduled or under way were lost in the same way.

The grace time still bounds the stop.

FinishesCallsForOtherFrontsBeforeItStops and ReleasesResultsBeforeItStops failed before and pass.

--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -10,6 +10,8 @@
 /// deadlines.
 static constexpr Duration kTickInterval = 50ms;
 static constexpr Duration kReleaseTimeout = 1s;
+/// By then, a result that was passed on has been written to the peer's connection.
+static constexpr Duration kResultSendTime = 20ms;
 
 StageOwnerService::StageOwnerService(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
@@ -110,6 +112,14 @@
     this->ApplyDecisions(service, Gateway::HandOffJobs(pool));
 }
 
+bool
+StageOwnerService::IsIdle() const
+{
+  auto const calling = [](auto const& aEntry) { return !aEntry.second.running.empty(); };
+  return this->callbacks.empty() && this->releases.empty() && this->releaseCalls == 0 &&
+         std::ranges::none_of(this->pools, calling) && this->clock.Now() - this->lastResult >= kResultSendTime;
+}
+
 void
 StageOwnerService::ApplyDecisions(std::string const& aService, StageDecisions aDecisions)
 {
@@ -129,6 +139,7 @@
       continue;
     auto const done = std::move(found->second);
     this->callbacks.erase(found);
+    this->lastResult = this->clock.Now();
     done(std::move(result));
   }
 }
@@ -198,6 +209,7 @@
   this->releases.clear();
   for (auto const& [destination, handles] : releases) {
     ++this->usage.releases;
+    ++this->releaseCalls;
     auto const& [service, address] = destination;
     OutgoingCall call;
     call.address = address;
@@ -205,6 +217,7 @@
     call.request = Platform::EncodeStageRelease(address, handles);
     auto const done =
       [this, service = service, address = address, handles = handles](BufferedResponse const& aResponse) {
+        --this->releaseCalls;
         if (aResponse.end == CallEnd::Complete) {
           this->ApplyDecisions(service, OnResultsReleased(this->pools.at(service), handles, this->clock.Now()));
           return;
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -21,6 +21,10 @@
   /// jobs run here only while no other front is known.
   void HandOff();
 
+  /// Whether no job, call or release is in progress and all results have been sent, so that nothing is lost if the
+  /// front stops.
+  bool IsIdle() const;
+
   struct Usage
   {
     std::uint64_t calls{ 0 };
@@ -50,6 +54,10 @@
   /// Results to release, by service and address; sent in batches after kReleaseDelay.
   std::map<std::pair<std::string, std::string>, std::vector<std::string>> releases;
   bool releasesScheduled{ false };
+  /// Calls that release results.
+  unsigned releaseCalls{ 0 };
+  /// When the last result was passed on.
+  MonotonicTime lastResult{};
   bool tickScheduled{ false };
   bool handedOff{ false };
   Usage usage;
--- a/Tests/Platform/PlatformStageOwnerStopTests.cpp
+++ b/Tests/Platform/PlatformStageOwnerStopTests.cpp
@@ -89,7 +89,7 @@
 
 // Items computed in vain, and their memory lost to others until it expires, because their owner stopped as soon as its
 // own requests had ended.
-TEST(Platform, DISABLED_FinishesCallsForOtherFrontsBeforeItStops)
+TEST(Platform, FinishesCallsForOtherFrontsBeforeItStops)
 {
   StagedWorld staged(2);
   auto& world = staged.world;
@@ -108,7 +108,7 @@
 }
 
 // Memory for results that stayed occupied because the front stopped while it was releasing them.
-TEST(Platform, DISABLED_ReleasesResultsBeforeItStops)
+TEST(Platform, ReleasesResultsBeforeItStops)
 {
   StagedWorld staged(1);
   auto& world = staged.world;
