--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -157,6 +157,7 @@
 {
   StopProgress progress;
   progress.requests = this->proxy->ActiveRequests();
+  progress.hasForeignWork = !this->stageOwner->IsIdle();
   progress.step = this->stopStep;
   for (auto const& entry : this->entries)
     progress.connections += entry->Context().connections.size();
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -10,9 +10,12 @@
 /// deadlines.
 static constexpr Duration kTickInterval = 50ms;
 static constexpr Duration kReleaseTimeout = 1s;
+/// By then, a result that was passed on has been written to the peer's connection.
+static constexpr Duration kResultSendTime = 20ms;
 
 StageOwnerService::StageOwnerService(Kernel& aKernel)
-  : stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
+  : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
+  , stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
   , clock(aKernel.Find<Clock>(GatewayName::kClock))
   , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
 {
@@ -64,10 +67,17 @@
   }
 }
 
+bool
+StageOwnerService::LeavesJobsToOthers() const
+{
+  auto const others = FindOtherFronts(this->stateCache.Fronts(), this->settings.name, this->clock.Now());
+  return this->handedOff && others != OtherFronts::None;
+}
+
 CancelAction
 StageOwnerService::RunStage(RemoteStageJob aJob, StageCallback aDone)
 {
-  auto* const pool = this->handedOff ? nullptr : this->FindOrCreatePool(aJob.service);
+  auto* const pool = this->LeavesJobsToOthers() ? nullptr : this->FindOrCreatePool(aJob.service);
   if (pool == nullptr) {
     this->clock.Schedule(Duration::zero(), [aDone = std::move(aDone)] {
       aDone({ 0, StageEnd::HandedOff, {}, Duration::zero() });
@@ -97,10 +107,20 @@
 StageOwnerService::HandOff()
 {
   this->handedOff = true;
+  if (!this->LeavesJobsToOthers())
+    return;
   for (auto& [service, pool] : this->pools)
     this->ApplyDecisions(service, Gateway::HandOffJobs(pool));
 }
 
+bool
+StageOwnerService::IsIdle() const
+{
+  auto const calling = [](auto const& aEntry) { return !aEntry.second.running.empty(); };
+  return this->callbacks.empty() && this->releases.empty() && this->releaseCalls == 0 &&
+         std::ranges::none_of(this->pools, calling) && this->clock.Now() - this->lastResult >= kResultSendTime;
+}
+
 void
 StageOwnerService::ApplyDecisions(std::string const& aService, StageDecisions aDecisions)
 {
@@ -120,6 +140,7 @@
       continue;
     auto const done = std::move(found->second);
     this->callbacks.erase(found);
+    this->lastResult = this->clock.Now();
     done(std::move(result));
   }
 }
@@ -189,6 +210,7 @@
   this->releases.clear();
   for (auto const& [destination, handles] : releases) {
     ++this->usage.releases;
+    ++this->releaseCalls;
     auto const& [service, address] = destination;
     OutgoingCall call;
     call.address = address;
@@ -196,6 +218,7 @@
     call.request = Platform::EncodeStageRelease(address, handles);
     auto const done =
       [this, service = service, address = address, handles = handles](BufferedResponse const& aResponse) {
+        --this->releaseCalls;
         if (aResponse.end == CallEnd::Complete) {
           this->ApplyDecisions(service, OnResultsReleased(this->pools.at(service), handles, this->clock.Now()));
           return;
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -17,9 +17,14 @@
 
   void Release(std::string const& aService, std::vector<std::string> const& aHandles);
 
-  /// Hands off to another front: waiting jobs end as HandedOff, and calls in flight continue.
+  /// Hands off to another front, if there is one: waiting jobs end as HandedOff, and calls in flight continue. Later
+  /// jobs run here only while no other front is known.
   void HandOff();
 
+  /// Whether no job, call or release is in progress and all results have been sent, so that nothing is lost if the
+  /// front stops.
+  bool IsIdle() const;
+
   struct Usage
   {
     std::uint64_t calls{ 0 };
@@ -31,6 +36,7 @@
   std::map<std::string, StagePool> const& Pools() const { return this->pools; }
 
 private:
+  bool LeavesJobsToOthers() const;
   StagePool* FindOrCreatePool(std::string const& aService);
   void UpdatePools();
   void ApplyDecisions(std::string const& aService, StageDecisions aDecisions);
@@ -39,6 +45,7 @@
   void SendReleases();
   void ScheduleTick();
 
+  GatewaySettings const& settings;
   StateCache& stateCache;
   Clock& clock;
   ConnectionPool& connections;
@@ -47,6 +54,10 @@
   /// Results to release, by service and address; sent in batches after kReleaseDelay.
   std::map<std::pair<std::string, std::string>, std::vector<std::string>> releases;
   bool releasesScheduled{ false };
+  /// Calls that release results.
+  unsigned releaseCalls{ 0 };
+  /// When the last result was passed on.
+  MonotonicTime lastResult{};
   bool tickScheduled{ false };
   bool handedOff{ false };
   Usage usage;
