LibExchange: Answer pipelined requests while a listener closes

What callers would see: a pipelined request that had been read whole gets neither an answer nor a refusal; its connection closes after the response before it.

Cause: after a response the connection is idle for one turn of the event loop, although the next request is already in its buffer. BeginClosing() closed it in this turn. A front that stops gets there if a stream that began before SIGTERM (its head kept the connection) is the last request to end. Class: work taken that cannot be finished in time.

AnswersPipelinedRequestsWhileItCloses failed before (the handler was called once, not twice) and passes.

--- a/Libraries/LibExchange/ServerConnection.cpp
+++ b/Libraries/LibExchange/ServerConnection.cpp
@@ -104,7 +104,7 @@
 void
 ServerConnection::CloseIfIdle()
 {
-  if (this->phase != Phase::Idle)
+  if (this->phase != Phase::Idle || !this->received.empty())
     return;
   auto const protector = this->shared_from_this();
   this->stream->Close();
--- a/Libraries/LibExchange/ServerConnection.h
+++ b/Libraries/LibExchange/ServerConnection.h
@@ -76,7 +76,7 @@
 public:
   static void Serve(ServerContext& aContext, std::shared_ptr<TcpStream> aStream);
 
-  /// Closes the connection if it is idle.
+  /// Closes the connection if no request is in progress on it and none has been read.
   void CloseIfIdle();
 
   /// Closes the connection without a response to what was received.
--- /dev/null
+++ b/Tests/LibExchange/ServerConnectionTests.cpp
@@ -0,0 +1,88 @@
+#include <LibExchange/LibExchange.h>
+#include <gtest/gtest.h>
+
+namespace Hornbeam::Gateway {
+
+static constexpr char kAddress[] = "127.0.0.1:20972";
+
+namespace {
+
+/// A listener whose requests the test answers, and one caller.
+struct ListenerWorld
+{
+  ListenerWorld()
+    : listener(this->loop.UvLoop(), this->clock, [this](std::shared_ptr<Exchange> aExchange) {
+      this->exchanges.push_back(std::move(aExchange));
+    })
+  {
+    EXPECT_TRUE(this->listener.Open(kAddress));
+    this->caller =
+      TcpStream::Connect(this->loop.UvLoop(), kAddress, {}, [this](bool aConnected) { this->connected = aConnected; });
+    StreamEvents events;
+    events.onData = [this](std::string_view aBytes) { this->answer += aBytes; };
+    events.onEnd = [this](StreamEnd aEnd) { this->end = aEnd; };
+    this->caller->SetEvents(std::move(events));
+    EXPECT_TRUE(this->RunUntil([&] { return this->connected; }));
+  }
+
+  ~ListenerWorld()
+  {
+    this->caller->Reset();
+    this->listener.BeginClosing();
+    this->listener.ResetConnections();
+    this->RunFor(5ms);
+  }
+
+  bool RunUntil(std::function<bool()> const& aCondition, Duration aTime = 5s)
+  {
+    bool due = false;
+    auto const timer = this->clock.Schedule(aTime, [&] { due = true; });
+    this->loop.RunUntil([&] { return due || aCondition(); });
+    this->clock.Cancel(timer);
+    return aCondition();
+  }
+
+  void RunFor(Duration aTime)
+  {
+    this->RunUntil([] { return false; }, aTime);
+  }
+
+  /// Sends aCount pipelined requests and waits for the first.
+  void Request(unsigned aCount = 1)
+  {
+    std::string bytes;
+    for (unsigned index = 0; index < aCount; ++index)
+      bytes += "GET /" + std::to_string(index) + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    this->caller->Write(bytes);
+    ASSERT_TRUE(this->RunUntil([&] { return !this->exchanges.empty(); }));
+  }
+
+  Clock clock{ ClockMode::Running };
+  EventLoop loop{ clock };
+  std::vector<std::shared_ptr<Exchange>> exchanges;
+  HttpListener listener;
+  std::shared_ptr<TcpStream> caller;
+  bool connected{ false };
+  std::string answer;
+  std::optional<StreamEnd> end;
+};
+
+}
+
+// A pipelined request that had been read whole got no answer if the listener closed just as the response before it
+// ended.
+TEST(HttpListener, AnswersPipelinedRequestsWhileItCloses)
+{
+  ListenerWorld world;
+  world.Request(2);
+  world.exchanges[0]->BeginStream({ 200, {} });
+  world.exchanges[0]->EndStream();
+  world.listener.BeginClosing();
+  ASSERT_TRUE(world.RunUntil([&] { return world.exchanges.size() == 2 || world.end; }));
+  ASSERT_EQ(world.exchanges.size(), 2U);
+  world.exchanges[1]->Respond({ 503, {} }, "");
+  ASSERT_TRUE(world.RunUntil([&] { return world.end.has_value(); }));
+  EXPECT_NE(world.answer.find("HTTP/1.1 503"), std::string::npos);
+}
+
+}
