LibExchange: Count a connection as open until its response is sent

What callers would see: a caller that reads slowly gets an answer that ends early at a planned stop, although the front had the whole answer and seconds left.

Cause: 0.5 s after the last response (at once while the listener closes and the connection was kept), the connection left the set of open ones, with up to 256 KiB and more still to be taken by the operating system. A stop waits for this set only; the process ended and dropped these bytes. Class: work taken that cannot be finished in time; here, ended without looking at it.

HttpListener. KeepsConnectionsUntilTheirResponsesAreSent failed before (0 open connections with a response of 32 MiB unsent, kept and closing) and passes: the caller gets all of it.

--- a/Libraries/LibExchange/ServerConnection.cpp
+++ b/Libraries/LibExchange/ServerConnection.cpp
@@ -93,10 +93,7 @@
   auto* const raw = connection.get();
   events.onData = [raw](std::string_view aBytes) { raw->OnData(aBytes); };
   events.onEnd = [raw](StreamEnd) { raw->OnEnd(); };
-  events.onDrained = [raw] {
-    if (raw->exchange && raw->exchange->onDrained)
-      raw->exchange->onDrained();
-  };
+  events.onDrained = [raw] { raw->OnDrained(); };
   connection->stream->SetEvents(std::move(events));
   connection->ArmTimer(aContext.limits.headerTimeout);
 }
@@ -104,7 +101,7 @@
 void
 ServerConnection::CloseIfIdle()
 {
-  if (this->phase != Phase::Idle || !this->received.empty())
+  if (this->phase != Phase::Idle || !this->received.empty() || this->stream->Unsent() > 0)
     return;
   auto const protector = this->shared_from_this();
   this->stream->Close();
@@ -153,6 +150,16 @@
   this->End();
 }
 
+void
+ServerConnection::OnDrained()
+{
+  auto const protector = this->shared_from_this();
+  if (auto const current = this->exchange; current && current->onDrained)
+    current->onDrained();
+  if (this->context.closing)
+    this->CloseIfIdle();
+}
+
 void
 ServerConnection::BeginRequest()
 {
@@ -207,10 +214,10 @@
     return;
   }
   this->phase = Phase::Idle;
-  if (this->context.closing && this->received.empty()) {
+  if (this->context.closing)
     this->CloseIfIdle();
+  if (this->phase == Phase::Ended)
     return;
-  }
   this->stream->ResumeReading();
   this->ArmTimer(this->context.limits.idleTimeout);
   if (this->received.empty())
@@ -250,6 +257,9 @@
   auto const protector = this->shared_from_this();
   if (this->phase == Phase::Receiving)
     return this->Reject(408, "request took too long");
+  // The connection counts as open until its last response has been sent; a stopping process waits for it.
+  if (this->stream->Unsent() > 0)
+    return this->ArmTimer(kLingerTime);
   this->stream->Close();
   this->End();
 }
--- a/Libraries/LibExchange/ServerConnection.h
+++ b/Libraries/LibExchange/ServerConnection.h
@@ -76,7 +76,7 @@
 public:
   static void Serve(ServerContext& aContext, std::shared_ptr<TcpStream> aStream);
 
-  /// Closes the connection if no request is in progress on it and none has been read.
+  /// Closes the connection if no request is in progress on it, none has been read, and all responses have been sent.
   void CloseIfIdle();
 
   /// Closes the connection without a response to what was received.
@@ -102,6 +102,7 @@
 
   void OnData(std::string_view aBytes);
   void OnEnd();
+  void OnDrained();
   void ParseReceived();
   void BeginRequest();
   void ArmTimer(Duration aDelay);
--- a/Tests/LibExchange/ServerConnectionTests.cpp
+++ b/Tests/LibExchange/ServerConnectionTests.cpp
@@ -4,6 +4,10 @@
 namespace Hornbeam::Gateway {
 
 static constexpr char kAddress[] = "127.0.0.1:20972";
+/// Longer than a connection lingers after its last response.
+static constexpr Duration kBeyondLingering = 700ms;
+/// More than the socket buffers of both sides hold.
+static constexpr std::size_t kLargeBodyBytes = 32 << 20;
 
 namespace {
 
@@ -57,6 +61,8 @@
     ASSERT_TRUE(this->RunUntil([&] { return !this->exchanges.empty(); }));
   }
 
+  std::size_t Connections() { return this->listener.Context().connections.size(); }
+
   Clock clock{ ClockMode::Running };
   EventLoop loop{ clock };
   std::vector<std::shared_ptr<Exchange>> exchanges;
@@ -85,4 +91,26 @@
   EXPECT_NE(world.answer.find("HTTP/1.1 503"), std::string::npos);
 }
 
+// A stopping process did not wait for the bytes that a slow caller had not taken yet: their connection no longer
+// counted as open.
+TEST(HttpListener, KeepsConnectionsUntilTheirResponsesAreSent)
+{
+  for (auto const use : { ConnectionUse::KeepAlive, ConnectionUse::Close }) {
+    ListenerWorld world;
+    world.listener.Context().use = use;
+    world.Request();
+    world.caller->PauseReading();
+    world.exchanges[0]->BeginStream({ 200, {} });
+    world.listener.BeginClosing();
+    world.exchanges[0]->SendChunk(std::string(kLargeBodyBytes, 'x'));
+    world.exchanges[0]->EndStream();
+    world.RunFor(kBeyondLingering);
+    EXPECT_EQ(world.Connections(), 1U) << "use " << int(use);
+    world.caller->ResumeReading();
+    ASSERT_TRUE(world.RunUntil([&] { return world.end && world.Connections() == 0; }));
+    EXPECT_EQ(world.end, StreamEnd::Closed);
+    EXPECT_GT(world.answer.size(), kLargeBodyBytes);
+  }
+}
+
 }
