LibExchange: Deliver what was answered before connections are reset

What callers would see: a connection reset in place of a refusal or of the end of an answer, at the end of a planned stop.

Cause: responses at the end of the stop are followed by 0.5 s of lingering, but the process ends 0.4 s later and resets what is open; at once, if the event loop comes late (a busy machine, a suspended clock) and goes from serving to the end in one step. A reset discards bytes that the kernel has not sent or the peer has not acknowledged.

A connection that lingers with nothing unsent is closed regularly now; the kernel delivers the rest after the process has ended. All others are reset as before, so that what is cut cannot look complete.

DeliversWhatWasAnsweredBeforeItResetsConnections failed before (reset) and passes (closed, whole response).

--- a/Libraries/LibExchange/ServerConnection.cpp
+++ b/Libraries/LibExchange/ServerConnection.cpp
@@ -113,7 +113,11 @@
 {
   auto const protector = this->shared_from_this();
   this->exchange.reset();
-  this->stream->Reset();
+  // A reset would discard a response that the operating system is still sending.
+  if (this->phase == Phase::Lingering && this->stream->Unsent() == 0)
+    this->stream->Close();
+  else
+    this->stream->Reset();
   this->End();
 }
 
--- a/Libraries/LibExchange/ServerConnection.h
+++ b/Libraries/LibExchange/ServerConnection.h
@@ -79,7 +79,7 @@
   /// Closes the connection if no request is in progress on it, none has been read, and all responses have been sent.
   void CloseIfIdle();
 
-  /// Closes the connection without a response to what was received.
+  /// Closes the connection without a response to what was received. A response that was sent is still delivered.
   void Reset();
 
   ServerConnection(ServerContext& aContext, std::shared_ptr<TcpStream> aStream);
@@ -143,7 +143,7 @@
   /// Accepts no more connections and closes those that are idle; the others are closed after their response.
   void BeginClosing();
 
-  /// Closes all connections immediately; nothing is read any more.
+  /// Closes all connections immediately; nothing is read any more, and what is not sent yet is discarded.
   void ResetConnections();
 
 private:
--- a/Tests/LibExchange/ServerConnectionTests.cpp
+++ b/Tests/LibExchange/ServerConnectionTests.cpp
@@ -113,4 +113,18 @@
   }
 }
 
+// A refusal that was sent just before the process ended was discarded by the reset of its connection.
+TEST(HttpListener, DeliversWhatWasAnsweredBeforeItResetsConnections)
+{
+  ListenerWorld world;
+  world.Request();
+  world.listener.BeginClosing();
+  world.exchanges[0]->Respond({ 503, {} }, "stopping");
+  world.listener.ResetConnections();
+  EXPECT_EQ(world.Connections(), 0U);
+  ASSERT_TRUE(world.RunUntil([&] { return world.end.has_value(); }));
+  EXPECT_EQ(world.end, StreamEnd::Closed);
+  EXPECT_TRUE(world.answer.ends_with("stopping"));
+}
+
 }
