LibServing: Take nothing unknown late in a stop

What callers would see: a stream cut in the middle at a planned stop although it was sent more than 3 s after SIGTERM (LOST), while no other front was there.

Cause: a route of which a front has seen fewer than 8 requests is estimated at twice its target latency. For a stream this is the time to its first event, not to its end. Fronts that started a few seconds ago, as in a restart of the whole fleet in turn, have no history. Class: work taken that cannot be finished in time.

The guess is still used in the first 2.5 s, in which the platform excuses it. Later, such a route is taken to need all its time, so only what ends before the stop at its deadline is accepted.

AcceptsNothingUnknownOnceEstimatesAreNotExcused failed with the estimate as it was (target 0.5 s, timeout 20 s: accepted 4 s after SIGTERM) and passes.

--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -76,9 +76,10 @@
 {
   if (!this->stop)
     return std::nullopt;
-  auto const needed = EstimateWhole(this->durations, aWork);
+  auto const now = this->clock.Now();
+  auto const needed = EstimateDuringStop(*this->stop, this->durations, aWork, now);
   auto const others = this->FindOthers();
-  if (this->accepting && AcceptsDuringStop(*this->stop, aWork, needed, others, this->clock.Now()))
+  if (this->accepting && AcceptsDuringStop(*this->stop, aWork, needed, others, now))
     return std::nullopt;
   return RetryAfterDuringStop(others);
 }
--- a/Libraries/LibServing/StopPlan.cpp
+++ b/Libraries/LibServing/StopPlan.cpp
@@ -41,13 +41,22 @@
   Remember(durations.answering, aAnswering);
 }
 
+/// The durations of enough requests of the route for an estimate; null if there are too few.
+static RouteDurations const*
+FindDurations(DurationHistory const& aHistory, RemainingWork const& aWork)
+{
+  auto const found = aHistory.find(aWork.route);
+  bool const enough = found != aHistory.end() && found->second.whole.size() >= kMinRequestsForEstimate;
+  return enough ? &found->second : nullptr;
+}
+
 static Duration
 Estimate(DurationHistory const& aHistory, RemainingWork const& aWork, std::deque<Duration> RouteDurations::*aPart)
 {
-  auto const found = aHistory.find(aWork.route);
-  if (found == aHistory.end() || (found->second.*aPart).size() < kMinRequestsForEstimate)
+  auto const* const durations = FindDurations(aHistory, aWork);
+  if (durations == nullptr)
     return aWork.targetLatency * kTargetLatencyFactor;
-  return FromSeconds(Seconds(*std::ranges::max_element(found->second.*aPart)) * kEstimateFactor);
+  return FromSeconds(Seconds(*std::ranges::max_element(durations->*aPart)) * kEstimateFactor);
 }
 
 Duration
@@ -76,6 +85,18 @@
   return plan;
 }
 
+Duration
+EstimateDuringStop(StopPlan const& aPlan,
+                   DurationHistory const& aHistory,
+                   RemainingWork const& aWork,
+                   MonotonicTime aNow)
+{
+  bool const excused = aNow < aPlan.estimatesUntil;
+  if (excused || FindDurations(aHistory, aWork) != nullptr)
+    return EstimateWhole(aHistory, aWork);
+  return aWork.deadline - aNow;
+}
+
 bool
 AcceptsDuringStop(StopPlan const& aPlan,
                   RemainingWork const& aWork,
--- a/Libraries/LibServing/StopPlan.h
+++ b/Libraries/LibServing/StopPlan.h
@@ -59,7 +59,15 @@
 StopPlan
 PlanStop(Duration aGraceTime, Duration aAddressLifetime, MonotonicTime aNow);
 
-/// Returns whether a request that was just read is accepted. aNeeded is its EstimateWhole().
+/// EstimateWhole() of a request that is read during a stop. Once wrong estimates cost an answer, a route without enough
+/// recent requests is assumed to need all its time.
+Duration
+EstimateDuringStop(StopPlan const& aPlan,
+                   DurationHistory const& aHistory,
+                   RemainingWork const& aWork,
+                   MonotonicTime aNow);
+
+/// Returns whether a request that was just read is accepted. aNeeded is its EstimateDuringStop().
 bool
 AcceptsDuringStop(StopPlan const& aPlan,
                   RemainingWork const& aWork,
--- a/Tests/LibServing/StopPlanTests.cpp
+++ b/Tests/LibServing/StopPlanTests.cpp
@@ -64,6 +64,28 @@
   EXPECT_LT(EstimateWhole(history, work), 2s);
 }
 
+// A stopping front without another one took a stream of a route of which it had seen no stream yet, because its first
+// event was due before the stop, and cut it in the middle.
+TEST(StopPlan, AcceptsNothingUnknownOnceEstimatesAreNotExcused)
+{
+  auto const plan = PlanStop(kGraceTime, kAddressLifetime, kStart);
+  DurationHistory history;
+  auto const accepts = [&](Duration aAt) {
+    auto const now = kStart + aAt;
+    RemainingWork const work{ kRoute, 500ms, now + 20s };
+    auto const needed = EstimateDuringStop(plan, history, work, now);
+    return AcceptsDuringStop(plan, work, needed, OtherFronts::None, now);
+  };
+  EXPECT_TRUE(accepts(1s));
+  EXPECT_FALSE(accepts(4s));
+  for (unsigned index = 0; index < 10; ++index)
+    RecordDurations(history, kRoute, 1s, 500ms);
+  EXPECT_TRUE(accepts(4s));
+  for (unsigned index = 0; index < 10; ++index)
+    RecordDurations(history, kRoute, 2s, 500ms);
+  EXPECT_FALSE(accepts(4s));
+}
+
 // The process ended in the same moment in which its last request had ended, with responses unsent.
 TEST(StopPlan, ClosesConnectionsBeforeTheProcessEnds)
 {
