LibGateway: Ignore the refusal of another request

What callers would see: 503, which promises that a request has not run, although it has; and an unsafe request at two endpoints.

Cause: a response that names another request does not belong to the request in flight (endpoints send extra responses late), but not if it says that it was not executed: the id of a refusal was never compared. Only a refusal without an id, which endpoints may send, is taken for the request's own now.

Evidence: found in the review of the refusals at planned stops; older than they are. Platform.DoesNotTakeTheRefusalOfAnotherRequestForItsOwn failed before (503, both endpoints had the unsafe request) and passes (502, one).

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -155,12 +155,13 @@
     return;
   this->headReceived = true;
   auto const response = Platform::DecodeEndpointResponse(aHead);
-  // A response that names another request, or none, does not belong to this request.
-  bool const mismatched = response.requestId != this->metadata.requestId && !response.notExecuted;
+  // A response that names another request, or none, does not belong to this request. Only a refusal may name none.
+  bool const anonymousRefusal = response.notExecuted && response.requestId.empty();
+  bool const mismatched = response.requestId != this->metadata.requestId && !anonymousRefusal;
   bool const success = aHead.status / 100 == 2;
   if (response.notExecuted || mismatched || (success && (!response.hasSignature || response.hasContentEncoding))) {
     this->call.Abandon();
-    if (response.notExecuted) {
+    if (response.notExecuted && !mismatched) {
       this->OnNotExecuted(response);
       return;
     }
--- a/Tests/Platform/PlatformRequestTests.cpp
+++ b/Tests/Platform/PlatformRequestTests.cpp
@@ -132,4 +132,16 @@
   EXPECT_TRUE(plain.world.RunUntil([&] { return plain.world.endpoints[0]->callersGone == 1; }, 300ms));
 }
 
+// The refusal of another request that arrived late made a front send an unsafe request twice, and promise that it had
+// not run.
+TEST(Platform, DoesNotTakeTheRefusalOfAnotherRequestForItsOwn)
+{
+  PlainWorld plain(1, 2);
+  auto& world = plain.world;
+  for (auto const& endpoint : world.endpoints)
+    endpoint->faultOf = [](std::size_t) { return EndpointFault::MismatchedRefusal; };
+  EXPECT_EQ(world.Call(0, CallerRequest()).status, 502U);
+  EXPECT_EQ(world.endpoints[0]->seen.size() + world.endpoints[1]->seen.size(), 1U);
+}
+
 }
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -59,6 +59,11 @@
     aExchange->Respond({ 503, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
     return;
   }
+  if (fault == EndpointFault::MismatchedRefusal) {
+    aExchange->Respond({ 503, { { "Hornbeamfront-Not-Executed", "1" }, { "Hornbeamfront-Request-Id", "another" } } },
+                       "");
+    return;
+  }
   if (fault == EndpointFault::InputsGone) {
     aExchange->Respond({ 409, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
     return;
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -39,6 +39,8 @@
   LostResponse,
   /// Responds with the id of another request.
   MismatchedResponse,
+  /// Executes the request; first, the refusal of another request arrives in place of its response.
+  MismatchedRefusal,
   /// Closes the connection in the middle of the response.
   BreakOff,
   /// Pauses after every second event.
