--- a/Services/hornbeamfront/RunFront.cpp
+++ b/Services/hornbeamfront/RunFront.cpp
@@ -1,4 +1,5 @@
 #include "RunFront.h"
+#include "EndOfProcess.h"
 #include "ExitCodes.h"
 #include "StopSignal.h"
 
@@ -19,7 +20,9 @@
     , storePort(store.Port())
     , peerPort(peers.Port())
     , endpointPort(MakeHttpEndpointPort(client))
-    , front(aSettings, IncarnationFrom(clock), { clock, storePort, peerPort, endpointPort }, [this] { loop.Stop(); })
+    , front(aSettings, IncarnationFrom(clock), { clock, storePort, peerPort, endpointPort }, [this] {
+      hasEnded = true;
+    })
   {
     this->front.Find<MetricsService>(ServiceName::kMetrics).AddPortUsage(this->store.Usage(), this->peers.Usage());
   }
@@ -30,6 +33,7 @@
     return static_cast<Incarnation>(aClock.WallNow().time_since_epoch().count());
   }
 
+  bool hasEnded{ false };
   Clock clock;
   EventLoop loop;
   HttpContext http;
@@ -81,7 +85,7 @@
                     }).eagerlyEvaluate(nullptr);
   process.front.Start();
   PART_LOG("front") << aSettings.name << " serves callers on " << aSettings.callerAddress << ".";
-  process.loop.Run();
+  RunUntilQuiet(process.loop, [&] { return process.hasEnded; }, { callerServer.get(), administrationServer.get() });
   // libwebsockets closes its handles only while the event loop runs, and it has ended; the kernel closes them at exit.
   FlushLog();
   std::quick_exit(0);
--- a/Tests/World/World.cpp
+++ b/Tests/World/World.cpp
@@ -160,7 +160,7 @@
 World::Deliver(std::shared_ptr<Process> const& aProcess, Duration aDelay, std::function<void()> aAction)
 {
   this->clock.Schedule(aDelay, [this, aProcess, action = std::move(aAction)] {
-    if (!aProcess->alive)
+    if (!aProcess->alive || aProcess->ended)
       return;
     if (this->clock.Now() < aProcess->frozenUntil)
       aProcess->inbox.push_back(action);
@@ -427,7 +427,8 @@
     };
     process->front->Find<RequestService>(ServiceName::kRequests).Submit(tracked->request, std::move(sink));
   });
-  if (!process->alive)
+  // Its connection is refused: nothing of the request is sent.
+  if (!process->alive || process->ended)
     tracked->connectionLost = true;
   process->cancels.push_back([tracked] { tracked->connectionLost = tracked->responseCount == 0; });
   return tracked;
