LibFront: Await forwarded requests before a front stops

A caller whose non-repeatable request the stopping front had forwarded to the front of its key got no response when that front took longer than the rest of the stop: 1 of 1 in ShutdownTest.AwaitsRequestsThatItForwarded (a call of 4 s, sent 2.9 s after the stop began).

Cause: only requests that the front runs itself counted as active.

Forwarded requests are kept in RequestService now, and count. After: the test passes, as do the other ShutdownTests.

--- a/Libraries/LibFront/RequestService.cpp
+++ b/Libraries/LibFront/RequestService.cpp
@@ -166,36 +166,50 @@
            othersServe ? Duration::zero() : kRetryWithoutFronts };
 }
 
+static Refusal
+HolderUnreachable(std::string const& aHolder)
+{
+  return { RefusalReason::KeyHolderGone,
+           RunState::MayHaveRun,
+           "the front that the key names, " + aHolder + ", does not answer",
+           0s };
+}
+
 RequestId
 RequestService::Forward(CallerRequest const& aRequest, ResponseSink aSink, IdempotencyKey const& aKey)
 {
   auto const* const holder = this->membership.FindKnownMember(aKey.front, aKey.incarnation);
-  Refusal const unreachable{ RefusalReason::KeyHolderGone,
-                             RunState::MayHaveRun,
-                             "the front that the key names, " + aKey.front + ", does not answer",
-                             0s };
   if (holder == nullptr || aRequest.forwarded)
-    return this->Refuse(aRequest, aSink, unreachable);
+    return this->Refuse(aRequest, aSink, HolderUnreachable(aKey.front));
   if (this->admissionClosed)
     return this->Refuse(aRequest, aSink, this->StoppingRefusal(RunState::MayHaveRun));
   auto const& pipeline = this->configuration.Current().pipelines.at(aRequest.pipeline);
   auto const timeout = aRequest.deadline.value_or(pipeline.deadline) + kForwardTimeoutMargin;
   PART_LOG("requests") << "forwarding a non-repeatable request to " << holder->name << ", which its key names.";
-  this->peers.forward(*holder,
-                      { aRequest.pipeline, aRequest.body },
-                      timeout,
-                      [this, aRequest, unreachable, sink = std::move(aSink)](std::optional<std::string> aResponse) {
-                        LastReason reason;
-                        auto const response =
-                          aResponse ? DecodePipelineResponse(*aResponse, reason) : std::optional<PipelineResponse>();
-                        if (response)
-                          sink.onResponse(*response);
-                        else
-                          this->Refuse(aRequest, sink, unreachable);
-                      });
+  auto const forward = ++this->lastForward;
+  this->forwards.emplace(forward, PendingForward{ aRequest, std::move(aSink), aKey.front });
+  this->peers.forward(
+    *holder, { aRequest.pipeline, aRequest.body }, timeout, [this, forward](std::optional<std::string> aResponse) {
+      this->FinishForward(forward, aResponse);
+    });
   return 0;
 }
 
+void
+RequestService::FinishForward(std::uint64_t aForward, std::optional<std::string> const& aResponse)
+{
+  auto const pending = this->forwards.extract(aForward);
+  if (pending.empty())
+    return;
+  auto const& [request, sink, holder] = pending.mapped();
+  LastReason reason;
+  auto const response = aResponse ? DecodePipelineResponse(*aResponse, reason) : std::optional<PipelineResponse>();
+  if (response)
+    sink.onResponse(*response);
+  else
+    this->Refuse(request, sink, HolderUnreachable(holder));
+}
+
 RequestId
 RequestService::StartRequest(CallerRequest const& aRequest, ResponseSink aSink, PipelineRow const& aPipeline)
 {
--- a/Libraries/LibFront/RequestService.h
+++ b/Libraries/LibFront/RequestService.h
@@ -63,7 +63,8 @@
   /// Refuses new requests from now on. Active requests are completed.
   void CloseAdmission();
 
-  std::size_t ActiveRequests() const { return this->active.size(); }
+  /// Requests that this front runs, or has forwarded, without a response so far.
+  std::size_t ActiveRequests() const { return this->active.size() + this->forwards.size(); }
   RequestUsage const& Usage() const { return this->usage; }
   std::size_t KnownKeys() const { return this->keys.entries.size(); }
 
@@ -71,12 +72,21 @@
   struct ActiveRequest;
   using RequestPointer = std::shared_ptr<ActiveRequest>;
 
+  /// A request that awaits the response of the front that its key names.
+  struct PendingForward
+  {
+    CallerRequest request;
+    ResponseSink sink;
+    std::string holder;
+  };
+
   void PruneKeys();
   RequestId Refuse(CallerRequest const& aRequest, ResponseSink const& aSink, Refusal aRefusal);
   std::optional<Refusal> Validate(CallerRequest const& aRequest) const;
   RequestId SubmitWithKey(CallerRequest const& aRequest, ResponseSink aSink, PipelineRow const& aPipeline);
   Refusal StoppingRefusal(RunState aRun) const;
   RequestId Forward(CallerRequest const& aRequest, ResponseSink aSink, IdempotencyKey const& aKey);
+  void FinishForward(std::uint64_t aForward, std::optional<std::string> const& aResponse);
   RequestId StartRequest(CallerRequest const& aRequest, ResponseSink aSink, PipelineRow const& aPipeline);
   void Admit(RequestPointer const& aRequest);
   bool AdmitAccount(RequestPointer const& aRequest);
@@ -113,6 +123,8 @@
   FrontSettings const& settings;
   RequestId lastRequest{ 0 };
   std::map<RequestId, RequestPointer> active;
+  std::uint64_t lastForward{ 0 };
+  std::map<std::uint64_t, PendingForward> forwards;
   /// Requests that wait for the lease or for an account slot, in order of arrival.
   std::vector<RequestPointer> waiting;
   std::map<std::string, FairQueue> queues;
--- a/Tests/LibFront/ShutdownTests.cpp
+++ b/Tests/LibFront/ShutdownTests.cpp
@@ -77,7 +77,7 @@
 }
 
 // A request that the front had forwarded to the front of its key was cut at the end of the process.
-TEST_F(ShutdownTest, DISABLED_AwaitsRequestsThatItForwarded)
+TEST_F(ShutdownTest, AwaitsRequestsThatItForwarded)
 {
   this->SlowRedemptionDown(4s);
   this->world->Shutdown("front-2");
