--- a/Libraries/LibSettings/FrontSettings.cpp
+++ b/Libraries/LibSettings/FrontSettings.cpp
@@ -116,6 +116,12 @@
   return { std::move(aPath), Requirement::Optional, RangeText(aLeast, aMost), store };
 }
 
+/// The part of a shutdown beside waiting for callers and leaving the membership: the last responses and the exit.
+static constexpr Duration kMinWorkAndExit = 3s;
+/// The same for a front without shutdown.grace_s.
+static constexpr Duration kDefaultWorkAndExit = 15s;
+static constexpr char const* kGraceKey = "shutdown.grace_s";
+
 static std::vector<SettingsKey>
 KeysOf(FrontSettings& aSettings)
 {
@@ -146,6 +152,7 @@
              16L * 1024 * 1024,
              [&](std::int64_t aLimit) { callers.bodyLimit = static_cast<std::size_t>(aLimit); }),
     PolicyKey("routing.policy", aSettings.policy),
+    DurationKey(kGraceKey, 1s, 5, 7200, aSettings.shutdownGrace),
   };
 }
 
@@ -223,6 +230,15 @@
   }
 };
 
+/// The time that a shutdown takes without any request: until callers have left, and to leave the membership.
+static Duration
+TimeToStop(FrontSettings const& aSettings)
+{
+  auto const& membership = aSettings.membership;
+  return aSettings.callers.keepAddress + 2 * membership.heartbeatInterval + membership.leaseDuration +
+         membership.driftAllowance;
+}
+
 /// Validates constraints between keys.
 static void
 CheckCrossConstraints(FrontSettings const& aSettings, std::string const& aFile, std::vector<SettingsError>& aErrors)
@@ -232,6 +248,12 @@
     aErrors.push_back({ aFile, 0, "membership.heartbeat_ms", "less than half of membership.lease_ms" });
   if (membership.removalDelay <= membership.leaseDuration)
     aErrors.push_back({ aFile, 0, "membership.removal_ms", "more than membership.lease_ms" });
+  if (aSettings.shutdownGrace < TimeToStop(aSettings) + kMinWorkAndExit)
+    aErrors.push_back({ aFile,
+                        0,
+                        kGraceKey,
+                        "at least the sum of callers.keep_address_s, twice membership.heartbeat_ms, "
+                        "membership.lease_ms, membership.drift_ms and 3 s" });
 }
 
 std::optional<FrontSettings>
@@ -253,6 +275,8 @@
   SettingsReader reader{ aName, KeysOf(settings), {}, aErrors };
   reader.ReadMap(document, "");
   reader.CheckRequired();
+  if (!reader.seen.contains(kGraceKey))
+    settings.shutdownGrace = TimeToStop(settings) + kDefaultWorkAndExit;
   CheckCrossConstraints(settings, aName, aErrors);
   if (!aErrors.empty())
     return std::nullopt;
--- a/Libraries/LibSettings/FrontSettings.h
+++ b/Libraries/LibSettings/FrontSettings.h
@@ -32,6 +32,8 @@
   GrantSettings grants;
   CallerSettings callers;
   RoutingPolicy policy{ RoutingPolicy::Adaptive };
+  /// How long after SIGTERM the platform kills the process.
+  Duration shutdownGrace{ 50s };
 };
 
 /// A validation error in a settings file.
--- a/Tests/LibFront/ShutdownTests.cpp
+++ b/Tests/LibFront/ShutdownTests.cpp
@@ -8,7 +8,11 @@
 /// The stop of front-2 of the standard world.
 struct ShutdownTest : public testing::Test
 {
-  ShutdownTest() { EXPECT_TRUE(this->world->AwaitMembership(20s)); }
+  explicit ShutdownTest(Duration aGrace = 50s)
+    : world(MakeStandardWorld(1, true, aGrace))
+  {
+    EXPECT_TRUE(this->world->AwaitMembership(20s));
+  }
 
   /// Sends a request with a new input to front-2.
   std::shared_ptr<TrackedRequest> Send(std::string const& aPipeline, std::string const& aKey = {})
@@ -53,7 +57,7 @@
       ADD_FAILURE() << violation;
   }
 
-  std::unique_ptr<World> world{ MakeStandardWorld() };
+  std::unique_ptr<World> world;
   int sent{ 0 };
 };
 
@@ -109,4 +113,79 @@
   this->ExpectAllAnswered();
 }
 
+constexpr Duration kShortGrace = 10s;
+
+/// The same with a grace time that is hardly longer than callers keep the address, and slow endpoints.
+struct ShortGraceTest : public ShutdownTest
+{
+  ShortGraceTest()
+    : ShutdownTest(kShortGrace)
+  {
+  }
+
+  /// Advances until front-2 has ended, which must be before its process would be killed.
+  void AwaitEnd(MonotonicTime aShutdownAt)
+  {
+    EXPECT_TRUE(this->world->AdvanceUntil(60s, [this] { return this->world->HasEnded("front-2"); }));
+    EXPECT_LT(this->world->Now() - aShutdownAt, kShortGrace);
+  }
+};
+
+// Requests that were taken late ran when the process was killed.
+TEST_F(ShortGraceTest, DISABLED_RefusesAtOnceWhatItCannotCompleteBeforeItIsKilled)
+{
+  this->SlowRedemptionDown(3s);
+  auto const prefix = this->world->KeyPrefix("front-2");
+  // The front learns how long the calls take.
+  for (std::string const number : { "1", "2", "3", "4", "5", "6", "7", "8" }) {
+    this->Send("redeem", prefix + "~" + number);
+    this->world->Advance(4s);
+  }
+  auto const early = this->Send("redeem", prefix + "~early");
+  this->world->Advance(100ms);
+  auto const shutdownAt = this->world->Now();
+  this->world->Shutdown("front-2");
+  this->world->Advance(2500ms);
+  auto const late = this->Send("redeem", prefix + "~late");
+  auto const quick = this->Send("notes");
+  this->AwaitEnd(shutdownAt);
+  this->ExpectAllAnswered();
+  EXPECT_FALSE(early->response.refusal);
+  EXPECT_FALSE(quick->response.refusal);
+  ASSERT_TRUE(late->response.refusal);
+  EXPECT_LE(late->respondedAt - late->sentAt, 10ms);
+  EXPECT_STREQ(ToString(late->response.refusal->reason), "front-stopping");
+  EXPECT_EQ(late->response.refusal->run, RunState::NotRun);
+  // Other fronts serve: the caller should go there at once.
+  EXPECT_EQ(late->response.refusal->retryAfter, 0ms);
+}
+
+// A request that took longer than predicted ran when the process was killed.
+TEST_F(ShortGraceTest, DISABLED_RespondsToRequestsThatOutlastItsGraceTime)
+{
+  this->SlowRedemptionDown(8500ms);
+  auto const shutdownAt = this->world->Now();
+  this->world->Shutdown("front-2");
+  this->world->Advance(2500ms);
+  auto const slow = this->Send("redeem", this->world->KeyPrefix("front-2") + "~k");
+  this->AwaitEnd(shutdownAt);
+  this->ExpectAllAnswered();
+  ASSERT_TRUE(slow->response.refusal);
+  EXPECT_EQ(slow->response.refusal->run, RunState::MayHaveRun);
+}
+
+// The same for a request that the front had forwarded to the front of its key.
+TEST_F(ShortGraceTest, DISABLED_RespondsToForwardedRequestsThatOutlastItsGraceTime)
+{
+  this->SlowRedemptionDown(8500ms);
+  auto const shutdownAt = this->world->Now();
+  this->world->Shutdown("front-2");
+  this->world->Advance(2500ms);
+  auto const forwarded = this->Send("redeem", this->world->KeyPrefix("front-1") + "~k");
+  this->AwaitEnd(shutdownAt);
+  this->ExpectAllAnswered();
+  ASSERT_TRUE(forwarded->response.refusal);
+  EXPECT_EQ(forwarded->response.refusal->run, RunState::MayHaveRun);
+}
+
 }
--- a/Tests/LibHttp/EndOfProcessTests.cpp
+++ b/Tests/LibHttp/EndOfProcessTests.cpp
@@ -146,4 +146,17 @@
   EXPECT_LT(this->clock.Now() - begunAt, 1500ms);
 }
 
+// Callers kept their connections to a stopping front, and sent requests on them until it ended.
+TEST_F(EndOfProcess, ClosesConnectionsAfterResponsesWhenAsked)
+{
+  CallerConnection const caller(this->port);
+  this->server.CloseAfterResponses();
+  caller.Write(kHead + "hello");
+  this->RunToTheEnd();
+  // Reads to the end of the stream.
+  auto const response = caller.ReadUntil("");
+  EXPECT_NE(response.find("connection: close\r\n"), std::string::npos) << response;
+  EXPECT_TRUE(response.ends_with("got hello")) << response;
+}
+
 }
--- a/Tests/LibSettings/SettingsTests.cpp
+++ b/Tests/LibSettings/SettingsTests.cpp
@@ -59,6 +59,23 @@
   EXPECT_FALSE(errors.empty());
 }
 
+TEST(FrontSettings, ChecksTheGraceTimeOfAShutdown)
+{
+  std::vector<SettingsError> errors;
+  auto settings = ParseFrontSettings(kValidSettings + "callers:\n  keep_address_s: 60\n", "f", errors);
+  ASSERT_TRUE(settings) << ToString(errors.front());
+  EXPECT_EQ(settings->shutdownGrace, 78100ms);
+  settings =
+    ParseFrontSettings(kValidSettings + "callers:\n  keep_address_s: 2\nshutdown:\n  grace_s: 9\n", "f", errors);
+  ASSERT_TRUE(settings) << ToString(errors.front());
+  EXPECT_EQ(settings->shutdownGrace, 9s);
+  // Callers would still use the address when the process is killed.
+  EXPECT_FALSE(ParseFrontSettings(kValidSettings + "shutdown:\n  grace_s: 35\n", "f", errors));
+  ASSERT_EQ(errors.size(), 1U);
+  EXPECT_EQ(errors.front().key, "shutdown.grace_s");
+  EXPECT_FALSE(ParseFrontSettings(kValidSettings + "shutdown:\n  grace_s: soon\n", "f", errors));
+}
+
 TEST(FrontSettings, RejectsMalformedYaml)
 {
   std::vector<SettingsError> errors;
--- a/Tests/World/StandardWorld.cpp
+++ b/Tests/World/StandardWorld.cpp
@@ -57,9 +57,10 @@
 }
 
 std::unique_ptr<World>
-MakeStandardWorld(std::uint64_t aSeed, bool aStartsWarm)
+MakeStandardWorld(std::uint64_t aSeed, bool aStartsWarm, Duration aShutdownGrace)
 {
   auto world = std::make_unique<World>(aSeed);
+  world->SetShutdownGrace(aShutdownGrace);
   for (std::string const number : { "1", "2", "3" }) {
     world->AddEndpoint("encode-" + number, ModelOf(20ms, 0, aStartsWarm));
     world->AddEndpoint("generate-" + number, ModelOf(100ms, 5, aStartsWarm));
--- a/Tests/World/World.cpp
+++ b/Tests/World/World.cpp
@@ -76,6 +76,7 @@
   settings.administrationToken = "test-token";
   settings.callers.keepAddress = 2s;
   settings.policy = this->policy;
+  settings.shutdownGrace = this->shutdownGrace;
   auto* const raw = process.get();
   process->front =
     std::make_unique<Front>(settings,
--- a/Tests/World/World.h
+++ b/Tests/World/World.h
@@ -47,6 +47,9 @@
   /// Sets the routing policy of fronts that are started after this call.
   void SetPolicy(RoutingPolicy aPolicy) { this->policy = aPolicy; }
 
+  /// Sets the time from the shutdown of a front until it would be killed, for fronts that are started after this call.
+  void SetShutdownGrace(Duration aGrace) { this->shutdownGrace = aGrace; }
+
   void AddFront(std::string const& aName, std::string const& aDataCenter);
   FakeEndpoint& AddEndpoint(std::string const& aName, EndpointModelSettings aSettings);
   FakeEndpoint& Endpoint(std::string const& aName) { return *this->endpoints.at(aName); }
@@ -122,6 +125,7 @@
   std::vector<std::shared_ptr<TrackedEdit>> edits;
   std::vector<std::string> violations;
   RoutingPolicy policy{ RoutingPolicy::Adaptive };
+  Duration shutdownGrace{ 50s };
   Incarnation lastIncarnation{ 1000 };
   std::uint64_t random;
 };
