--- a/Libraries/LibFront/RequestService.cpp
+++ b/Libraries/LibFront/RequestService.cpp
@@ -148,34 +148,50 @@
   VerifyNotReached();
 }
 
+static Refusal
+HolderUnreachable(std::string const& aHolder)
+{
+  return { RefusalReason::KeyHolderGone,
+           RunState::MayHaveRun,
+           "the front that the key names, " + aHolder + ", does not answer",
+           0s };
+}
+
 RequestId
 RequestService::Forward(CallerRequest const& aRequest, ResponseSink aSink, IdempotencyKey const& aKey)
 {
   auto const* const holder = this->membership.FindKnownMember(aKey.front, aKey.incarnation);
-  Refusal const unreachable{ RefusalReason::KeyHolderGone,
-                             RunState::MayHaveRun,
-                             "the front that the key names, " + aKey.front + ", does not answer",
-                             0s };
   if (holder == nullptr || aRequest.forwarded)
-    return this->Refuse(aRequest, aSink, unreachable);
+    return this->Refuse(aRequest, aSink, HolderUnreachable(aKey.front));
+  if (this->admissionClosed)
+    return this->Refuse(aRequest, aSink, this->StoppingRefusal(RunState::MayHaveRun));
   auto const& pipeline = this->configuration.Current().pipelines.at(aRequest.pipeline);
   auto const timeout = aRequest.deadline.value_or(pipeline.deadline) + kForwardTimeoutMargin;
   PART_LOG("requests") << "forwarding a non-repeatable request to " << holder->name << ", which its key names.";
-  this->peers.forward(*holder,
-                      { aRequest.pipeline, aRequest.body },
-                      timeout,
-                      [this, aRequest, unreachable, sink = std::move(aSink)](std::optional<std::string> aResponse) {
-                        LastReason reason;
-                        auto const response =
-                          aResponse ? DecodePipelineResponse(*aResponse, reason) : std::optional<PipelineResponse>();
-                        if (response)
-                          sink.onResponse(*response);
-                        else
-                          this->Refuse(aRequest, sink, unreachable);
-                      });
+  auto const forward = ++this->lastForward;
+  this->forwards.emplace(forward, PendingForward{ aRequest, std::move(aSink), aKey.front });
+  this->peers.forward(
+    *holder, { aRequest.pipeline, aRequest.body }, timeout, [this, forward](std::optional<std::string> aResponse) {
+      this->FinishForward(forward, aResponse);
+    });
   return 0;
 }
 
+void
+RequestService::FinishForward(std::uint64_t aForward, std::optional<std::string> const& aResponse)
+{
+  auto const pending = this->forwards.extract(aForward);
+  if (pending.empty())
+    return;
+  auto const& [request, sink, holder] = pending.mapped();
+  LastReason reason;
+  auto const response = aResponse ? DecodePipelineResponse(*aResponse, reason) : std::optional<PipelineResponse>();
+  if (response)
+    sink.onResponse(*response);
+  else
+    this->Refuse(request, sink, HolderUnreachable(holder));
+}
+
 RequestId
 RequestService::StartRequest(CallerRequest const& aRequest, ResponseSink aSink, PipelineRow const& aPipeline)
 {
@@ -188,6 +204,7 @@
   progress.account = aRequest.account;
   progress.pipeline = aPipeline;
   progress.deadline = arrivedAt + deadline;
+  this->LimitDeadline(*request);
   progress.input = aRequest.input;
   request->weight = this->configuration.Current().accounts.at(aRequest.account).weight;
   request->prefix = aRequest.prefix;
@@ -199,7 +216,10 @@
   auto const left = progress.deadline - this->clock.Now();
   request->deadlineTimer = this->clock.Schedule(left, [this, id] { this->OnDeadline(id); });
   OnNewRequest(this->retryBudget);
-  this->Admit(request);
+  if (this->admissionClosed || this->MayOutlastThisFront(request))
+    this->FinishRefused(request, this->StoppingRefusal(RunState::NotRun));
+  else
+    this->Admit(request);
   if (!request->admitted && !request->finished)
     this->waiting.push_back(request);
   return request->finished ? 0 : id;
@@ -288,7 +308,7 @@
   }
   if (now + this->PredictRemainingTimeOf(aRequest) > progress.deadline) {
     auto const detail = "the stages are expected to take longer than the deadline allows";
-    this->FinishRefused(aRequest, MakeRefusal(progress, RefusalReason::DeadlineUnreachable, detail, 500ms));
+    this->FinishRefused(aRequest, this->LateRefusal(*aRequest, RefusalReason::DeadlineUnreachable, detail));
     return;
   }
   if (!this->AdmitAccount(aRequest)) {
@@ -380,7 +400,7 @@
   auto const request = this->active.at(next->request);
   if (this->CannotMeetDeadline(request)) {
     auto const detail = "the remaining stages take longer than is left";
-    this->FinishRefused(request, MakeRefusal(request->progress, RefusalReason::DeadlineUnreachable, detail, 500ms));
+    this->FinishRefused(request, this->LateRefusal(*request, RefusalReason::DeadlineUnreachable, detail));
     return true;
   }
   auto const candidates = this->CandidatesOf(aPool, request);
@@ -464,7 +484,7 @@
   bool const responseLost = progress.sent && progress.pipeline.repeatability == Repeatability::NotRepeatable;
   auto const reason = responseLost ? RefusalReason::AnswerLost : RefusalReason::DeadlinePassed;
   auto const place = request->attempt ? "at " + request->attempt->endpoint : std::string("while it waited");
-  this->FinishRefused(request, MakeRefusal(progress, reason, "the deadline passed " + place, 500ms));
+  this->FinishRefused(request, this->LateRefusal(*request, reason, "the deadline passed " + place));
 }
 
 void
