LibGateway: Do not append a second response to an interrupted one

Callers of a safe route got the first part of one endpoint's response, then the whole response of another one, as one complete chunked response. A response longer than 262,144 bytes is forwarded before it is complete; when it was reset or stalled after that, the request still counted as retryable, and the body of the next attempt was forwarded on the same exchange.

Evidence: PlatformAnswers.DoesNotAppendASecondAnswerToALongOneThatWasInterrupted and ...ThatStalls fail without the change, with and without a length: the caller received 400,000 bytes of the first body, "whole" of the second and a regular end; two endpoints were asked. A shorter response was sound: it is buffered, and retried as a whole (RetriesAnInterruptedAnswerThatIsStillBuffered).

Only a stream of events can be continued by another response, because it is resumed after its last complete event. IsRetryable() now says so once a response has begun; such a response is then broken off with a reset. The stall timer is armed after the response has begun, so that it does not fire for one that cannot be retried. For the same reason the body of a long error response of a streaming route is forwarded as it is and not split into events.

With the change, the three tests pass.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -271,20 +271,21 @@
 {
   if (this->ended || !this->forwarding)
     return;
-  this->ArmStallTimer();
   OnResponseBytes(this->timeline, this->proxy.clock.Now());
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
   if (this->responseBegun) {
+    this->ArmStallTimer();
     this->ForwardBody(std::move(aData));
     return;
   }
   this->bufferedBody += aData;
-  if (this->bufferedBody.size() <= kMaxBufferedResponseBytes)
-    return;
-  this->BeginResponse(*this->bufferedHead);
-  this->exchange->SendChunk(this->bufferedBody);
-  this->bufferedBody.clear();
+  if (this->bufferedBody.size() > kMaxBufferedResponseBytes) {
+    this->BeginResponse(*this->bufferedHead);
+    this->exchange->SendChunk(this->bufferedBody);
+    this->bufferedBody.clear();
+  }
+  this->ArmStallTimer();
 }
 
 void
@@ -303,7 +304,7 @@
 void
 ProxiedRequest::ForwardBody(std::string aData)
 {
-  if (this->route.kind != RequestKind::Streaming) {
+  if (!this->ForwardsEvents()) {
     this->exchange->SendChunk(aData);
   } else {
     auto const whole = ExtractCompleteEvents(this->eventStream, aData);
@@ -352,7 +353,7 @@
 ProxiedRequest::FinishResponse()
 {
   if (this->responseBegun) {
-    if (this->route.kind == RequestKind::Streaming && !this->eventStream.partial.empty())
+    if (!this->eventStream.partial.empty())
       this->exchange->SendChunk(this->eventStream.partial);
     this->exchange->EndStream();
     this->End(RequestOutcome::Completed, 200, "complete");
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -44,6 +44,9 @@
 bool
 ProxiedRequest::IsRetryable() const
 {
+  // Only a stream of events can be continued by another response.
+  if (this->responseBegun && !this->ForwardsEvents())
+    return false;
   return this->route.kind == RequestKind::Safe || (this->route.kind == RequestKind::Streaming && this->route.resumable);
 }
 
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -73,6 +73,8 @@
   void OnStall();
 
   void BeginResponse(ResponseHead const& aHead);
+  /// Whether the response being forwarded is a stream of events. The error response of a streaming route is not.
+  bool ForwardsEvents() const { return this->responseBegun && !this->bufferedHead; }
   void ForwardBody(std::string aData);
   void FinishResponse();
 
--- /dev/null
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -0,0 +1,126 @@
+#include "PlatformFixtures.h"
+#include "RawEndpoint.h"
+
+// Endpoints whose answers end or continue in ways that a well-behaved HTTP server does not show.
+
+namespace Hornbeam::Testing {
+
+using Ending = RawAnswer::Ending;
+
+static constexpr Duration kTimeout = 10s;
+static constexpr Duration kSafeTimeout = 4s;
+/// Well before the deadline of the requests, and before their callers give up.
+static constexpr Duration kPrompt = 2500ms;
+
+/// Two raw endpoints of each service. The first request of all gets one answer, and all others another one.
+struct RawWorld
+{
+  using AnswerOf = std::function<RawAnswer(RequestMessage const&)>;
+
+  RawWorld(AnswerOf aFirst, AnswerOf aOthers)
+    : first(std::move(aFirst))
+    , others(std::move(aOthers))
+  {
+    auto table = StandInTable(1, kTimeout);
+    auto once = table["route_table"][2];
+    once["name"] = "once";
+    once["path_prefix"] = "/once/";
+    once["resumable"] = false;
+    table["route_table"].push_back(once);
+    this->world.store->Put("config", "main", table);
+    for (unsigned index = 0; index < 4; ++index) {
+      auto const* const service = index < 2 ? "ledger" : "model";
+      this->endpoints.push_back(std::make_unique<RawEndpoint>(this->world, service, 20981 + index));
+      this->endpoints.back()->answerOf = [this](RequestMessage const& aRequest, std::size_t) {
+        return this->requests++ == 0 ? this->first(aRequest) : this->others(aRequest);
+      };
+    }
+    this->world.Start();
+    EXPECT_TRUE(this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-0"); }));
+    this->world.RunFor(50ms);
+  }
+
+  CallerResponse Call(std::string const& aTarget)
+  {
+    auto request = aTarget.starts_with("/safe") ? SafeRequest() : ModelRequest(aTarget);
+    request.clientTimeout = aTarget.starts_with("/safe") ? kSafeTimeout : kTimeout;
+    return this->world.Call(0, request);
+  }
+
+  std::size_t BytesSent() const
+  {
+    std::size_t sum = 0;
+    for (auto const& endpoint : this->endpoints)
+      sum += endpoint->sent;
+    return sum;
+  }
+
+  AnswerOf first;
+  AnswerOf others;
+  std::size_t requests{ 0 };
+  PlatformWorld world{ 1 };
+  std::vector<std::unique_ptr<RawEndpoint>> endpoints;
+};
+
+struct RawResult
+{
+  CallerResponse response;
+  /// What the endpoints received and sent.
+  std::size_t requests;
+  std::size_t bytesSent;
+};
+
+/// Sends one request in a world of its own.
+static RawResult
+CallOnce(RawWorld::AnswerOf aFirst, RawWorld::AnswerOf aOthers, std::string const& aTarget)
+{
+  RawWorld raw(std::move(aFirst), std::move(aOthers));
+  auto response = raw.Call(aTarget);
+  return { std::move(response), raw.requests, raw.BytesSent() };
+}
+
+static RawAnswer
+WholeAnswer(RequestMessage const& aRequest)
+{
+  return { RawHead(aRequest, "Content-Length: 5\r\n") + "whole" };
+}
+
+// The bytes before the interruption had been forwarded, and the whole answer of another endpoint was appended to them.
+TEST(PlatformAnswers, DoesNotAppendASecondAnswerToALongOneThatWasInterrupted)
+{
+  std::string const half(400000, 'h');
+  for (auto const* const framing : { "", "Content-Length: 500000\r\n" }) {
+    auto const reset = [&](auto const& aRequest) {
+      return RawAnswer{ RawHead(aRequest, framing) + half, Ending::Reset, 100ms };
+    };
+    auto const result = CallOnce(reset, WholeAnswer, "/safe/x");
+    EXPECT_EQ(result.response.end, CallEnd::Broken);
+    EXPECT_EQ(result.response.body.find("whole"), std::string::npos);
+    EXPECT_EQ(result.requests, 1U);
+  }
+}
+
+// As above, for an endpoint that stops sending without ending the connection.
+TEST(PlatformAnswers, DoesNotAppendASecondAnswerToALongOneThatStalls)
+{
+  auto const stalled = [](auto const& aRequest) {
+    return RawAnswer{ RawHead(aRequest, "Content-Length: 500000\r\n") + std::string(400000, 'h') };
+  };
+  auto const result = CallOnce(stalled, WholeAnswer, "/safe/x");
+  EXPECT_NE(result.response.end, CallEnd::Complete);
+  EXPECT_EQ(result.response.body.find("whole"), std::string::npos);
+  EXPECT_EQ(result.requests, 1U);
+}
+
+TEST(PlatformAnswers, RetriesAnInterruptedAnswerThatIsStillBuffered)
+{
+  auto const reset = [](auto const& aRequest) { return RawAnswer{ RawHead(aRequest) + "half", Ending::Reset, 20ms }; };
+  auto const safe = CallOnce(reset, WholeAnswer, "/safe/x");
+  EXPECT_EQ(safe.response.body, "whole");
+  EXPECT_EQ(safe.requests, 2U);
+  auto const unsafe = CallOnce(reset, WholeAnswer, "/plain/x");
+  EXPECT_EQ(unsafe.response.status, 502U);
+  EXPECT_EQ(unsafe.requests, 1U);
+}
+
+}
