LibGateway: End events at blank lines with any line end

An event whose blank line ended in another way than its lines (LF, then CR LF), or a stream whose lines end with CR, was taken for part of the next event: it reached the caller late, and its id was not used for a resumption, so the endpoint that resumed the stream sent it again. Cause: the end of an event was searched as "\n\n" or "\r\n\r\n" only.

Evidence: EventStream.EndsAnEventAtABlankLineWithAnyLineEnd fails without the change for "\n\r\n" and "\r\r": nothing was forwarded and no id was recorded.

Lines are now found one by one with any of the three line ends, and the search continues where the last one ended instead of at the start of the incomplete event.

--- a/Libraries/LibGateway/EventStream.cpp
+++ b/Libraries/LibGateway/EventStream.cpp
@@ -4,31 +4,28 @@
 
 namespace Hornbeam::Gateway {
 
-/// Returns the position after the blank line that ends the first event; npos if there is no complete event.
-static std::size_t
-EndOfEvent(std::string_view aBytes, std::size_t aFrom)
+static constexpr std::string_view kLineEnds = "\r\n";
+
+/// Removes and returns the first line, without its line end. A CR LF gives an additional empty line.
+static std::string_view
+TakeLine(std::string_view& aLines)
 {
-  auto const plain = aBytes.find("\n\n", aFrom);
-  auto const withReturns = aBytes.find("\r\n\r\n", aFrom);
-  if (plain == std::string_view::npos && withReturns == std::string_view::npos)
-    return std::string_view::npos;
-  return withReturns < plain ? withReturns + 4 : plain + 2;
+  auto const end = aLines.find_first_of(kLineEnds);
+  auto const line = aLines.substr(0, end);
+  aLines = end == std::string_view::npos ? std::string_view() : aLines.substr(end + 1);
+  return line;
 }
 
 static std::optional<std::string>
 IdOf(std::string_view aEvent)
 {
   while (!aEvent.empty()) {
-    auto const end = aEvent.find('\n');
-    auto line = aEvent.substr(0, end);
-    aEvent = end == std::string_view::npos ? std::string_view() : aEvent.substr(end + 1);
+    auto line = TakeLine(aEvent);
     if (!line.starts_with("id:"))
       continue;
     line.remove_prefix(3);
     while (line.starts_with(' '))
       line.remove_prefix(1);
-    while (line.ends_with('\r'))
-      line.remove_suffix(1);
     return std::string(line);
   }
   return std::nullopt;
@@ -42,26 +39,49 @@
   return failure == std::errc() && end == aId.data() + aId.size() ? std::optional(value) : std::nullopt;
 }
 
+static void
+RecordEvent(EventStream& aStream, std::string_view aEvent)
+{
+  auto const id = IdOf(aEvent);
+  if (!id)
+    return;
+  auto const before = aStream.lastId ? NumberOf(*aStream.lastId) : std::nullopt;
+  auto const number = NumberOf(*id);
+  aStream.outOfOrder = aStream.outOfOrder || (before && number && *number <= *before);
+  aStream.lastId = *id;
+}
+
 std::string
 ExtractCompleteEvents(EventStream& aStream, std::string_view aBytes)
 {
-  aStream.partial += aBytes;
+  auto& bytes = aStream.partial;
+  // The bytes before were searched; only a CR at their end may still become a CR LF.
+  auto searched = bytes.ends_with('\r') ? bytes.size() - 1 : bytes.size();
+  bytes += aBytes;
   std::size_t whole = 0;
   while (true) {
-    auto const end = EndOfEvent(aStream.partial, whole);
-    if (end == std::string_view::npos)
+    auto const end = bytes.find_first_of(kLineEnds, searched);
+    if (end == std::string::npos || (bytes[end] == '\r' && end + 1 == bytes.size()))
       break;
-    if (auto const id = IdOf(std::string_view(aStream.partial).substr(whole, end - whole))) {
-      auto const before = aStream.lastId ? NumberOf(*aStream.lastId) : std::nullopt;
-      auto const number = NumberOf(*id);
-      aStream.outOfOrder = aStream.outOfOrder || (before && number && *number <= *before);
-      aStream.lastId = *id;
-    }
-    whole = end;
+    bool const blank = end == aStream.lineStart;
+    searched = end + (bytes.compare(end, 2, "\r\n") == 0 ? 2 : 1);
+    aStream.lineStart = searched;
+    if (!blank)
+      continue;
+    RecordEvent(aStream, std::string_view(bytes).substr(whole, searched - whole));
+    whole = searched;
   }
-  auto result = aStream.partial.substr(0, whole);
-  aStream.partial.erase(0, whole);
+  auto result = bytes.substr(0, whole);
+  bytes.erase(0, whole);
+  aStream.lineStart -= whole;
   return result;
 }
 
+void
+DiscardPartialEvent(EventStream& aStream)
+{
+  aStream.partial.clear();
+  aStream.lineStart = 0;
+}
+
 }
--- a/Libraries/LibGateway/EventStream.h
+++ b/Libraries/LibGateway/EventStream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,15 +11,23 @@
 /// at another endpoint.
 struct EventStream
 {
+  /// The bytes after the last complete event.
   std::string partial;
+  /// Where the first line without a line end starts in `partial`.
+  std::size_t lineStart{ 0 };
   /// The id of the last complete event.
   std::optional<std::string> lastId;
   /// Set if event ids do not increase: the stream is not the requested continuation.
   bool outOfOrder{ false };
 };
 
-/// Appends aBytes to the buffer, then removes and returns all complete events unchanged.
+/// Appends aBytes to the buffer, then removes and returns all complete events unchanged. Events end with a blank line;
+/// lines end with LF, CR LF or CR.
 std::string
 ExtractCompleteEvents(EventStream& aStream, std::string_view aBytes);
 
+/// Drops the bytes after the last complete event, before the stream is resumed.
+void
+DiscardPartialEvent(EventStream& aStream);
+
 }
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -216,7 +216,7 @@
                       << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts;
   this->triedEndpoints.push_back(this->endpoint);
   // A stream resumes after its last complete event, so a partial event is sent again in full.
-  this->eventStream.partial.clear();
+  DiscardPartialEvent(this->eventStream);
   if (this->stages && this->resultsReleased)
     this->RestartStages(aCause);
   else
