LibGateway: Resume or interrupt a stream that ends inside an event

Callers got part of an event and then the regular end of the stream: a stream that had been broken off looked complete, and one that could have been resumed was not. It happened however the endpoint's response ended inside an event: with its connection (no length, no chunks), at its length, or with its last chunk. FinishResponse() forwarded the incomplete event and ended the caller's response, because only the HTTP framing decided whether a stream was complete.

Evidence: PlatformAnswers.ResumesAStreamThatEndsInsideAnEvent and ...InterruptsAStreamThatEndsInsideAnEventAndCannotBeResumed fail without the change for all three framings: the body ended with "id: 3\ndata: ha", one endpoint was asked, and the call ended as complete. Ruled out: a reset between two events is not taken for the end (DoesNotTakeAResetForTheEndOfAStream passed before), and a stream without length or chunks that ends between two events is complete.

An attempt whose stream ends inside an event is now a failed attempt: the stream is resumed after its last complete event, or broken off with a reset. Comments and line ends after the last event are not inside an event and are forwarded as before.

--- a/Libraries/LibGateway/EventStream.cpp
+++ b/Libraries/LibGateway/EventStream.cpp
@@ -77,6 +77,22 @@
   return result;
 }
 
+bool
+EndsInsideEvent(EventStream const& aStream)
+{
+  std::string_view rest = aStream.partial;
+  // The blank line at the end of the last event may end with a CR, which is kept until it is known not to be a CR LF.
+  if (aStream.lineStart > 0 && rest.substr(aStream.lineStart) == "\r")
+    return false;
+  while (!rest.empty()) {
+    bool const lineEnded = rest.find_first_of(kLineEnds) != std::string_view::npos;
+    auto const line = TakeLine(rest);
+    if (!line.empty() && (!line.starts_with(':') || !lineEnded))
+      return true;
+  }
+  return false;
+}
+
 void
 DiscardPartialEvent(EventStream& aStream)
 {
--- a/Libraries/LibGateway/EventStream.h
+++ b/Libraries/LibGateway/EventStream.h
@@ -26,6 +26,11 @@
 std::string
 ExtractCompleteEvents(EventStream& aStream, std::string_view aBytes);
 
+/// Whether a stream that ends here was interrupted: anything but comments and line ends follows the last complete
+/// event.
+bool
+EndsInsideEvent(EventStream const& aStream);
+
 /// Drops the bytes after the last complete event, before the stream is resumed.
 void
 DiscardPartialEvent(EventStream& aStream);
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -325,7 +325,8 @@
 {
   if (this->ended || !this->attempting)
     return;
-  if (aEnd == CallEnd::Complete && this->forwarding) {
+  bool const insideEvent = this->ForwardsEvents() && EndsInsideEvent(this->eventStream);
+  if (aEnd == CallEnd::Complete && this->forwarding && !insideEvent) {
     bool const healthy = !this->bufferedHead || this->bufferedHead->status < 500;
     this->RecordAttemptHealth(healthy ? AttemptHealth::Healthy : AttemptHealth::Failed);
     ++this->endedAttempts;
@@ -346,15 +347,15 @@
   }
   this->mayHaveExecuted = true;
   ++this->endedAttempts;
-  this->HandleFailedAttempt(ToString(aEnd));
+  this->HandleFailedAttempt(aEnd == CallEnd::Complete && insideEvent ? "ended-inside-event" : ToString(aEnd));
 }
 
 void
 ProxiedRequest::FinishResponse()
 {
   if (this->responseBegun) {
-    if (!this->eventStream.partial.empty())
-      this->exchange->SendChunk(this->eventStream.partial);
+    // What follows the last event is at most a comment.
+    this->exchange->SendChunk(this->eventStream.partial);
     this->exchange->EndStream();
     this->End(RequestOutcome::Completed, 200, "complete");
     return;
--- a/Tests/LibGateway/EventStreamTests.cpp
+++ b/Tests/LibGateway/EventStreamTests.cpp
@@ -6,7 +6,8 @@
 
 namespace Hornbeam::Gateway {
 
-/// Feeds the bytes in reads that end at the given positions, and returns what is forwarded.
+/// Feeds the bytes in reads that end at the given positions, and returns what
+/// is forwarded.
 static std::string
 FeedInReads(EventStream& aStream, std::string_view aBytes, std::vector<std::size_t> const& aEnds)
 {
@@ -19,7 +20,8 @@
   return forwarded + ExtractCompleteEvents(aStream, aBytes.substr(from));
 }
 
-/// A random stream: events of random lines with random line ends, possibly cut off at the end.
+/// A random stream: events of random lines with random line ends, possibly cut
+/// off at the end.
 static rc::Gen<std::string>
 Streams()
 {
@@ -59,8 +61,9 @@
 
 TEST(EventStream, SplitsAStreamAtEachPosition)
 {
-  std::string const events =
-    "id: 1\ndata: a\n\n: note\n\nversions: 7\r\nid: 2\r\ndata: b\r\n\r\n\n\ndata: c\nid: 3\n\n";
+  std::string const events = ""
+                             "id: 1\ndata: a\n\n: note\n\nversions: 7\r\nid: "
+                             "2\r\ndata: b\r\n\r\n\n\ndata: c\nid: 3\n\n";
   for (std::size_t position = 0; position <= events.size(); ++position) {
     EventStream stream;
     EXPECT_EQ(FeedInReads(stream, events, { position }), events) << position;
@@ -70,7 +73,8 @@
   }
 }
 
-// An event that ended with a blank line of another line end than its lines was taken for part of the next event.
+// An event that ended with a blank line of another line end than its lines was
+// taken for part of the next event.
 TEST(EventStream, EndsAnEventAtABlankLineWithAnyLineEnd)
 {
   for (auto const* const blank : { "\n\n", "\r\n\r\n", "\n\r\n", "\r\n\n", "\r\r" }) {
@@ -82,6 +86,23 @@
   }
 }
 
+TEST(EventStream, EndsInsideAnEventUnlessOnlyCommentsOrLineEndsFollow)
+{
+  for (auto const* const rest :
+       { "", "\n", "\r", "\r\n\n", ": note\n", ": note\r\n: note\n", "id: 2\r\rdata: b\r\r" }) {
+    EventStream stream;
+    ExtractCompleteEvents(stream, std::string("id: 1\n\n") + rest);
+    EXPECT_FALSE(EndsInsideEvent(stream)) << rest;
+  }
+  for (auto const* const rest : { "i", "id: 2\n", "id: 2\r", ": no", ": note\ndata: b\r\n", "\ndata" }) {
+    EventStream stream;
+    ExtractCompleteEvents(stream, std::string("id: 1\n\n") + rest);
+    EXPECT_TRUE(EndsInsideEvent(stream)) << rest;
+    DiscardPartialEvent(stream);
+    EXPECT_EQ(ExtractCompleteEvents(stream, "id: 2\n\n"), "id: 2\n\n");
+  }
+}
+
 TEST(EventStream, FindsTheIdOfAnEventAfterItsData)
 {
   EventStream stream;
@@ -89,4 +110,4 @@
   EXPECT_EQ(stream.lastId, "7");
 }
 
-}
+} // namespace Hornbeam::Gateway
--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -12,6 +12,21 @@
 /// Well before the deadline of the requests, and before their callers give up.
 static constexpr Duration kPrompt = 2500ms;
 
+static std::string
+Events(unsigned aFirst, unsigned aLast)
+{
+  std::string events;
+  for (auto number = aFirst; number <= aLast; ++number)
+    events += "id: " + std::to_string(number) + "\ndata: t" + std::to_string(number) + "\n\n";
+  return events;
+}
+
+static std::string
+Chunk(std::string const& aBytes)
+{
+  return SerializeChunk(aBytes);
+}
+
 /// Two raw endpoints of each service. The first request of all gets one answer, and all others another one.
 struct RawWorld
 {
@@ -79,12 +94,96 @@
   return { std::move(response), raw.requests, raw.BytesSent() };
 }
 
+static RawAnswer
+RestOfStream(RequestMessage const& aRequest)
+{
+  auto const last = FieldValue(aRequest.fields, "Last-Event-Id");
+  return { RawHead(aRequest) + Events(last.empty() ? 1 : unsigned(std::stoul(last)) + 1, 5), Ending::Close };
+}
+
 static RawAnswer
 WholeAnswer(RequestMessage const& aRequest)
 {
   return { RawHead(aRequest, "Content-Length: 5\r\n") + "whole" };
 }
 
+/// A stream that ends inside its third event, as its framing permits.
+static std::vector<RawWorld::AnswerOf>
+StreamsThatEndInsideAnEvent()
+{
+  auto const part = Events(1, 2) + "id: 3\ndata: ha";
+  return { [part](auto const& aRequest) {
+            return RawAnswer{ RawHead(aRequest) + part, Ending::Close, 20ms };
+          },
+           [part](auto const& aRequest) {
+             return RawAnswer{ RawHead(aRequest, "Content-Length: " + std::to_string(part.size()) + "\r\n") + part };
+           },
+           [part](auto const& aRequest) {
+             return RawAnswer{ RawHead(aRequest, "Transfer-Encoding: chunked\r\n") + Chunk(part) + "0\r\n\r\n" };
+           } };
+}
+
+// The end of a connection, of a length or of chunks inside an event was forwarded as the end of the stream.
+TEST(PlatformAnswers, ResumesAStreamThatEndsInsideAnEvent)
+{
+  for (auto const& first : StreamsThatEndInsideAnEvent()) {
+    auto const result = CallOnce(first, RestOfStream, "/model/x");
+    EXPECT_EQ(result.response.end, CallEnd::Complete);
+    EXPECT_EQ(result.response.body, Events(1, 5));
+    EXPECT_EQ(result.requests, 2U);
+  }
+}
+
+// Callers took such a stream for complete.
+TEST(PlatformAnswers, InterruptsAStreamThatEndsInsideAnEventAndCannotBeResumed)
+{
+  for (auto const& first : StreamsThatEndInsideAnEvent()) {
+    auto const result = CallOnce(first, RestOfStream, "/once/x");
+    EXPECT_EQ(result.response.end, CallEnd::Broken);
+    EXPECT_EQ(result.response.body, Events(1, 2));
+    EXPECT_EQ(result.requests, 1U);
+  }
+}
+
+TEST(PlatformAnswers, AcceptsAStreamWithoutLengthWhoseConnectionIsClosed)
+{
+  for (auto const* const target : { "/model/x", "/once/x" }) {
+    auto const result = CallOnce(RestOfStream, RestOfStream, target);
+    EXPECT_EQ(result.response.end, CallEnd::Complete);
+    EXPECT_EQ(result.response.body, Events(1, 5));
+    EXPECT_EQ(result.requests, 1U);
+  }
+}
+
+// A reset is not the end of a stream, not even between two events.
+TEST(PlatformAnswers, DoesNotTakeAResetForTheEndOfAStream)
+{
+  for (auto const delay : { 0ms, 20ms }) {
+    auto const reset = [delay](auto const& aRequest) {
+      return RawAnswer{ RawHead(aRequest) + Events(1, 3), Ending::Reset, delay };
+    };
+    auto const resumed = CallOnce(reset, RestOfStream, "/model/x");
+    EXPECT_EQ(resumed.response.end, CallEnd::Complete);
+    EXPECT_EQ(resumed.response.body, Events(1, 5));
+    EXPECT_EQ(resumed.requests, 2U);
+    auto const interrupted = CallOnce(reset, RestOfStream, "/once/x");
+    EXPECT_FALSE(interrupted.response.end == CallEnd::Complete && interrupted.response.status == 200);
+    EXPECT_EQ(interrupted.requests, 1U);
+  }
+}
+
+TEST(PlatformAnswers, AcceptsLineEndsAndCommentsAfterTheLastEvent)
+{
+  for (auto const* const tail : { "\n", "\r\n\r\n", ": end\n", ": end\n\n" }) {
+    auto const answer = [tail](auto const& aRequest) {
+      return RawAnswer{ RawHead(aRequest) + Events(1, 5) + tail, Ending::Close };
+    };
+    auto const result = CallOnce(answer, RestOfStream, "/once/x");
+    EXPECT_EQ(result.response.end, CallEnd::Complete) << tail;
+    EXPECT_EQ(result.response.body, Events(1, 5) + tail);
+  }
+}
+
 // The bytes before the interruption had been forwarded, and the whole answer of another endpoint was appended to them.
 TEST(PlatformAnswers, DoesNotAppendASecondAnswerToALongOneThatWasInterrupted)
 {
