LibExchange: Do not take a reset for a close after a failed write

Half of a response without length could be returned as complete after a reset. The kernel reports a reset only once. If the request was still being sent, the write got the error (ECONNRESET), and the next read returned the end of the stream, which completes such a response.

Evidence: ConnectionPool.DoesNotTakeAResetForACloseWhileTheRequestIsStillBeingSent fails without the change (Complete instead of Broken). It pauses reading, as for a slow caller, so that the write always comes first; otherwise the reset has to arrive between a read and a write of one loop iteration. A plain socket shows the same: send() gives ECONNRESET, then EPIPE, and recv() returns 0. Ruled out: a reset right after the data, without pending writes, is seen (AcceptsAResponseWithoutLengthOnlyIfItsConnectionIsClosedRegularly, 30 times).

A write that fails now marks the stream as reset, except with EPIPE: the kernel reports a reset that follows a regular close that way, and the response is complete then.

--- a/Libraries/LibExchange/TcpStream.cpp
+++ b/Libraries/LibExchange/TcpStream.cpp
@@ -150,6 +150,9 @@
 bool
 TcpStream::WasReset() const
 {
+  // The kernel reports a reset only once, to a read or to a write.
+  if (this->resetSeenByWrite)
+    return true;
   // After a short read, libuv reports a hang-up as a regular end of stream without reading from the socket again, even
   // if the connection was reset.
   uv_os_fd_t descriptor = -1;
@@ -177,6 +180,7 @@
     int const written = uv_try_write(AsStream(&this->handle), &buffer, 1);
     if (written == int(aBytes.size()))
       return;
+    this->NoteWriteFailure(written);
     if (written > 0)
       aBytes.erase(0, std::size_t(written));
   }
@@ -196,9 +200,18 @@
   }
 }
 
+void
+TcpStream::NoteWriteFailure(int aStatus)
+{
+  // After a regular close by the peer, its reset is reported as UV_EPIPE.
+  if (aStatus < 0 && aStatus != UV_EAGAIN && aStatus != UV_EPIPE && aStatus != UV_ECANCELED)
+    this->resetSeenByWrite = true;
+}
+
 void
 TcpStream::OnWritten(int aStatus)
 {
+  this->NoteWriteFailure(aStatus);
   --this->writesInFlight;
   if (this->writesInFlight != 0 || this->closing)
     return;
--- a/Libraries/LibExchange/TcpStream.h
+++ b/Libraries/LibExchange/TcpStream.h
@@ -75,6 +75,7 @@
   void StartReading();
   void CloseHandle();
   void OnWritten(int aStatus);
+  void NoteWriteFailure(int aStatus);
   void OnRead(ssize_t aCount, uv_buf_t const* aBuffer);
   bool WasReset() const;
 
@@ -90,6 +91,8 @@
   bool paused{ false };
   bool closing{ false };
   bool closeWhenSent{ false };
+  /// Set if a write failed because of a reset.
+  bool resetSeenByWrite{ false };
 };
 
 /// A listening socket. aAccept receives each new connection.
--- a/Tests/LibExchange/ExchangeTests.cpp
+++ b/Tests/LibExchange/ExchangeTests.cpp
@@ -40,6 +40,8 @@
     this->streams.push_back(std::move(aStream));
     StreamEvents events;
     events.onData = [this, raw](std::string_view) {
+      if (this->stopsReading)
+        raw->PauseReading();
       raw->Write(this->bytes);
       if (this->ending == Ending::Close)
         raw->Close();
@@ -81,6 +83,8 @@
 
   std::string bytes;
   Ending ending;
+  /// Responds to the first bytes of a request and reads no more of it.
+  bool stopsReading{ false };
   Clock clock{ ClockMode::Running };
   EventLoop loop{ clock };
   ConnectionPool pool{ this->loop.UvLoop(), this->clock };
@@ -141,4 +145,43 @@
   EXPECT_EQ(head.Call("HEAD").end, CallEnd::Complete);
 }
 
+// A reset that a failed write had reported first was taken for a regular close, so half an answer looked complete.
+TEST(ConnectionPool, DoesNotTakeAResetForACloseWhileTheRequestIsStillBeingSent)
+{
+  RawServer server("HTTP/1.1 200 OK\r\n\r\nhalf", Ending::Keep);
+  server.stopsReading = true;
+  OutgoingCall call;
+  call.address = kAddress;
+  call.request = { "POST", "/", { { "Host", "x" } }, std::string(32 << 20, 'b') };
+  std::optional<CallEnd> end;
+  CallHandle handle;
+  CallEvents events;
+  events.onBody = [&](std::string) { handle.PauseReading(); };
+  events.onEnd = [&](CallEnd aEnd) { end = aEnd; };
+  handle = server.pool.Send(std::move(call), std::move(events));
+  server.RunFor(50ms);
+  ASSERT_EQ(server.streams.size(), 1U);
+  server.streams[0]->Reset();
+  server.RunFor(20ms);
+  handle.ResumeReading();
+  server.loop.RunUntil([&] { return end.has_value(); });
+  EXPECT_EQ(end, CallEnd::Broken);
+}
+
+TEST(ConnectionPool, DoesNotReuseAConnectionThatEndsItsResponse)
+{
+  RawServer server("HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nwhole", Ending::Close);
+  EXPECT_EQ(server.Call().end, CallEnd::Complete);
+  EXPECT_FALSE(server.pool.HasIdle(kAddress));
+}
+
+TEST(ConnectionPool, ReusesAConnectionAfterAResponseThatNeverHasABody)
+{
+  for (auto const* const status : { "204 No Content", "304 Not Modified" }) {
+    RawServer server(std::string("HTTP/1.1 ") + status + "\r\n\r\n", Ending::Keep);
+    EXPECT_EQ(server.Call().end, CallEnd::Complete);
+    EXPECT_TRUE(server.pool.HasIdle(kAddress));
+  }
+}
+
 }
