LibExchange: Bound chunk extensions, trailers and informational responses

An endpoint that sent a chunk size, a chunk extension or a trailer without end filled the memory of the front, and informational responses (1xx) without end kept the request waiting, both until the deadline. Beast limits the head and the body of a message only, and the unparsed bytes were kept for the next read. The parser of callers' requests had the same fault, until the header timeout.

Unparsed bytes after a head are now limited to 16 KiB and informational responses to 16. The call then ends as broken at once, and is retried if the request allows it.

--- a/Libraries/LibExchange/HttpParsers.cpp
+++ b/Libraries/LibExchange/HttpParsers.cpp
@@ -10,12 +10,14 @@
 static constexpr std::uint32_t kMaxResponseHeaderBytes = 65536;
 /// A response that declares a longer body is rejected, because memory is reserved for the declared length.
 static constexpr std::uint64_t kMaxResponseBodyBytes = 64 << 20;
+/// Size limit of a chunk extension, and of the trailer of a chunked body. Beast limits neither.
+static constexpr std::size_t kMaxChunkHeaderBytes = 16384;
+/// Limit of the informational responses (1xx) before the final one.
+static constexpr unsigned kMaxInformationalResponses = 16;
 
 static ParseState
 StateOf(boost::beast::error_code const& aFailure)
 {
-  if (aFailure == http::error::need_more)
-    return ParseState::NeedMore;
   if (aFailure == http::error::header_limit)
     return ParseState::HeaderTooLarge;
   if (aFailure == http::error::body_limit)
@@ -32,14 +34,17 @@
     boost::beast::error_code failure;
     auto const used = aParser.put(boost::asio::buffer(aBytes.data(), aBytes.size()), failure);
     aBytes.erase(0, used);
-    if (failure)
+    if (failure && failure != http::error::need_more)
       return StateOf(failure);
     if (aParser.is_header_done() && !aHeadCheck())
       return ParseState::Malformed;
-    if (used == 0)
+    if (failure || used == 0)
       break;
   }
-  return aParser.is_done() ? ParseState::Done : ParseState::NeedMore;
+  if (aParser.is_done())
+    return ParseState::Done;
+  bool const tooLong = aParser.is_header_done() && aBytes.size() > kMaxChunkHeaderBytes;
+  return tooLong ? ParseState::Malformed : ParseState::NeedMore;
 }
 
 template<typename Message>
@@ -126,6 +131,7 @@
 {
   std::optional<http::response_parser<http::string_body>> parser;
   ResponseTo method;
+  unsigned informationalResponses{ 0 };
 
   void Reset()
   {
@@ -155,6 +161,8 @@
     bool const informational = state == ParseState::Done && parser.get().result_int() / 100 == 1;
     if (!informational)
       return state;
+    if (++this->implementation->informationalResponses > kMaxInformationalResponses)
+      return ParseState::Malformed;
     this->implementation->Reset();
     if (aBytes.empty())
       return ParseState::NeedMore;
--- a/Tests/LibExchange/ExchangeTests.cpp
+++ b/Tests/LibExchange/ExchangeTests.cpp
@@ -184,4 +184,34 @@
   }
 }
 
+/// Feeds aRepeated until the parser fails; returns the largest number of bytes that it kept unparsed.
+static std::size_t
+FeedWithoutEnd(std::string aStart, std::string const& aRepeated)
+{
+  static constexpr std::size_t kEnough = 4 << 20;
+  ResponseParser parser(ResponseTo::OtherMethod);
+  std::size_t kept = 0;
+  std::size_t fed = aStart.size();
+  while (parser.Feed(aStart) == ParseState::NeedMore && fed < kEnough) {
+    kept = std::max(kept, aStart.size());
+    aStart += aRepeated;
+    fed += aRepeated.size();
+  }
+  EXPECT_LT(fed, kEnough) << "no end after " << aRepeated.substr(0, 20);
+  return kept;
+}
+
+// Beast limits heads and bodies, but neither chunk extensions, trailers nor the number of informational responses.
+TEST(ResponseParser, FailsOnBytesWithoutEnd)
+{
+  static constexpr std::size_t kMaxKept = 131072;
+  std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string const filler(1000, 'x');
+  EXPECT_LT(FeedWithoutEnd("", filler), kMaxKept);
+  EXPECT_LT(FeedWithoutEnd("HTTP/1.1 200 OK\r\nX-Long: ", filler), kMaxKept);
+  EXPECT_LT(FeedWithoutEnd(chunked + "4;a=", filler), kMaxKept);
+  EXPECT_LT(FeedWithoutEnd(chunked + "4\r\nhalf\r\n0\r\nX-Long: ", filler), kMaxKept);
+  EXPECT_LT(FeedWithoutEnd("", "HTTP/1.1 100 Continue\r\n\r\n"), kMaxKept);
+}
+
 }
--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -222,4 +222,69 @@
   EXPECT_EQ(unsafe.requests, 1U);
 }
 
+/// Answers that continue without end before, or inside the framing of, their body.
+static std::vector<std::pair<std::string, RawWorld::AnswerOf>>
+AnswersWithoutEnd()
+{
+  std::string const filler(32768, 'x');
+  std::string fields;
+  std::string informational;
+  for (unsigned index = 0; index < 1000; ++index) {
+    fields += "X-Next: 1\r\n";
+    informational += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  auto const chunked = [](auto const& aRequest) { return RawHead(aRequest, "Transfer-Encoding: chunked\r\n"); };
+  return {
+    { "status line",
+      [=](auto const&) {
+        return RawAnswer{ "HTTP/1.1 200 ", Ending::Keep, 0ms, filler };
+      } },
+    { "no answer",
+      [=](auto const&) {
+        return RawAnswer{ "", Ending::Keep, 0ms, filler };
+      } },
+    { "field",
+      [=](auto const&) {
+        return RawAnswer{ "HTTP/1.1 200 OK\r\nX-Long: ", Ending::Keep, 0ms, filler };
+      } },
+    { "fields",
+      [=](auto const&) {
+        return RawAnswer{ "HTTP/1.1 200 OK\r\n", Ending::Keep, 0ms, fields };
+      } },
+    { "informational",
+      [=](auto const&) {
+        return RawAnswer{ "", Ending::Keep, 0ms, informational };
+      } },
+    { "chunk size",
+      [=](auto const& aRequest) {
+        return RawAnswer{ chunked(aRequest), Ending::Keep, 0ms, std::string(32768, '0') };
+      } },
+    { "chunk extension",
+      [=](auto const& aRequest) {
+        return RawAnswer{ chunked(aRequest) + "4;a=", Ending::Keep, 0ms, filler };
+      } },
+    { "trailer",
+      [=](auto const& aRequest) {
+        return RawAnswer{ chunked(aRequest) + "4\r\nhalf\r\n0\r\nX-Long: ", Ending::Keep, 0ms, filler };
+      } },
+  };
+}
+
+// A chunk extension or a trailer without end filled the memory of the front until the deadline, and informational
+// responses without end kept the request waiting for as long.
+TEST(PlatformAnswers, EndsACallWhoseAnswerHasNoEnd)
+{
+  static constexpr std::size_t kMaxBytes = 8 << 20;
+  for (auto const& [name, answer] : AnswersWithoutEnd()) {
+    auto const unsafe = CallOnce(answer, WholeAnswer, "/plain/x");
+    EXPECT_EQ(unsafe.response.status, 502U) << name;
+    EXPECT_LT(unsafe.response.duration, kPrompt) << name;
+    EXPECT_LT(unsafe.bytesSent, kMaxBytes) << name;
+    EXPECT_EQ(unsafe.requests, 1U) << name;
+    auto const safe = CallOnce(answer, WholeAnswer, "/safe/x");
+    EXPECT_EQ(safe.response.body, "whole") << name;
+    EXPECT_LT(safe.response.duration, kPrompt) << name;
+  }
+}
+
 }
