--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -219,7 +219,7 @@
                       << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts;
   this->triedEndpoints.push_back(this->endpoint);
   // A stream resumes after its last complete event, so a partial event is sent again in full.
-  this->eventStream.partial.clear();
+  DiscardPartialEvent(this->eventStream);
   if (this->stages && this->resultsReleased)
     this->RestartStages(aCause);
   else
@@ -287,21 +287,22 @@
 {
   if (this->ended || !this->forwarding)
     return;
-  this->ArmStallTimer();
   this->attemptBytes += aData.size();
   OnResponseBytes(this->timeline, this->proxy.clock.Now());
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
   if (this->responseBegun) {
+    this->ArmStallTimer();
     this->ForwardBody(std::move(aData));
     return;
   }
   this->bufferedBody += aData;
-  if (this->bufferedBody.size() <= kMaxBufferedResponseBytes)
-    return;
-  this->BeginResponse(*this->bufferedHead);
-  this->exchange->SendChunk(this->bufferedBody);
-  this->bufferedBody.clear();
+  if (this->bufferedBody.size() > kMaxBufferedResponseBytes) {
+    this->BeginResponse(*this->bufferedHead);
+    this->exchange->SendChunk(this->bufferedBody);
+    this->bufferedBody.clear();
+  }
+  this->ArmStallTimer();
 }
 
 void
@@ -320,7 +321,7 @@
 void
 ProxiedRequest::ForwardBody(std::string aData)
 {
-  if (this->route.kind != RequestKind::Streaming) {
+  if (!this->ForwardsEvents()) {
     this->exchange->SendChunk(aData);
   } else {
     auto const whole = ExtractCompleteEvents(this->eventStream, aData);
@@ -341,7 +342,8 @@
 {
   if (this->ended || !this->attempting)
     return;
-  if (aEnd == CallEnd::Complete && this->forwarding) {
+  bool const insideEvent = this->ForwardsEvents() && EndsInsideEvent(this->eventStream);
+  if (aEnd == CallEnd::Complete && this->forwarding && !insideEvent) {
     bool const healthy = !this->bufferedHead || this->bufferedHead->status < 500;
     this->RecordAttemptHealth(healthy ? AttemptHealth::Healthy : AttemptHealth::Failed);
     ++this->endedAttempts;
@@ -362,15 +364,15 @@
   }
   this->mayHaveExecuted = true;
   ++this->endedAttempts;
-  this->HandleFailedAttempt(ToString(aEnd));
+  this->HandleFailedAttempt(aEnd == CallEnd::Complete && insideEvent ? "ended-inside-event" : ToString(aEnd));
 }
 
 void
 ProxiedRequest::FinishResponse()
 {
   if (this->responseBegun) {
-    if (this->route.kind == RequestKind::Streaming && !this->eventStream.partial.empty())
-      this->exchange->SendChunk(this->eventStream.partial);
+    // What follows the last event is at most a comment.
+    this->exchange->SendChunk(this->eventStream.partial);
     this->exchange->EndStream();
     this->End(RequestOutcome::Completed, 200, "complete");
     return;
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -50,6 +50,9 @@
 bool
 ProxiedRequest::IsRetryable() const
 {
+  // Only a stream of events can be continued by another response.
+  if (this->responseBegun && !this->ForwardsEvents())
+    return false;
   return this->route.kind == RequestKind::Safe || (this->route.kind == RequestKind::Streaming && this->route.resumable);
 }
 
--- /dev/null
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -0,0 +1,290 @@
+#include "PlatformFixtures.h"
+#include "RawEndpoint.h"
+
+// Endpoints whose answers end or continue in ways that a well-behaved HTTP server does not show.
+
+namespace Hornbeam::Testing {
+
+using Ending = RawAnswer::Ending;
+
+static constexpr Duration kTimeout = 10s;
+static constexpr Duration kSafeTimeout = 4s;
+/// Well before the deadline of the requests, and before their callers give up.
+static constexpr Duration kPrompt = 2500ms;
+
+static std::string
+Events(unsigned aFirst, unsigned aLast)
+{
+  std::string events;
+  for (auto number = aFirst; number <= aLast; ++number)
+    events += "id: " + std::to_string(number) + "\ndata: t" + std::to_string(number) + "\n\n";
+  return events;
+}
+
+static std::string
+Chunk(std::string const& aBytes)
+{
+  return SerializeChunk(aBytes);
+}
+
+/// Two raw endpoints of each service. The first request of all gets one answer, and all others another one.
+struct RawWorld
+{
+  using AnswerOf = std::function<RawAnswer(RequestMessage const&)>;
+
+  RawWorld(AnswerOf aFirst, AnswerOf aOthers)
+    : first(std::move(aFirst))
+    , others(std::move(aOthers))
+  {
+    auto table = StandInTable(1, kTimeout);
+    auto once = table["route_table"][2];
+    once["name"] = "once";
+    once["path_prefix"] = "/once/";
+    once["resumable"] = false;
+    table["route_table"].push_back(once);
+    this->world.store->Put("config", "main", table);
+    for (unsigned index = 0; index < 4; ++index) {
+      auto const* const service = index < 2 ? "ledger" : "model";
+      this->endpoints.push_back(std::make_unique<RawEndpoint>(this->world, service, 20981 + index));
+      this->endpoints.back()->answerOf = [this](RequestMessage const& aRequest, std::size_t) {
+        return this->requests++ == 0 ? this->first(aRequest) : this->others(aRequest);
+      };
+    }
+    this->world.Start();
+    EXPECT_TRUE(this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-0"); }));
+    this->world.RunFor(50ms);
+  }
+
+  CallerResponse Call(std::string const& aTarget)
+  {
+    auto request = aTarget.starts_with("/safe") ? SafeRequest() : ModelRequest(aTarget);
+    request.clientTimeout = aTarget.starts_with("/safe") ? kSafeTimeout : kTimeout;
+    return this->world.Call(0, request);
+  }
+
+  std::size_t BytesSent() const
+  {
+    std::size_t sum = 0;
+    for (auto const& endpoint : this->endpoints)
+      sum += endpoint->sent;
+    return sum;
+  }
+
+  AnswerOf first;
+  AnswerOf others;
+  std::size_t requests{ 0 };
+  PlatformWorld world{ 1 };
+  std::vector<std::unique_ptr<RawEndpoint>> endpoints;
+};
+
+struct RawResult
+{
+  CallerResponse response;
+  /// What the endpoints received and sent.
+  std::size_t requests;
+  std::size_t bytesSent;
+};
+
+/// Sends one request in a world of its own.
+static RawResult
+CallOnce(RawWorld::AnswerOf aFirst, RawWorld::AnswerOf aOthers, std::string const& aTarget)
+{
+  RawWorld raw(std::move(aFirst), std::move(aOthers));
+  auto response = raw.Call(aTarget);
+  return { std::move(response), raw.requests, raw.BytesSent() };
+}
+
+static RawAnswer
+RestOfStream(RequestMessage const& aRequest)
+{
+  auto const last = FieldValue(aRequest.fields, "Last-Event-Id");
+  return { RawHead(aRequest) + Events(last.empty() ? 1 : unsigned(std::stoul(last)) + 1, 5), Ending::Close };
+}
+
+static RawAnswer
+WholeAnswer(RequestMessage const& aRequest)
+{
+  return { RawHead(aRequest, "Content-Length: 5\r\n") + "whole" };
+}
+
+/// A stream that ends inside its third event, as its framing permits.
+static std::vector<RawWorld::AnswerOf>
+StreamsThatEndInsideAnEvent()
+{
+  auto const part = Events(1, 2) + "id: 3\ndata: ha";
+  return { [part](auto const& aRequest) {
+            return RawAnswer{ RawHead(aRequest) + part, Ending::Close, 20ms };
+          },
+           [part](auto const& aRequest) {
+             return RawAnswer{ RawHead(aRequest, "Content-Length: " + std::to_string(part.size()) + "\r\n") + part };
+           },
+           [part](auto const& aRequest) {
+             return RawAnswer{ RawHead(aRequest, "Transfer-Encoding: chunked\r\n") + Chunk(part) + "0\r\n\r\n" };
+           } };
+}
+
+// The end of a connection, of a length or of chunks inside an event was forwarded as the end of the stream.
+TEST(PlatformAnswers, ResumesAStreamThatEndsInsideAnEvent)
+{
+  for (auto const& first : StreamsThatEndInsideAnEvent()) {
+    auto const result = CallOnce(first, RestOfStream, "/model/x");
+    EXPECT_EQ(result.response.end, CallEnd::Complete);
+    EXPECT_EQ(result.response.body, Events(1, 5));
+    EXPECT_EQ(result.requests, 2U);
+  }
+}
+
+// Callers took such a stream for complete.
+TEST(PlatformAnswers, InterruptsAStreamThatEndsInsideAnEventAndCannotBeResumed)
+{
+  for (auto const& first : StreamsThatEndInsideAnEvent()) {
+    auto const result = CallOnce(first, RestOfStream, "/once/x");
+    EXPECT_EQ(result.response.end, CallEnd::Broken);
+    EXPECT_EQ(result.response.body, Events(1, 2));
+    EXPECT_EQ(result.requests, 1U);
+  }
+}
+
+TEST(PlatformAnswers, AcceptsAStreamWithoutLengthWhoseConnectionIsClosed)
+{
+  for (auto const* const target : { "/model/x", "/once/x" }) {
+    auto const result = CallOnce(RestOfStream, RestOfStream, target);
+    EXPECT_EQ(result.response.end, CallEnd::Complete);
+    EXPECT_EQ(result.response.body, Events(1, 5));
+    EXPECT_EQ(result.requests, 1U);
+  }
+}
+
+// A reset is not the end of a stream, not even between two events.
+TEST(PlatformAnswers, DoesNotTakeAResetForTheEndOfAStream)
+{
+  for (auto const delay : { 0ms, 20ms }) {
+    auto const reset = [delay](auto const& aRequest) {
+      return RawAnswer{ RawHead(aRequest) + Events(1, 3), Ending::Reset, delay };
+    };
+    auto const resumed = CallOnce(reset, RestOfStream, "/model/x");
+    EXPECT_EQ(resumed.response.end, CallEnd::Complete);
+    EXPECT_EQ(resumed.response.body, Events(1, 5));
+    EXPECT_EQ(resumed.requests, 2U);
+    auto const interrupted = CallOnce(reset, RestOfStream, "/once/x");
+    EXPECT_FALSE(interrupted.response.end == CallEnd::Complete && interrupted.response.status == 200);
+    EXPECT_EQ(interrupted.requests, 1U);
+  }
+}
+
+TEST(PlatformAnswers, AcceptsLineEndsAndCommentsAfterTheLastEvent)
+{
+  for (auto const* const tail : { "\n", "\r\n\r\n", ": end\n", ": end\n\n" }) {
+    auto const answer = [tail](auto const& aRequest) {
+      return RawAnswer{ RawHead(aRequest) + Events(1, 5) + tail, Ending::Close };
+    };
+    auto const result = CallOnce(answer, RestOfStream, "/once/x");
+    EXPECT_EQ(result.response.end, CallEnd::Complete) << tail;
+    EXPECT_EQ(result.response.body, Events(1, 5) + tail);
+  }
+}
+
+// The bytes before the interruption had been forwarded, and the whole answer of another endpoint was appended to them.
+TEST(PlatformAnswers, DoesNotAppendASecondAnswerToALongOneThatWasInterrupted)
+{
+  std::string const half(400000, 'h');
+  for (auto const* const framing : { "", "Content-Length: 500000\r\n" }) {
+    auto const reset = [&](auto const& aRequest) {
+      return RawAnswer{ RawHead(aRequest, framing) + half, Ending::Reset, 100ms };
+    };
+    auto const result = CallOnce(reset, WholeAnswer, "/safe/x");
+    EXPECT_EQ(result.response.end, CallEnd::Broken);
+    EXPECT_EQ(result.response.body.find("whole"), std::string::npos);
+    EXPECT_EQ(result.requests, 1U);
+  }
+}
+
+// As above, for an endpoint that stops sending without ending the connection.
+TEST(PlatformAnswers, DoesNotAppendASecondAnswerToALongOneThatStalls)
+{
+  auto const stalled = [](auto const& aRequest) {
+    return RawAnswer{ RawHead(aRequest, "Content-Length: 500000\r\n") + std::string(400000, 'h') };
+  };
+  auto const result = CallOnce(stalled, WholeAnswer, "/safe/x");
+  EXPECT_NE(result.response.end, CallEnd::Complete);
+  EXPECT_EQ(result.response.body.find("whole"), std::string::npos);
+  EXPECT_EQ(result.requests, 1U);
+}
+
+TEST(PlatformAnswers, RetriesAnInterruptedAnswerThatIsStillBuffered)
+{
+  auto const reset = [](auto const& aRequest) { return RawAnswer{ RawHead(aRequest) + "half", Ending::Reset, 20ms }; };
+  auto const safe = CallOnce(reset, WholeAnswer, "/safe/x");
+  EXPECT_EQ(safe.response.body, "whole");
+  EXPECT_EQ(safe.requests, 2U);
+  auto const unsafe = CallOnce(reset, WholeAnswer, "/plain/x");
+  EXPECT_EQ(unsafe.response.status, 502U);
+  EXPECT_EQ(unsafe.requests, 1U);
+}
+
+/// Answers that continue without end before, or inside the framing of, their body.
+static std::vector<std::pair<std::string, RawWorld::AnswerOf>>
+AnswersWithoutEnd()
+{
+  std::string const filler(32768, 'x');
+  std::string fields;
+  std::string informational;
+  for (unsigned index = 0; index < 1000; ++index) {
+    fields += "X-Next: 1\r\n";
+    informational += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  auto const chunked = [](auto const& aRequest) { return RawHead(aRequest, "Transfer-Encoding: chunked\r\n"); };
+  return {
+    { "status line",
+      [=](auto const&) {
+        return RawAnswer{ "HTTP/1.1 200 ", Ending::Keep, 0ms, filler };
+      } },
+    { "no answer",
+      [=](auto const&) {
+        return RawAnswer{ "", Ending::Keep, 0ms, filler };
+      } },
+    { "field",
+      [=](auto const&) {
+        return RawAnswer{ "HTTP/1.1 200 OK\r\nX-Long: ", Ending::Keep, 0ms, filler };
+      } },
+    { "fields",
+      [=](auto const&) {
+        return RawAnswer{ "HTTP/1.1 200 OK\r\n", Ending::Keep, 0ms, fields };
+      } },
+    { "informational",
+      [=](auto const&) {
+        return RawAnswer{ "", Ending::Keep, 0ms, informational };
+      } },
+    { "chunk size",
+      [=](auto const& aRequest) {
+        return RawAnswer{ chunked(aRequest), Ending::Keep, 0ms, std::string(32768, '0') };
+      } },
+    { "chunk extension",
+      [=](auto const& aRequest) {
+        return RawAnswer{ chunked(aRequest) + "4;a=", Ending::Keep, 0ms, filler };
+      } },
+    { "trailer",
+      [=](auto const& aRequest) {
+        return RawAnswer{ chunked(aRequest) + "4\r\nhalf\r\n0\r\nX-Long: ", Ending::Keep, 0ms, filler };
+      } },
+  };
+}
+
+// A chunk extension or a trailer without end filled the memory of the front until the deadline, and informational
+// responses without end kept the request waiting for as long.
+TEST(PlatformAnswers, EndsACallWhoseAnswerHasNoEnd)
+{
+  static constexpr std::size_t kMaxBytes = 8 << 20;
+  for (auto const& [name, answer] : AnswersWithoutEnd()) {
+    auto const unsafe = CallOnce(answer, WholeAnswer, "/plain/x");
+    EXPECT_EQ(unsafe.response.status, 502U) << name;
+    EXPECT_LT(unsafe.response.duration, kPrompt) << name;
+    EXPECT_LT(unsafe.bytesSent, kMaxBytes) << name;
+    EXPECT_EQ(unsafe.requests, 1U) << name;
+    auto const safe = CallOnce(answer, WholeAnswer, "/safe/x");
+    EXPECT_EQ(safe.response.body, "whole") << name;
+    EXPECT_LT(safe.response.duration, kPrompt) << name;
+  }
+}
+
+}
