LibGateway: Quarantine prompt parts that crash endpoints, in the whole fleet

Cause: evidence that each front kept to itself where the fleet must act on it. A front ejected the crashed endpoint and sent the next request with the part, or the same one again, to a sound endpoint; no state was kept by part of the prompt, and no front learnt what the others saw.

Each front now infers crashes from connections that break off: bytes that still arrive from the same process, or breaks at several endpoints at one moment, speak against one. Candidates are the parts, without the last, of prompts whose answers had begun less than 1 s ago or not at all. Fronts write one small object for each crashed process to the store (kind endpoint-crashes); it reaches all of them through the cache and the relays as the other kinds do. Each computes from these objects which parts explain the crashes: a part is quarantined after three crashes that no other part explains, a first part after five. Parts whose answers went on for 1 s or were completed within the last 20 s at a reporting front do not count, and fronts clear parts that others are about to quarantine wrongly. Requests with a quarantined part are refused with 503 before they reach a stage or an endpoint. A request that may have crashed its endpoint is not repeated if one of its parts is suspected already.

A quarantine lasts 10 min after the last crash; reports are kept for 20 min, so a single crash more renews it. A front serves without the kind: it neither waits for it nor takes the store for lost if it is missing.

Ruled out: counting by front alone (crashes come at any front, and each would need its own five), by caller, route, first part or affinity key (sound requests share them), and a rule by request (no two are alike).

--- /dev/null
+++ b/Libraries/LibGateway/CrashService.cpp
@@ -0,0 +1,299 @@
+#include "CrashService.h"
+#include "GatewayNames.h"
+#include <algorithm>
+
+namespace Hornbeam::Gateway {
+
+static constexpr Duration kUpdateInterval = 100ms;
+/// Limits the writes of a front that sees many crashes.
+static constexpr Duration kWriteInterval = 250ms;
+static constexpr std::size_t kMaxUnpublished = 16;
+/// A write that the store did not answer is repeated after one to two times this delay.
+static constexpr Duration kRepeatDelay = 1s;
+static constexpr Duration kObsoleteInterval = 10s;
+/// Fronts clear a part after a random delay, and only if no other one did so meanwhile: a few chosen fronts first, the
+/// others by the time they must have seen it.
+static constexpr std::size_t kFirstClearing = 4;
+static constexpr Duration kFirstClearingDelay = 300ms;
+static constexpr Duration kLaterClearingDelay = 3s;
+
+CrashService::CrashService(Kernel& aKernel)
+  : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
+  , stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
+  , clock(aKernel.Find<Clock>(GatewayName::kClock))
+  , store(aKernel.Find<StoreClient>(GatewayName::kStore))
+  , random(std::random_device{}())
+{
+  this->stateCache.AddChangeListener([this] { this->OnStateChanged(); });
+}
+
+void
+CrashService::Start()
+{
+  this->clock.Schedule(kObsoleteInterval, [this] { this->RemoveObsolete(); });
+}
+
+std::uint64_t
+CrashService::OnAttemptSent(EndpointEntry const& aEndpoint, std::vector<PromptPart> const& aParts)
+{
+  auto const process = aEndpoint.id + "." + std::to_string(aEndpoint.incarnation);
+  this->attempts.running[++this->lastAttempt] = { process, aParts, this->clock.Now(), std::nullopt, {}, false };
+  return this->lastAttempt;
+}
+
+void
+CrashService::OnAnswerBytes(std::uint64_t aAttempt)
+{
+  auto const found = this->attempts.running.find(aAttempt);
+  if (found == this->attempts.running.end())
+    return;
+  auto& attempt = found->second;
+  attempt.lastBytes = this->clock.Now();
+  if (!attempt.begun)
+    attempt.begun = attempt.lastBytes;
+  // After a pause of this process, the bytes may have arrived long ago.
+  if (!ShowsNoHarm(attempt, this->clock.EarliestArrival()))
+    return;
+  attempt.harmless = true;
+  RecordHarmless(this->ledger, attempt.parts, *attempt.begun, this->clock.Now());
+  this->ScheduleUpdate();
+}
+
+bool
+CrashService::OnAttemptEnd(std::uint64_t aAttempt, WatchedEnd aEnd)
+{
+  auto const found = this->attempts.running.find(aAttempt);
+  if (found == this->attempts.running.end())
+    return false;
+  auto const now = this->clock.Now();
+  auto const attempt = found->second;
+  if (aEnd != WatchedEnd::Broken) {
+    this->attempts.running.erase(found);
+    if (aEnd == WatchedEnd::Complete && attempt.begun && !attempt.parts.empty()) {
+      RecordHarmless(this->ledger, attempt.parts, *attempt.begun, now);
+      this->ScheduleUpdate();
+    }
+    return false;
+  }
+  bool const possibleCause = RecordBroken(this->attempts, aAttempt, this->clock.EarliestArrival(), now);
+  this->ArmDecision();
+  return possibleCause && IsSuspected(this->ledger, attempt.parts, attempt.process, now);
+}
+
+std::optional<Duration>
+CrashService::QuarantineTimeLeft(std::vector<PromptPart> const& aParts) const
+{
+  return Gateway::QuarantineTimeLeft(this->ledger, aParts, this->clock.Now());
+}
+
+void
+CrashService::ArmDecision()
+{
+  auto const time = CrashDecisionTime(this->attempts);
+  if (!time || this->decisionArmed)
+    return;
+  this->decisionArmed = true;
+  this->clock.Schedule(std::max<Duration>(Duration::zero(), *time - this->clock.Now()), [this] {
+    this->decisionArmed = false;
+    this->DecideCrashes();
+  });
+}
+
+void
+CrashService::DecideCrashes()
+{
+  auto const now = this->clock.Now();
+  for (auto const& report : TakeCrashes(this->attempts, this->ledger, this->settings.name, now)) {
+    ++this->crashesSeen;
+    std::string candidates;
+    for (auto const& [part, position] : report.candidates)
+      if (!report.cleared.contains(part))
+        candidates += (candidates.empty() ? "" : ",") + part;
+    PART_WARNING("crashes") << "event=endpoint-crashed process=" << report.process << " candidates=" << candidates;
+    if (RecordCrash(this->ledger, report, now))
+      this->Publish(report.process);
+  }
+  this->Update();
+}
+
+void
+CrashService::OnStateChanged()
+{
+  auto const now = this->clock.Now();
+  bool changed = false;
+  for (auto const& [process, stored] : this->stateCache.Crashes()) {
+    auto& revision = this->applied[process];
+    if (revision >= stored.revision)
+      continue;
+    revision = stored.revision;
+    changed = RecordCrash(this->ledger, stored.report, now) || changed;
+  }
+  // A report that was removed from the store was obsolete.
+  for (auto entry = this->applied.begin(); entry != this->applied.end();) {
+    if (this->stateCache.Crashes().contains(entry->first)) {
+      ++entry;
+      continue;
+    }
+    ForgetCrash(this->ledger, entry->first);
+    entry = this->applied.erase(entry);
+    changed = true;
+  }
+  if (changed)
+    this->Update();
+}
+
+void
+CrashService::ScheduleUpdate()
+{
+  if (this->updateScheduled || this->ledger.crashes.empty())
+    return;
+  this->updateScheduled = true;
+  this->clock.Schedule(kUpdateInterval, [this] {
+    this->updateScheduled = false;
+    this->Update();
+  });
+}
+
+void
+CrashService::Update()
+{
+  auto const before = this->ledger.quarantined;
+  UpdateQuarantine(this->ledger, this->clock.Now());
+  this->LogQuarantine(before);
+  this->ScheduleClearing();
+}
+
+void
+CrashService::LogQuarantine(std::map<std::string, PartQuarantine> const& aBefore) const
+{
+  for (auto const& [part, quarantine] : this->ledger.quarantined) {
+    if (aBefore.contains(part))
+      continue;
+    std::string reporters;
+    for (auto const& reporter : quarantine.reporters)
+      reporters += (reporters.empty() ? "" : ",") + reporter;
+    PART_WARNING("crashes") << "event=part-quarantined part=" << part << " crashes=" << quarantine.crashes
+                            << " reporters=" << reporters
+                            << " for_ms=" << Milliseconds(quarantine.until - this->clock.Now());
+  }
+  for (auto const& [part, quarantine] : aBefore)
+    if (!this->ledger.quarantined.contains(part))
+      PART_LOG("crashes") << "event=part-released part=" << part;
+}
+
+void
+CrashService::ScheduleClearing()
+{
+  auto const clearable = PartsToClear(this->ledger);
+  if (this->clearingScheduled || clearable.empty())
+    return;
+  bool const first =
+    IsAmongOwners(this->stateCache.Fronts(), clearable.begin()->first, this->settings.name, kFirstClearing);
+  std::uniform_real_distribution<double> distribution;
+  double const draw = distribution(this->random);
+  auto const delay = first ? kFirstClearingDelay * draw : kFirstClearingDelay * 3 + kLaterClearingDelay * draw;
+  this->clearingScheduled = true;
+  this->clock.Schedule(std::chrono::duration_cast<Duration>(delay), [this] {
+    this->clearingScheduled = false;
+    this->ClearParts();
+  });
+}
+
+void
+CrashService::ClearParts()
+{
+  for (auto const& [process, parts] : PartsToClear(this->ledger)) {
+    for (auto const& part : parts)
+      PART_LOG("crashes") << "event=part-cleared process=" << process << " part=" << part;
+    auto report = this->ledger.crashes.at(process).report;
+    report.cleared.insert(parts.begin(), parts.end());
+    report.reporters.insert(this->settings.name);
+    if (RecordCrash(this->ledger, report, this->clock.Now()))
+      this->Publish(process);
+  }
+}
+
+void
+CrashService::RemoveObsolete()
+{
+  auto const now = this->clock.Now();
+  for (auto const& process : ObsoleteCrashes(this->ledger, now)) {
+    auto const stored = this->stateCache.Crashes().find(process);
+    if (stored == this->stateCache.Crashes().end()) {
+      ForgetCrash(this->ledger, process);
+    } else if (IsAmongOwners(this->stateCache.Fronts(), process, this->settings.name, 1)) {
+      this->store.Remove(
+        ObjectKind::EndpointCrash, process, stored->second.revision, [process](Platform::WriteResult const& aResult) {
+          PART_LOG("crashes") << "event=report-removed process=" << process << " outcome=" << ToString(aResult.outcome);
+        });
+    }
+  }
+  this->Update();
+  this->clock.Schedule(kObsoleteInterval, [this] { this->RemoveObsolete(); });
+}
+
+void
+CrashService::Publish(std::string const& aProcess)
+{
+  if (std::ranges::find(this->unpublished, aProcess) != this->unpublished.end())
+    return;
+  this->unpublished.push_back(aProcess);
+  if (this->unpublished.size() > kMaxUnpublished) {
+    PART_WARNING("crashes") << "event=report-dropped process=" << this->unpublished.front();
+    this->unpublished.pop_front();
+  }
+  if (!this->publishing)
+    this->PublishNext();
+}
+
+void
+CrashService::PublishNext()
+{
+  this->publishing = !this->unpublished.empty();
+  if (!this->publishing)
+    return;
+  // The newest report matters most.
+  auto const process = this->unpublished.back();
+  this->unpublished.pop_back();
+  this->Write(process);
+  this->clock.Schedule(kWriteInterval, [this] { this->PublishNext(); });
+}
+
+void
+CrashService::Write(std::string const& aProcess)
+{
+  auto const known = this->ledger.crashes.find(aProcess);
+  if (known == this->ledger.crashes.end())
+    return;
+  auto const done = [this, aProcess](Platform::WriteResult const& aResult) { this->OnWritten(aProcess, aResult); };
+  auto const stored = this->stateCache.Crashes().find(aProcess);
+  if (stored == this->stateCache.Crashes().end()) {
+    this->store.Create(ObjectKind::EndpointCrash, aProcess, Platform::EncodeCrashReport(known->second.report), done);
+    return;
+  }
+  auto merged = stored->second.report;
+  if (!MergeReport(merged, known->second.report) ||
+      (merged.candidates == stored->second.report.candidates && merged.cleared == stored->second.report.cleared))
+    return;
+  this->store.Replace(
+    ObjectKind::EndpointCrash, aProcess, stored->second.revision, Platform::EncodeCrashReport(merged), done);
+}
+
+void
+CrashService::OnWritten(std::string const& aProcess, Platform::WriteResult const& aResult)
+{
+  PART_LOG("crashes") << "event=report-written process=" << aProcess << " outcome=" << ToString(aResult.outcome);
+  if (aResult.outcome == Platform::StoreOutcome::Done || aResult.outcome == Platform::StoreOutcome::NotFound)
+    return;
+  if (aResult.outcome == Platform::StoreOutcome::Conflict && aResult.object) {
+    // Another front wrote first; what it lacks is added to its report.
+    this->stateCache.ApplyCrash(*aResult.object);
+    this->Publish(aProcess);
+    return;
+  }
+  std::uniform_real_distribution<double> distribution(1, 2);
+  auto const delay = std::chrono::duration_cast<Duration>(kRepeatDelay * distribution(this->random));
+  this->clock.Schedule(delay, [this, aProcess] { this->Publish(aProcess); });
+}
+
+}
--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -17,6 +17,7 @@
   , stageOwner(aKernel.Find<StageOwnerService>(GatewayName::kStageOwner))
   , proxy(aKernel.Find<ProxyService>(GatewayName::kProxy))
   , relay(aKernel.Find<RelayService>(GatewayName::kRelay))
+  , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
 {
 }
@@ -94,6 +95,9 @@
   target.SetGauge("endpoint_connections_made", double(this->connections.Usage().connectionsMade));
   target.SetGauge("endpoint_call_failures", double(this->connections.Usage().failures));
   auto const& counts = this->stageOwner.Counts();
+  target.SetGauge("endpoint_crashes_seen", double(this->crashes.Crashes()));
+  target.SetGauge("prompt_parts_quarantined", double(this->crashes.Quarantined().size()));
+  target.SetGauge("requests_refused_for_part", double(this->crashes.Refusals()));
   target.SetGauge("stage_calls", double(counts.calls));
   target.SetGauge("stage_pieces", double(counts.items));
   target.SetGauge("stage_calls_failed", double(counts.failedCalls));
@@ -122,6 +126,12 @@
                           { "cold_ms", std::max<std::int64_t>(0, Milliseconds(endpoint.coldUntil - now)) },
                           { "ejected_ms", std::max<std::int64_t>(0, Milliseconds(endpoint.ejectedUntil - now)) },
                           { "outstanding", endpoint.outstanding } });
+  auto& parts = result["quarantined_parts"] = json::array();
+  for (auto const& [part, quarantine] : this->crashes.Quarantined())
+    parts.push_back({ { "part", part },
+                      { "crashes", quarantine.crashes },
+                      { "reporters", quarantine.reporters },
+                      { "left_ms", std::max<std::int64_t>(0, Milliseconds(quarantine.until - now)) } });
   auto& pools = result["stage_pools"] = json::array();
   for (auto const& [service, pool] : this->stageOwner.Pools())
     pools.push_back({ { "service", service },
--- a/Libraries/LibGateway/DirectoryService.h
+++ b/Libraries/LibGateway/DirectoryService.h
@@ -32,6 +32,7 @@
   StageOwnerService& stageOwner;
   ProxyService& proxy;
   RelayService& relay;
+  CrashService& crashes;
   GatewayMetrics& metrics;
   bool draining{ false };
 };
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -33,6 +33,8 @@
   this->kernel.Provide(GatewayName::kPresence, *this->presence);
   this->relay = std::make_unique<RelayService>(this->kernel);
   this->kernel.Provide(GatewayName::kRelay, *this->relay);
+  this->crashes = std::make_unique<CrashService>(this->kernel);
+  this->kernel.Provide(GatewayName::kCrashes, *this->crashes);
   this->proxy = std::make_unique<ProxyService>(this->kernel);
   this->kernel.Provide(GatewayName::kProxy, *this->proxy);
   this->directory = std::make_unique<DirectoryService>(this->kernel);
@@ -112,6 +114,7 @@
   this->stateCache->AddChangeListener([this] { this->ApplyCallerLimits(); });
   this->relay->Start();
   this->presence->Start();
+  this->crashes->Start();
 }
 
 void
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -22,10 +22,21 @@
 static constexpr std::size_t kMaxUnsentBytes = 131072;
 static constexpr std::size_t kMaxLoggedEventId = 32;
 
+bool
+ProxiedRequest::RefuseIfQuarantined()
+{
+  auto const timeLeft = this->proxy.crashes.QuarantineTimeLeft(this->parts);
+  if (!timeLeft || this->ended)
+    return false;
+  this->proxy.crashes.CountRefusal();
+  this->Refuse("prompt-part-quarantined", *timeLeft);
+  return true;
+}
+
 void
 ProxiedRequest::TryEndpoint()
 {
-  if (this->ended || this->attempting)
+  if (this->ended || this->attempting || this->RefuseIfQuarantined())
     return;
   auto const now = this->proxy.clock.Now();
   OnReady(this->timeline, now);
@@ -99,6 +110,7 @@
     if (auto const request = self.lock())
       request->OnAttemptEnd(aEnd);
   };
+  this->watchedAttempt = this->proxy.crashes.OnAttemptSent(entry, this->parts);
   OnAttemptSent(this->timeline, now);
   OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, now);
   this->call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
@@ -142,6 +154,8 @@
 {
   this->proxy.clock.Cancel(this->stallTimer);
   this->attempting = false;
+  this->proxy.crashes.OnAttemptEnd(this->watchedAttempt,
+                                   aHealth == AttemptHealth::Healthy ? WatchedEnd::Complete : WatchedEnd::Other);
   auto& endpoints = this->proxy.stateCache.Endpoints();
   OnRequestEnded(endpoints, this->endpoint);
   auto const coldTime = RuleOf(*this->table, this->serviceName).coldTime;
@@ -263,7 +277,7 @@
          " answer_age_ms=" + (begun == MonotonicTime() ? "-" : std::to_string(Milliseconds(age))) +
          " answer_bytes=" + std::to_string(this->attemptBytes) +
          " last_event=" + this->eventStream.lastId.value_or("-").substr(0, kMaxLoggedEventId) +
-         " parts=" + ToLogField(SharedParts(this->metadata.prefixHashes));
+         " suspected=" + std::to_string(this->suspected) + " parts=" + ToLogField(this->parts);
 }
 
 void
@@ -274,7 +288,7 @@
                       << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts
                       << " may_have_executed=" << this->mayHaveExecuted << " response_begun=" << this->responseBegun
                       << ' ' << this->AttemptProgress();
-  bool const retryable = this->IsRetryable() || !this->mayHaveExecuted;
+  bool const retryable = !this->suspected && (this->IsRetryable() || !this->mayHaveExecuted);
   if (retryable && this->TryAcquireRetry())
     this->Retry(aCause);
   else
@@ -288,6 +302,8 @@
     return;
   this->ArmStallTimer();
   this->attemptBytes += aData.size();
+  if (!this->bufferedHead || this->bufferedHead->status / 100 == 2)
+    this->proxy.crashes.OnAnswerBytes(this->watchedAttempt);
   OnResponseBytes(this->timeline, this->proxy.clock.Now());
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
@@ -347,6 +363,8 @@
     this->FinishResponse();
     return;
   }
+  if (aEnd == CallEnd::Broken)
+    this->suspected = this->proxy.crashes.OnAttemptEnd(this->watchedAttempt, WatchedEnd::Broken);
   this->RecordAttemptHealth(AttemptHealth::Failed);
   if (aEnd == CallEnd::NotSent) {
     this->triedEndpoints.push_back(this->endpoint);
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -38,6 +38,7 @@
   , route(aRoute)
   , account(std::move(aAccount))
   , metadata(std::move(aMetadata))
+  , parts(SharedParts(this->metadata.prefixHashes))
 {
 }
 
@@ -107,6 +108,8 @@
 ProxiedRequest::StartStages()
 {
   auto const strongSelf = this->shared_from_this();
+  if (this->RefuseIfQuarantined())
+    return;
   for (auto const stage : StartableStages(*this->stages)) {
     if (this->ended)
       return;
@@ -293,6 +296,7 @@
   if (this->attempting) {
     this->call.Abandon();
     this->attempting = false;
+    this->proxy.crashes.OnAttemptEnd(this->watchedAttempt, WatchedEnd::Other);
     OnRequestEnded(this->proxy.stateCache.Endpoints(), this->endpoint);
   }
   if (aOutcome == RequestOutcome::Interrupted)
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -56,6 +56,8 @@
   void ReleaseResults();
   void CancelStages();
 
+  /// Refuses the request if a part of its prompt is quarantined; returns whether it did.
+  bool RefuseIfQuarantined();
   void SendAttempt(std::string const& aEndpoint);
   void OnHead(ResponseHead const& aHead);
   void OnBody(std::string aData);
@@ -91,6 +93,8 @@
   Route const& route;
   ClientAccount account;
   Platform::RequestMetadata metadata;
+  /// The parts of the prompt that other requests can share.
+  std::vector<PromptPart> parts;
   std::string serviceName;
   int priority{ 0 };
   MonotonicTime targetTime{};
@@ -109,6 +113,10 @@
   /// The endpoint of the attempt in flight, or of the last one.
   std::string endpoint;
   CallHandle call;
+  /// The attempt's number at the crash service.
+  std::uint64_t watchedAttempt{ 0 };
+  /// Set if the attempt may have crashed its endpoint, as others with one of its parts did.
+  bool suspected{ false };
   bool attempting{ false };
   bool headReceived{ false };
   /// Set if the head of the response was accepted, so that its body is forwarded to the caller.
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -15,6 +15,7 @@
   , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
   , stages(aKernel.Find<StageService>(GatewayName::kStages))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
+  , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
   , random(std::random_device{}())
 {
   this->stateCache.AddChangeListener([this] { this->RetryWaiting(); });
--- a/Libraries/LibGateway/ProxyService.h
+++ b/Libraries/LibGateway/ProxyService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashService.h"
 #include "EventStream.h"
 #include "GatewayMetrics.h"
 #include "StageService.h"
@@ -33,6 +34,7 @@
   ConnectionPool& connections;
   StageService& stages;
   GatewayMetrics& metrics;
+  CrashService& crashes;
   std::set<std::shared_ptr<ProxiedRequest>> activeRequests;
   std::vector<std::weak_ptr<ProxiedRequest>> waitingRequests;
   std::map<std::string, RetryQuota> retryBudgets;
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -14,9 +14,19 @@
 static constexpr std::array kKinds{ ObjectKind::ServingTable,
                                     ObjectKind::Endpoint,
                                     ObjectKind::DataCenterOutOfRotation,
-                                    ObjectKind::Front };
+                                    ObjectKind::Front,
+                                    ObjectKind::EndpointCrash };
+/// A store that refuses only the optional kind is asked again after this delay.
+static constexpr Duration kOptionalKindDelay = 5s;
 static constexpr auto kFallbackKind = ObjectKind::DataCenterOutOfRotation;
 
+/// Whether a front can serve without the objects of a kind.
+static bool
+IsOptional(ObjectKind aKind)
+{
+  return aKind == ObjectKind::EndpointCrash;
+}
+
 StateCache::StateCache(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
   , clock(aKernel.Find<Clock>(GatewayName::kClock))
@@ -50,7 +60,7 @@
     this->OnEvents(aKind, aEvents, aFrom, aTo);
   };
   events.onReachabilityChange = [this, aKind](StoreReachability aReachability) {
-    if (aReachability == StoreReachability::Unreachable)
+    if (aReachability == StoreReachability::Unreachable && !IsOptional(aKind))
       for (auto const& [kind, watch] : this->watches)
         watch->NoteDisconnect();
     if (aKind == ObjectKind::Endpoint)
@@ -74,6 +84,11 @@
 {
   std::uniform_real_distribution<double> distribution;
   double const jitter = distribution(this->random);
+  if (IsOptional(aKind)) {
+    // It does not try on behalf of the others, but is retried with them.
+    this->backOff.failing.insert(aKind);
+    return kOptionalKindDelay + FromSeconds(Seconds(kOptionalKindDelay) * jitter);
+  }
   auto const delay = OnStoreFailure(this->backOff, aKind, jitter);
   if (this->use != StoreUse::Fallback)
     return delay;
@@ -129,8 +144,9 @@
 bool
 StateCache::IsLoaded() const
 {
-  return this->fetchedFromSeed ||
-         std::ranges::all_of(this->logs, [](auto const& aEntry) { return aEntry.second.revision != 0; });
+  return this->fetchedFromSeed || std::ranges::all_of(this->logs, [](auto const& aEntry) {
+           return aEntry.second.revision != 0 || IsOptional(aEntry.first);
+         });
 }
 
 bool
@@ -143,7 +159,7 @@
 StateCache::IsCurrent() const
 {
   auto const reachable = [](auto const& aEntry) {
-    return aEntry.second->Reachability() == StoreReachability::Reachable;
+    return aEntry.second->Reachability() == StoreReachability::Reachable || IsOptional(aEntry.first);
   };
   if (this->use != StoreUse::None && std::ranges::all_of(this->watches, reachable))
     return true;
@@ -169,7 +185,7 @@
     return sinceConfirmed;
   auto oldest = now;
   for (auto const& [kind, watch] : this->watches)
-    if (watch->Reachability() != StoreReachability::Reachable)
+    if (watch->Reachability() != StoreReachability::Reachable && !IsOptional(kind))
       oldest = std::min(oldest, watch->LastResponseTime());
   return std::min<Duration>({ now - oldest, sinceConfirmed, kUnknownAge });
 }
@@ -280,6 +296,9 @@
     case ObjectKind::Front:
       this->UpdateFront(aObject);
       break;
+    case ObjectKind::EndpointCrash:
+      this->ApplyCrash(aObject);
+      break;
   }
 }
 
@@ -309,6 +328,9 @@
       PART_LOG("fronts") << "event=removed name=" << aName;
       this->fronts.byName.erase(aName);
       break;
+    case ObjectKind::EndpointCrash:
+      this->crashes.erase(aName);
+      break;
   }
 }
 
@@ -409,6 +431,22 @@
   ApplyFront(this->fronts, *entry, aObject.revision);
 }
 
+void
+StateCache::ApplyCrash(StoredObject const& aObject)
+{
+  auto const known = this->crashes.find(aObject.name);
+  if (known != this->crashes.end() && known->second.revision >= aObject.revision)
+    return;
+  std::string error;
+  auto report = Platform::DecodeCrashReport(aObject, error);
+  if (!report) {
+    PART_WARNING("crashes") << "event=refused process=" << aObject.name << " fault=\"" << error << "\"";
+    return;
+  }
+  this->crashes[aObject.name] = { std::move(*report), aObject.revision };
+  this->NotifyListeners();
+}
+
 std::vector<std::pair<ObjectKind, std::string>>
 StateCache::CachedObjects() const
 {
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -8,9 +8,15 @@
 
 namespace Hornbeam::Gateway {
 
-/// Caches the serving table, the endpoints, the data centres out of rotation and the fronts, and tracks how old this
-/// state is. The state comes from the store, from relays, or from a seed's cache if the store is unavailable at
-/// startup.
+struct StoredCrash
+{
+  CrashReport report;
+  std::uint64_t revision{ 0 };
+};
+
+/// Caches the serving table, the endpoints, the data centres out of rotation, the fronts and the reports of crashes,
+/// and tracks how old this state is. The reports are optional: a store or a front that does not know them is current.
+/// The state comes from the store, from relays, or from a seed's cache if the store is unavailable at startup.
 class StateCache
 {
 public:
@@ -44,6 +50,10 @@
   std::shared_ptr<ServingTable const> Table() const { return this->table; }
   EndpointSet& Endpoints() { return this->endpoints; }
   FrontSet& Fronts() { return this->fronts; }
+  /// Reports of crashes, by process.
+  std::map<std::string, StoredCrash> const& Crashes() const { return this->crashes; }
+  /// Applies a report that the store returned to a write.
+  void ApplyCrash(StoredObject const& aObject);
 
   /// Whether the table, the endpoints and the fronts have all been loaded.
   bool IsInitialized() const;
@@ -108,6 +118,7 @@
   std::shared_ptr<ServingTable const> table;
   EndpointSet endpoints;
   FrontSet fronts;
+  std::map<std::string, StoredCrash> crashes;
   /// Set once endpoints and fronts have been fetched from a seed.
   bool fetchedFromSeed{ false };
   /// Until then, the entry of a missing endpoint may merely have expired while the store was unavailable.
--- /dev/null
+++ b/Libraries/LibServing/CrashSuspicion.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "PromptParts.h"
+#include <LibCore/Clock.h>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hornbeam::Gateway {
+
+/// The crash of one process of an endpoint, as fronts report it to each other.
+struct CrashReport
+{
+  /// Identifies the process; a process crashes once.
+  std::string process;
+  /// Parts of the prompts whose answers the process had just begun or not begun, with their greatest position.
+  std::map<std::string, unsigned> candidates;
+  /// Candidates that did no harm at another endpoint at about that time.
+  std::set<std::string> cleared;
+  /// The fronts that contributed.
+  std::set<std::string> reporters;
+
+  bool operator==(CrashReport const&) const = default;
+};
+
+/// Adds what aOther knows of the same crash; returns whether that changed the report.
+bool
+MergeReport(CrashReport& aReport, CrashReport const& aOther);
+
+struct PartQuarantine
+{
+  MonotonicTime until{};
+  std::size_t crashes{ 0 };
+  std::set<std::string> reporters;
+};
+
+/// What a front knows about crashes in the whole fleet and about parts that do no harm.
+struct CrashLedger
+{
+  struct Entry
+  {
+    CrashReport report;
+    MonotonicTime learnedAt{};
+  };
+  std::map<std::string, Entry> crashes;
+  /// When the latest answer at this front began that showed a part to do no harm.
+  std::map<std::string, MonotonicTime> harmless;
+  /// When other fronts reported that a part does no harm.
+  std::map<std::string, MonotonicTime> cleared;
+  std::map<std::string, PartQuarantine> quarantined;
+};
+
+/// Records that an answer which began at aBegun was completed, or went on for a while.
+void
+RecordHarmless(CrashLedger& aLedger, std::vector<PromptPart> const& aParts, MonotonicTime aBegun, MonotonicTime aNow);
+
+/// Returns the parts that may have caused a crash now: those without an answer lately that showed that they do no harm.
+std::vector<PromptPart>
+PossibleCauses(CrashLedger const& aLedger, std::vector<PromptPart> const& aParts, MonotonicTime aNow);
+
+/// Adds a crash, or what a report adds to a known one; returns whether anything changed.
+bool
+RecordCrash(CrashLedger& aLedger, CrashReport const& aReport, MonotonicTime aNow);
+
+void
+ForgetCrash(CrashLedger& aLedger, std::string const& aProcess);
+
+/// Returns the crashes to be forgotten by the whole fleet: old ones, and the oldest of too many.
+std::vector<std::string>
+ObsoleteCrashes(CrashLedger const& aLedger, MonotonicTime aNow);
+
+/// Brings the quarantined parts up to date with the crashes. A part is quarantined after a few crashes that no other
+/// part explains, until some time after the last one.
+void
+UpdateQuarantine(CrashLedger& aLedger, MonotonicTime aNow);
+
+/// Returns for how long a prompt with these parts is to be refused; nothing if none of them is quarantined.
+std::optional<Duration>
+QuarantineTimeLeft(CrashLedger const& aLedger, std::vector<PromptPart> const& aParts, MonotonicTime aNow);
+
+/// Whether one of the parts may have crashed another process than aProcess.
+bool
+IsSuspected(CrashLedger const& aLedger,
+            std::vector<PromptPart> const& aParts,
+            std::string const& aProcess,
+            MonotonicTime aNow);
+
+/// Returns, by process, the candidates that other fronts are about to quarantine although they did no harm at this one.
+std::map<std::string, std::set<std::string>>
+PartsToClear(CrashLedger const& aLedger);
+
+/// An attempt that is in flight at a process of an endpoint.
+struct WatchedAttempt
+{
+  std::string process;
+  std::vector<PromptPart> parts;
+  MonotonicTime sent{};
+  /// When the first bytes of the answer arrived.
+  std::optional<MonotonicTime> begun;
+  MonotonicTime lastBytes{};
+  bool harmless{ false };
+};
+
+/// The attempts of one front, from which it infers crashes of endpoints.
+struct AttemptWatch
+{
+  struct Broken
+  {
+    WatchedAttempt attempt;
+    MonotonicTime at{};
+    /// Whether the answer had begun shortly before, or not at all.
+    bool possibleCause{ false };
+  };
+  std::map<std::uint64_t, WatchedAttempt> running;
+  std::vector<Broken> broken;
+};
+
+/// Whether bytes of an answer that arrive now show that its parts do no harm.
+bool
+ShowsNoHarm(WatchedAttempt const& aAttempt, MonotonicTime aNow);
+
+/// Records that the connection of an attempt broke off, at aBroken at the earliest. Returns whether the attempt may
+/// have crashed its endpoint.
+bool
+RecordBroken(AttemptWatch& aWatch, std::uint64_t aAttempt, MonotonicTime aBroken, MonotonicTime aNow);
+
+/// Returns when TakeCrashes() can decide about the connections that broke off; nothing if there are none.
+std::optional<MonotonicTime>
+CrashDecisionTime(AttemptWatch const& aWatch);
+
+/// Decides whether the connections that broke off show crashes of endpoints. Connections to several endpoints that
+/// break off at the same moment are taken for one crash, since the cause may be the network; a connection that breaks
+/// off while bytes still arrive on another one from the same process is none.
+std::vector<CrashReport>
+TakeCrashes(AttemptWatch& aWatch, CrashLedger const& aLedger, std::string const& aReporter, MonotonicTime aNow);
+
+}
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -2,6 +2,7 @@
 
 /// LibServing: decisions about proxied requests, without I/O, clock access or logging.
 
+#include "CrashSuspicion.h"
 #include "EndpointSelection.h"
 #include "EndpointSet.h"
 #include "FrontSet.h"
--- a/Tests/Platform/PlatformCrashingPartTests.cpp
+++ b/Tests/Platform/PlatformCrashingPartTests.cpp
@@ -8,12 +8,13 @@
 static constexpr std::size_t kCrashesBeforeBound = 5;
 static constexpr std::size_t kMaxLateRequests = 3;
 
-/// Three fronts and model endpoints that crash when they begin to answer a prompt with the part "dead".
+/// Three of four fronts and model endpoints that crash when they begin to answer a prompt with the part "dead".
 struct CrashingWorld
 {
-  CrashingWorld()
-    : world(3)
+  explicit CrashingWorld(std::string aUnknownKind = "")
+    : world(4)
   {
+    this->world.store->unknownKind = std::move(aUnknownKind);
     for (unsigned index = 0; index < 8; ++index) {
       auto& endpoint = this->world.AddEndpoint(EndpointKind::Model, "model");
       endpoint.crashingPart = "dead";
@@ -23,7 +24,9 @@
         this->world.Register(endpoint, "model", "ready");
       };
     }
-    this->world.Start();
+    this->world.PutTable(1);
+    for (unsigned front = 0; front < 3; ++front)
+      this->world.StartFront(front);
     for (auto const* name : { "front-0", "front-1", "front-2" })
       EXPECT_TRUE(this->world.RunUntil([&] { return this->world.store->Has("fronts", name); }));
     this->world.RunFor(100ms);
@@ -47,7 +50,7 @@
     for (unsigned round = 0; this->world.clock.Now() < end; ++round) {
       auto const now = this->world.clock.Now();
       this->sound.emplace_back(now, this->Send("first:10,shared:20"));
-      if (aWithDead && round % 8 == 0)
+      if (aWithDead && round % 7 == 0)
         this->dead.emplace_back(now, this->Send("first:10,dead:30,shared:20"));
       this->world.RunFor(50ms);
     }
@@ -90,7 +93,7 @@
 
 // Each front kept to itself which prompts crash endpoints, and none by part of the prompt: such requests ended one
 // endpoint after the other.
-TEST(Platform, DISABLED_StopsSendingAPartThatCrashesEndpoints)
+TEST(Platform, StopsSendingAPartThatCrashesEndpoints)
 {
   CrashingWorld crashing;
   auto const start = crashing.world.clock.Now();
@@ -112,4 +115,64 @@
   EXPECT_EQ(CrashingWorld::CountNotServed(crashing.sound, start), 0U);
 }
 
+/// Returns the parts that a front refuses.
+static std::vector<std::string>
+QuarantinedAt(PlatformWorld& aWorld, unsigned aFront)
+{
+  std::vector<std::string> parts;
+  for (auto const& item : CachedStateOf(aWorld, aFront).value("quarantined_parts", nlohmann::json::array()))
+    parts.push_back(item.value("part", ""));
+  return parts;
+}
+
+TEST(Platform, RefusesAQuarantinedPartWithTheTimeLeft)
+{
+  CrashingWorld crashing;
+  crashing.SendFor(500ms, false);
+  crashing.SendFor(2500ms, true);
+  auto const response = crashing.Send("first:10,dead:30,shared:20");
+  ASSERT_TRUE(crashing.world.RunUntil([&] { return response->ended; }));
+  EXPECT_EQ(response->status, 503U);
+  auto const* const retryAfter = FindField(response->fields, "Retry-After");
+  ASSERT_NE(retryAfter, nullptr);
+  EXPECT_GT(std::stod(*retryAfter), 60);
+  // The others of the same first part and caller are served.
+  for (auto const* parts : { "first:10,shared:20", "first:10,other:30", "first:10" }) {
+    auto const sound = crashing.Send(parts);
+    ASSERT_TRUE(crashing.world.RunUntil([&] { return sound->ended; }));
+    EXPECT_EQ(sound->status, 200U) << parts;
+  }
+}
+
+// A front that started after the crashes learns of them from the store, and one that has lost the store keeps them.
+TEST(Platform, KnowsQuarantinedPartsAfterAStartAndWithoutTheStore)
+{
+  CrashingWorld crashing;
+  crashing.SendFor(500ms, false);
+  crashing.SendFor(2500ms, true);
+  auto& world = crashing.world;
+  auto const expected = std::vector<std::string>{ "dead" };
+  EXPECT_EQ(QuarantinedAt(world, 0), expected);
+  world.StartFront(3);
+  EXPECT_TRUE(world.RunUntil([&] { return QuarantinedAt(world, 3) == expected; }));
+  world.store->behavior = StoreBehavior::Refusing;
+  world.store->CutWatches();
+  world.RunFor(1s);
+  for (unsigned front = 0; front < 4; ++front)
+    EXPECT_EQ(QuarantinedAt(world, front), expected) << "front " << front;
+}
+
+// Fronts must start and serve, and each act on the crashes that it sees, if the store does not know the kind.
+TEST(Platform, ServesIfTheStoreDoesNotKnowCrashReports)
+{
+  CrashingWorld crashing("endpoint-crashes");
+  crashing.SendFor(500ms, false);
+  crashing.world.RunFor(500ms);
+  EXPECT_EQ(CrashingWorld::CountNotServed(crashing.sound, {}), 0U);
+  for (unsigned front = 0; front < 3; ++front)
+    EXPECT_TRUE(CachedStateOf(crashing.world, front)["store_reached"].get<bool>());
+  crashing.SendFor(4s, true);
+  EXPECT_EQ(QuarantinedAt(crashing.world, 0), std::vector<std::string>{ "dead" });
+}
+
 }
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -164,6 +164,8 @@
   auto const slash = path.find('/');
   auto const kind = path.substr(0, slash);
   auto const name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  if (!this->unknownKind.empty() && kind == this->unknownKind)
+    return Respond(*aExchange, 404, json::object());
   if (request.method != "GET")
     return this->HandleWrite(*aExchange, kind, name);
   if (query.contains("watch"))
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -45,6 +45,8 @@
   /// The number of next writes that are applied but whose response is lost.
   unsigned responsesToLose{ 0 };
   std::size_t pageSize{ 50 };
+  /// A kind whose calls the store refuses with 404; empty for none.
+  std::string unknownKind;
   std::uint64_t calls{ 0 };
   /// The number of objects removed through calls.
   unsigned removals{ 0 };
