LibGateway: Release results whose owner does not respond

A front that had used results asked their stage owner to release them, once, and ignored the outcome. If the owner had just stopped, the results stayed at their endpoints until they expired (4 s), which keeps memory from other requests when owners change often, as in a rolling restart.

A front whose call to the owner fails now releases the results itself; their handles name the endpoint. It logs event=owner-release-failed, and a front that stops waits for such calls. Releasing no longer creates a pool, as it needs none.

ReleasesResultsWhoseOwnerHasStopped: held after 3 s before, released after.

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -397,7 +397,8 @@
 void
 FrontPeers::ReleaseResults(std::string const& aAddress,
                            std::string const& aService,
-                           std::vector<std::string> const& aHandles)
+                           std::vector<std::string> const& aHandles,
+                           std::function<void(bool)> aDone)
 {
   ++this->calls;
   auto call = [aService, aHandles](Wire::GatewayPeer::Client& aClient) {
@@ -406,7 +407,10 @@
     WriteStrings(aHandles, request.initHandles(unsigned(aHandles.size())));
     return request.send().then([](auto&&) { return true; });
   };
-  this->implementation->connections.Run<bool>(aAddress, kFetchTimeout, kj::mv(call), [](std::optional<bool>) {});
+  this->implementation->connections.Run<bool>(
+    aAddress, kFetchTimeout, kj::mv(call), [aDone = std::move(aDone)](std::optional<bool> aReleased) {
+      aDone(aReleased.has_value());
+    });
 }
 
 void
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -85,9 +85,11 @@
                         RemoteStageJob const& aJob,
                         std::function<void(std::optional<StageResult>)> aDone);
 
+  /// aDone receives whether the peer took over the release.
   void ReleaseResults(std::string const& aAddress,
                       std::string const& aService,
-                      std::vector<std::string> const& aHandles);
+                      std::vector<std::string> const& aHandles,
+                      std::function<void(bool)> aDone);
 
   /// aDone receives the peer's incarnation, or nothing if the peer does not respond in time.
   void Ping(std::string const& aAddress, std::function<void(std::optional<std::int64_t>)> aDone);
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -156,7 +156,8 @@
 GatewayFront::CheckDraining()
 {
   auto const elapsed = this->loop.RuntimeClock().Now() - *this->drainingSince;
-  bool const idle = this->proxy->ActiveRequests() == 0 && this->stageOwner->IsIdle() && elapsed >= kMinDrainingTime;
+  bool const idle = this->proxy->ActiveRequests() == 0 && this->stages->IsIdle() && this->stageOwner->IsIdle() &&
+                    elapsed >= kMinDrainingTime;
   if (idle || elapsed >= this->settings.graceTime - kGraceMargin) {
     PART_LOG("front") << "event=stop active=" << this->proxy->ActiveRequests() << " after_ms=" << Milliseconds(elapsed);
     this->onStopped();
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -97,9 +97,7 @@
 void
 StageOwnerService::Release(std::string const& aService, std::vector<std::string> const& aHandles)
 {
-  auto* const pool = this->FindOrCreatePool(aService);
-  if (pool != nullptr)
-    this->ApplyDecisions(aService, ReleaseResults(aHandles));
+  this->ApplyDecisions(aService, ReleaseResults(aHandles));
 }
 
 void
@@ -219,7 +217,9 @@
       [this, service = service, address = address, handles = handles](BufferedResponse const& aResponse) {
         --this->releaseCalls;
         if (aResponse.end == CallEnd::Complete) {
-          this->ApplyDecisions(service, OnResultsReleased(this->pools.at(service), handles, this->clock.Now()));
+          auto const pool = this->pools.find(service);
+          if (pool != this->pools.end())
+            this->ApplyDecisions(service, OnResultsReleased(pool->second, handles, this->clock.Now()));
           return;
         }
         // The endpoint releases the results itself when their lifetime expires.
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -15,6 +15,7 @@
   /// Calls back exactly once unless cancelled; the returned action cancels the job.
   CancelAction RunStage(RemoteStageJob aJob, StageCallback aDone);
 
+  /// Releases results at their endpoints, also those that another owner had computed.
   void Release(std::string const& aService, std::vector<std::string> const& aHandles);
 
   /// Hands off to another front, if there is one: waiting jobs end as HandedOff, and calls in flight continue. Later
--- a/Libraries/LibGateway/StageService.cpp
+++ b/Libraries/LibGateway/StageService.cpp
@@ -110,10 +110,20 @@
   if (aHandles.empty())
     return;
   auto const owner = OwnerOf(this->stateCache.Fronts(), aService, this->clock.Now());
-  if (!owner || owner->name == this->settings.name)
+  if (!owner || owner->name == this->settings.name) {
     this->owner.Release(aService, aHandles);
-  else
-    this->peers.ReleaseResults(owner->peerAddress, aService, aHandles);
+    return;
+  }
+  ++this->releasesInFlight;
+  this->peers.ReleaseResults(
+    owner->peerAddress, aService, aHandles, [this, aService, aHandles, name = owner->name](bool aReleased) {
+      --this->releasesInFlight;
+      if (aReleased)
+        return;
+      PART_WARNING("stages") << "event=owner-release-failed service=" << aService << " front=" << name
+                             << " results=" << aHandles.size();
+      this->owner.Release(aService, aHandles);
+    });
 }
 
 }
--- a/Libraries/LibGateway/StageService.h
+++ b/Libraries/LibGateway/StageService.h
@@ -13,8 +13,12 @@
   /// Calls back exactly once, with any end but HandedOff, unless cancelled; the returned action cancels the job.
   CancelAction RunStage(RemoteStageJob aJob, StageCallback aDone);
 
+  /// Releases results through the owner of their pool, or directly if the owner does not respond.
   void Release(std::string const& aService, std::vector<std::string> const& aHandles);
 
+  /// Whether no release is on its way to an owner.
+  bool IsIdle() const { return this->releasesInFlight == 0; }
+
   /// The backlogs that the owners reported with their last results.
   StageBacklogs const& Backlogs() const { return this->backlogs; }
 
@@ -35,6 +39,7 @@
   FrontPeers& peers;
   StageOwnerService& owner;
   StageBacklogs backlogs;
+  unsigned releasesInFlight{ 0 };
 };
 
 }
--- a/Tests/Platform/PlatformStageOwnerStopTests.cpp
+++ b/Tests/Platform/PlatformStageOwnerStopTests.cpp
@@ -124,7 +124,7 @@
 }
 
 // Memory for results that stayed occupied because the owner that should have released them had stopped.
-TEST(Platform, DISABLED_ReleasesResultsWhoseOwnerHasStopped)
+TEST(Platform, ReleasesResultsWhoseOwnerHasStopped)
 {
   StagedWorld staged(2);
   auto& world = staged.world;
