LibServing: Hand off what a leaving owner cannot complete before it stops

An owner that stops handed off jobs without items in flight and kept the others for good: it went on starting calls for their waiting items, and at its stop they were cut, to be computed again from the start with little time left.

Jobs with items in flight stay only if they are expected to be completed before the stop: finishing them is cheaper than computing their items twice. Results of calls that still run are released on arrival.

Three tests of StagePool failed with the previous rule in the new interface (0 jobs handed off instead of 1) and pass; HandsOffWaitingJobs is unchanged but for the arguments.

--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -147,7 +147,7 @@
   PART_LOG("front") << "event=draining active=" << this->proxy->ActiveRequests();
   this->directory->BeginDraining();
   this->presence->Deregister();
-  this->stageOwner->HandOff();
+  this->stageOwner->HandOff(*this->drainingSince + this->settings.graceTime - kGraceMargin);
   this->callers->Context().use = ConnectionUse::Close;
   this->CheckDraining();
 }
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -70,7 +70,7 @@
 bool
 StageOwnerService::LeavesJobsToOthers() const
 {
-  return this->handedOff && HasOtherFront(this->stateCache.Fronts(), this->settings.name, this->clock.Now());
+  return this->stop && HasOtherFront(this->stateCache.Fronts(), this->settings.name, this->clock.Now());
 }
 
 CancelAction
@@ -101,13 +101,24 @@
 }
 
 void
-StageOwnerService::HandOff()
+StageOwnerService::HandOff(MonotonicTime aStop)
+{
+  this->stop = aStop;
+  this->HandOffJobs();
+}
+
+void
+StageOwnerService::HandOffJobs()
 {
-  this->handedOff = true;
   if (!this->LeavesJobsToOthers())
     return;
-  for (auto& [service, pool] : this->pools)
-    this->ApplyDecisions(service, Gateway::HandOffJobs(pool));
+  for (auto& [service, pool] : this->pools) {
+    auto decisions = Gateway::HandOffJobs(pool, *this->stop, this->clock.Now());
+    if (!decisions.results.empty())
+      PART_LOG("stages") << "event=handed-off service=" << service << " jobs=" << decisions.results.size()
+                         << " left=" << pool.jobs.size();
+    this->ApplyDecisions(service, std::move(decisions));
+  }
 }
 
 bool
@@ -238,6 +249,7 @@
   this->tickScheduled = true;
   this->clock.Schedule(kTickInterval, [this] {
     this->tickScheduled = false;
+    this->HandOffJobs();
     auto const now = this->clock.Now();
     for (auto& [service, pool] : this->pools)
       this->ApplyDecisions(service, Schedule(pool, now));
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -18,9 +18,9 @@
   /// Releases results at their endpoints, also those that another owner had computed.
   void Release(std::string const& aService, std::vector<std::string> const& aHandles);
 
-  /// Hands off to another front, if there is one: waiting jobs end as HandedOff, and calls in flight continue. Later
-  /// jobs run here only while no other front is known.
-  void HandOff();
+  /// Hands off to another front, if there is one, before this one stops at aStop: jobs that wait or cannot be completed
+  /// by then end as HandedOff, and the others continue. Later jobs run here only while no other front is known.
+  void HandOff(MonotonicTime aStop);
 
   /// Whether no job, call or release is in progress and all results have been sent, so that nothing is lost if the
   /// front stops.
@@ -38,6 +38,7 @@
 
 private:
   bool LeavesJobsToOthers() const;
+  void HandOffJobs();
   StagePool* FindOrCreatePool(std::string const& aService);
   void UpdatePools();
   void ApplyDecisions(std::string const& aService, StageDecisions aDecisions);
@@ -60,7 +61,8 @@
   /// When the last result was passed on.
   MonotonicTime lastResult{};
   bool tickScheduled{ false };
-  bool handedOff{ false };
+  /// When this front stops, once it hands off.
+  std::optional<MonotonicTime> stop;
   Usage usage;
 };
 
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -18,6 +18,9 @@
 static constexpr unsigned kMaxItemErrors = 3;
 /// Weight of the latest call in an endpoint's slowness.
 static constexpr double kSlownessWeight = 0.4;
+/// A job is handed off if less than this would remain between its expected completion and the stop of its owner: its
+/// result must still be sent.
+static constexpr Duration kStopMargin = 200ms;
 /// Results may slightly outlive their stated lifetime; their memory stays reserved until then.
 static constexpr Duration kLifetimeMargin = 200ms;
 
@@ -350,15 +353,39 @@
   return decisions;
 }
 
+/// Returns when each job with items in flight is expected to be completed, waiting items included.
+static std::map<StageJobId, MonotonicTime>
+ExpectedCompletions(StagePool const& aPool, MonotonicTime aNow)
+{
+  std::map<StageJobId, MonotonicTime> completions;
+  for (auto const& [id, running] : aPool.running) {
+    auto const endpoint = aPool.endpoints.find(running.call.endpoint);
+    double const slowness = endpoint == aPool.endpoints.end() ? 1 : std::max(1.0, endpoint->second.slowness);
+    auto const end = std::max<MonotonicTime>(aNow, running.started + FromSeconds(Seconds(running.expected) * slowness));
+    for (auto const& item : running.call.items)
+      completions[item.job] = std::max(completions[item.job], end);
+  }
+  for (auto& [id, completion] : completions) {
+    auto const& pending = aPool.jobs.at(id);
+    if (pending.waiting.empty())
+      continue;
+    auto const items = std::min<std::size_t>(pending.waiting.size(), aPool.limits.batch);
+    auto const ready = aNow + ExpectedWait(aPool, pending.job, aNow) + CallTime(aPool.limits, items);
+    completion = std::max<MonotonicTime>(completion, ready);
+  }
+  return completions;
+}
+
 StageDecisions
-HandOffJobs(StagePool& aPool)
+HandOffJobs(StagePool& aPool, MonotonicTime aStop, MonotonicTime aNow)
 {
+  auto const completions = ExpectedCompletions(aPool, aNow);
   StageDecisions decisions;
-  std::vector<StageJobId> waiting;
+  std::vector<StageJobId> leaving;
   for (auto const& [id, pending] : aPool.jobs)
-    if (pending.itemsInFlight == 0 && !pending.cancelled)
-      waiting.push_back(id);
-  for (auto const id : waiting)
+    if (!pending.cancelled && (pending.itemsInFlight == 0 || completions.at(id) + kStopMargin > aStop))
+      leaving.push_back(id);
+  for (auto const id : leaving)
     EndJob(aPool, id, StageEnd::HandedOff, Duration::zero(), decisions);
   return decisions;
 }
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -227,8 +227,9 @@
 StageDecisions
 Schedule(StagePool& aPool, MonotonicTime aNow);
 
-/// Ends all jobs without items in flight; another front takes over.
+/// Ends the jobs that another front should take over from an owner that stops at aStop: those without items in flight,
+/// and those that are not expected to be completed by then. To be called until then, as calls may be slow.
 StageDecisions
-HandOffJobs(StagePool& aPool);
+HandOffJobs(StagePool& aPool, MonotonicTime aStop, MonotonicTime aNow);
 
 }
--- a/Tests/LibServing/StagePoolTests.cpp
+++ b/Tests/LibServing/StagePoolTests.cpp
@@ -270,10 +270,54 @@
   auto pool = MakePool({ MakeEntry("e1", "a") });
   SubmitJob(pool, MakeJob("running", 1), kStart);
   auto const waiting = SubmitJob(pool, MakeJob("waiting", 1), kStart);
-  auto const handedOff = HandOffJobs(pool);
+  auto const handedOff = HandOffJobs(pool, kStart + 7s, kStart);
   ASSERT_EQ(handedOff.results.size(), 1U);
   EXPECT_EQ(handedOff.results[0].job, waiting.job);
   EXPECT_EQ(handedOff.results[0].end, StageEnd::HandedOff);
 }
 
+// A job whose calls end only after its owner has stopped: kept until then, it would be computed again too late.
+TEST(StagePool, HandsOffAJobWhoseCallEndsAfterItsOwnerStops)
+{
+  auto pool = MakePool({ MakeEntry("e1", "a") });
+  auto const submitted = SubmitJob(pool, MakeJob("running", 8), kStart);
+  auto const& call = submitted.decisions.calls.at(0);
+  // The call takes 360 ms.
+  auto const stop = kStart + 460ms;
+  auto const handedOff = HandOffJobs(pool, stop, kStart);
+  ASSERT_EQ(handedOff.results.size(), 1U);
+  EXPECT_EQ(handedOff.results[0].end, StageEnd::HandedOff);
+  // Its results are released when they arrive.
+  auto const ended = OnCallEnd(pool, call.id, StageCallEnd::Responded, AllCompleted(call), kStart + 400ms);
+  EXPECT_TRUE(ended.results.empty());
+  EXPECT_EQ(ended.releases.at(call.address).size(), 8U);
+}
+
+// A job some of whose items wait while others are computed: its owner starts calls for them only as long as they end
+// before it stops.
+TEST(StagePool, HandsOffAJobWhoseWaitingItemsCannotBeCompletedBeforeItsOwnerStops)
+{
+  for (auto const stop : { kStart + 700ms, kStart + 7s }) {
+    auto pool = MakePool({ MakeEntry("e1", "a") });
+    // Two calls of 360 ms.
+    auto const submitted = SubmitJob(pool, MakeJob("half", 16), kStart);
+    auto const& call = submitted.decisions.calls.at(0);
+    auto const handedOff = HandOffJobs(pool, stop, kStart);
+    auto const ended = OnCallEnd(pool, call.id, StageCallEnd::Responded, AllCompleted(call), kStart + 360ms);
+    bool const fits = stop == kStart + 7s;
+    EXPECT_EQ(handedOff.results.size(), fits ? 0U : 1U);
+    EXPECT_EQ(ended.calls.size(), fits ? 1U : 0U);
+  }
+}
+
+// A call that takes much longer than expected.
+TEST(StagePool, HandsOffAJobWhoseCallIsOverdueWhenItsOwnerStops)
+{
+  auto pool = MakePool({ MakeEntry("e1", "a") });
+  SubmitJob(pool, MakeJob("slow", 8), kStart);
+  auto const stop = kStart + 1s;
+  EXPECT_TRUE(HandOffJobs(pool, stop, kStart + 700ms).results.empty());
+  EXPECT_EQ(HandOffJobs(pool, stop, kStart + 900ms).results.size(), 1U);
+}
+
 }
