--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -149,7 +149,7 @@
                     << " requests_end_ms=" << Milliseconds(this->stop->requestsEnd - now);
   this->directory->BeginDraining();
   this->presence->Deregister();
-  this->stageOwner->HandOff();
+  this->stageOwner->HandOff(this->stop->requestsEnd);
   this->callers->Context().use = ConnectionUse::Close;
   this->proxy->BeginStop(*this->stop);
   this->ContinueStop();
@@ -160,7 +160,7 @@
 {
   StopProgress progress;
   progress.requests = this->proxy->ActiveRequests();
-  progress.hasForeignWork = !this->stageOwner->IsIdle();
+  progress.hasForeignWork = !this->stageOwner->IsIdle() || !this->stages->IsIdle();
   progress.step = this->stopStep;
   for (auto const& entry : this->entries)
     progress.connections += entry->Context().connections.size();
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -71,7 +71,7 @@
 StageOwnerService::LeavesJobsToOthers() const
 {
   auto const others = FindOtherFronts(this->stateCache.Fronts(), this->settings.name, this->clock.Now());
-  return this->handedOff && others != OtherFronts::None;
+  return this->stop && others != OtherFronts::None;
 }
 
 CancelAction
@@ -98,19 +98,28 @@
 void
 StageOwnerService::Release(std::string const& aService, std::vector<std::string> const& aHandles)
 {
-  auto* const pool = this->FindOrCreatePool(aService);
-  if (pool != nullptr)
-    this->ApplyDecisions(aService, ReleaseResults(aHandles));
+  this->ApplyDecisions(aService, ReleaseResults(aHandles));
 }
 
 void
-StageOwnerService::HandOff()
+StageOwnerService::HandOff(MonotonicTime aStop)
+{
+  this->stop = aStop;
+  this->HandOffJobs();
+}
+
+void
+StageOwnerService::HandOffJobs()
 {
-  this->handedOff = true;
   if (!this->LeavesJobsToOthers())
     return;
-  for (auto& [service, pool] : this->pools)
-    this->ApplyDecisions(service, Gateway::HandOffJobs(pool));
+  for (auto& [service, pool] : this->pools) {
+    auto decisions = Gateway::HandOffJobs(pool, *this->stop, this->clock.Now());
+    if (!decisions.results.empty())
+      PART_LOG("stages") << "event=handed-off service=" << service << " jobs=" << decisions.results.size()
+                         << " left=" << pool.jobs.size();
+    this->ApplyDecisions(service, std::move(decisions));
+  }
 }
 
 bool
@@ -220,7 +229,9 @@
       [this, service = service, address = address, handles = handles](BufferedResponse const& aResponse) {
         --this->releaseCalls;
         if (aResponse.end == CallEnd::Complete) {
-          this->ApplyDecisions(service, OnResultsReleased(this->pools.at(service), handles, this->clock.Now()));
+          auto const pool = this->pools.find(service);
+          if (pool != this->pools.end())
+            this->ApplyDecisions(service, OnResultsReleased(pool->second, handles, this->clock.Now()));
           return;
         }
         // The endpoint releases the results itself when their lifetime expires.
@@ -239,6 +250,7 @@
   this->tickScheduled = true;
   this->clock.Schedule(kTickInterval, [this] {
     this->tickScheduled = false;
+    this->HandOffJobs();
     auto const now = this->clock.Now();
     for (auto& [service, pool] : this->pools)
       this->ApplyDecisions(service, Schedule(pool, now));
