LibGateway: Fail a stream whose event has no end

A stream whose event never ended was kept in memory until the limit of the response parser (64 MiB) or the deadline; a resumable one was not resumed before that.

An incomplete event is limited to 256 KiB. The attempt then fails: the stream is resumed after its last complete event, or broken off.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -20,6 +20,8 @@
 static constexpr std::size_t kMaxBufferedResponseBytes = 262144;
 /// If more bytes than this are unsent to a slow caller, reading from the endpoint is paused.
 static constexpr std::size_t kMaxUnsentBytes = 131072;
+/// An attempt whose stream contains a longer event is failed, because an event is buffered until it is complete.
+static constexpr std::size_t kMaxEventBytes = 262144;
 
 void
 ProxiedRequest::TryEndpoint()
@@ -252,6 +254,16 @@
                    now);
 }
 
+void
+ProxiedRequest::FailAttempt(std::string_view aCause)
+{
+  this->call.Abandon();
+  this->RecordAttemptHealth(AttemptHealth::Failed);
+  this->mayHaveExecuted = true;
+  ++this->endedAttempts;
+  this->HandleFailedAttempt(aCause);
+}
+
 void
 ProxiedRequest::HandleFailedAttempt(std::string_view aCause)
 {
@@ -275,7 +287,6 @@
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
   if (this->responseBegun) {
-    this->ArmStallTimer();
     this->ForwardBody(std::move(aData));
     return;
   }
@@ -304,22 +315,30 @@
 void
 ProxiedRequest::ForwardBody(std::string aData)
 {
-  if (!this->ForwardsEvents()) {
+  if (this->ForwardsEvents())
+    this->ForwardEvents(aData);
+  else
     this->exchange->SendChunk(aData);
-  } else {
-    auto const whole = ExtractCompleteEvents(this->eventStream, aData);
-    if (this->eventStream.outOfOrder) {
-      this->call.Abandon();
-      this->RecordAttemptHealth(AttemptHealth::Failed);
-      this->End(RequestOutcome::Interrupted, 0, "events-out-of-order");
-      return;
-    }
-    this->exchange->SendChunk(whole);
-  }
-  if (this->exchange->Unsent() > kMaxUnsentBytes)
+  if (!this->ended && this->exchange->Unsent() > kMaxUnsentBytes)
     this->call.PauseReading();
 }
 
+void
+ProxiedRequest::ForwardEvents(std::string_view aBytes)
+{
+  auto const whole = ExtractCompleteEvents(this->eventStream, aBytes);
+  if (this->eventStream.outOfOrder) {
+    this->call.Abandon();
+    this->RecordAttemptHealth(AttemptHealth::Failed);
+    this->End(RequestOutcome::Interrupted, 0, "events-out-of-order");
+    return;
+  }
+  this->exchange->SendChunk(whole);
+  this->ArmStallTimer();
+  if (this->eventStream.partial.size() > kMaxEventBytes)
+    this->FailAttempt("event-too-long");
+}
+
 void
 ProxiedRequest::OnAttemptEnd(CallEnd aEnd)
 {
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -61,6 +61,8 @@
   void OnBody(std::string aData);
   void OnAttemptEnd(CallEnd aEnd);
   void OnNotExecuted(Platform::EndpointResponse const& aResponse);
+  /// Abandons the attempt in flight, which may have been executed.
+  void FailAttempt(std::string_view aCause);
   void HandleFailedAttempt(std::string_view aCause);
   bool RetryOnError();
   /// Abandons the attempt in flight and starts another one.
@@ -76,6 +78,7 @@
   /// Whether the response being forwarded is a stream of events. The error response of a streaming route is not.
   bool ForwardsEvents() const { return this->responseBegun && !this->bufferedHead; }
   void ForwardBody(std::string aData);
+  void ForwardEvents(std::string_view aBytes);
   void FinishResponse();
 
   void OnDeadline();
--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -287,4 +287,20 @@
   }
 }
 
+// The front kept the bytes of an event that never ended, until the deadline.
+TEST(PlatformAnswers, EndsAStreamWhoseEventHasNoEnd)
+{
+  auto const endless = [](auto const& aRequest) {
+    return RawAnswer{ RawHead(aRequest) + Events(1, 2) + "id: 3\ndata: ", Ending::Keep, 0ms, std::string(32768, 'x') };
+  };
+  auto const resumed = CallOnce(endless, RestOfStream, "/model/x");
+  EXPECT_EQ(resumed.response.body, Events(1, 5));
+  EXPECT_LT(resumed.response.duration, kPrompt);
+  auto const interrupted = CallOnce(endless, RestOfStream, "/once/x");
+  EXPECT_EQ(interrupted.response.end, CallEnd::Broken);
+  EXPECT_EQ(interrupted.response.body, Events(1, 2));
+  EXPECT_LT(interrupted.response.duration, kPrompt);
+  EXPECT_LT(interrupted.bytesSent, std::size_t(8 << 20));
+}
+
 }
