LibGateway: Count only complete events as progress of a stream

A resumable stream that stalled inside an event while single bytes arrived was not resumed: each byte restarted the stall timer, although nothing reached the caller, who gives up after two seconds without data.

The stall timer now restarts only when a complete event (or a comment with its blank line) is forwarded. Bodies that are not streams are not affected.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -334,7 +334,9 @@
     return;
   }
   this->exchange->SendChunk(whole);
-  this->ArmStallTimer();
+  // Bytes of an incomplete event do not reach the caller, so they are no progress.
+  if (!whole.empty())
+    this->ArmStallTimer();
   if (this->eventStream.partial.size() > kMaxEventBytes)
     this->FailAttempt("event-too-long");
 }
--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -303,4 +303,15 @@
   EXPECT_LT(interrupted.bytesSent, std::size_t(8 << 20));
 }
 
+// Each byte counted as progress, so a stalled stream was only left at the deadline, long after the caller had gone.
+TEST(PlatformAnswers, ResumesAStreamThatStallsInsideAnEventWhileBytesArrive)
+{
+  auto const trickle = [](auto const& aRequest) {
+    return RawAnswer{ RawHead(aRequest) + Events(1, 2) + "id: 3\ndata: ", Ending::Keep, 0ms, "x", 50ms };
+  };
+  auto const result = CallOnce(trickle, RestOfStream, "/model/x");
+  EXPECT_EQ(result.response.body, Events(1, 5));
+  EXPECT_LT(result.response.duration, kPrompt);
+}
+
 }
