LibGateway: Find the id of an event after a byte order mark

The id of the first event of a stream that begins with a byte order mark was not seen. A stream that broke off after this event was resumed from the start, so its caller got the event twice.

Evidence: EventStream.FindsTheIdOfAnEventAfterAByteOrderMark fails without the change (no id).

--- a/Libraries/LibGateway/EventStream.cpp
+++ b/Libraries/LibGateway/EventStream.cpp
@@ -5,6 +5,7 @@
 namespace Hornbeam::Gateway {
 
 static constexpr std::string_view kLineEnds = "\r\n";
+static constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
 /// Removes and returns the first line, without its line end. A CR LF gives an additional empty line.
 static std::string_view
@@ -19,6 +20,8 @@
 static std::optional<std::string>
 IdOf(std::string_view aEvent)
 {
+  if (aEvent.starts_with(kByteOrderMark))
+    aEvent.remove_prefix(kByteOrderMark.size());
   while (!aEvent.empty()) {
     auto line = TakeLine(aEvent);
     if (!line.starts_with("id:"))
--- a/Tests/LibGateway/EventStreamTests.cpp
+++ b/Tests/LibGateway/EventStreamTests.cpp
@@ -61,7 +61,7 @@
 
 TEST(EventStream, SplitsAStreamAtEachPosition)
 {
-  std::string const events = ""
+  std::string const events = "\xEF\xBB\xBF"
                              "id: 1\ndata: a\n\n: note\n\nversions: 7\r\nid: "
                              "2\r\ndata: b\r\n\r\n\n\ndata: c\nid: 3\n\n";
   for (std::size_t position = 0; position <= events.size(); ++position) {
@@ -86,6 +86,15 @@
   }
 }
 
+// The id of the first event after a byte order mark was not seen, so a
+// resumption began with that event again.
+TEST(EventStream, FindsTheIdOfAnEventAfterAByteOrderMark)
+{
+  EventStream stream;
+  ExtractCompleteEvents(stream, "\xEF\xBB\xBFid: 1\ndata: a\n\n");
+  EXPECT_EQ(stream.lastId, "1");
+}
+
 TEST(EventStream, EndsInsideAnEventUnlessOnlyCommentsOrLineEndsFollow)
 {
   for (auto const* const rest :
