LibExchange: Do not reuse a connection after a HEAD response without framing

A response to HEAD with neither a length nor chunks may end with its connection, like the response to the GET. The connection was kept, so a request sent right after it was lost; one that is not idempotent would be answered 502.

Evidence: ConnectionPool.DoesNotReuseAConnectionAfterAResponseToHeadWithoutFraming fails without the change: the connection was idle in the pool, and the next call on it ended as broken. Ruled out: a response with a body that ends with its connection is never kept (DoesNotReuseAConnectionThatEndsItsResponse passed before); 204 and 304 are kept, because they never have a body.

--- a/Libraries/LibExchange/HttpParsers.cpp
+++ b/Libraries/LibExchange/HttpParsers.cpp
@@ -191,7 +191,10 @@
 bool
 ResponseParser::WantsClose() const
 {
-  return !this->implementation->parser->keep_alive();
+  auto const& parser = *this->implementation->parser;
+  // A HEAD response without framing may end with its connection, as the response to a GET would.
+  bool const unframed = !parser.chunked() && !parser.content_length();
+  return !parser.keep_alive() || (this->implementation->method == ResponseTo::Head && unframed);
 }
 
 ResponseHead
--- a/Tests/LibExchange/ExchangeTests.cpp
+++ b/Tests/LibExchange/ExchangeTests.cpp
@@ -175,6 +175,27 @@
   EXPECT_FALSE(server.pool.HasIdle(kAddress));
 }
 
+// Such a response may end with its connection, so a request sent right after it was lost.
+TEST(ConnectionPool, DoesNotReuseAConnectionAfterAResponseToHeadWithoutFraming)
+{
+  RawServer server("HTTP/1.1 200 OK\r\n\r\n", Ending::Close);
+  OutgoingCall head;
+  head.address = kAddress;
+  head.request = { "HEAD", "/", { { "Host", "x" } }, "" };
+  CallEvents events;
+  std::optional<CallEnd> second;
+  events.onEnd = [&](CallEnd aEnd) {
+    EXPECT_EQ(aEnd, CallEnd::Complete);
+    EXPECT_FALSE(server.pool.HasIdle(kAddress));
+    CallEvents secondEvents;
+    secondEvents.onEnd = [&](CallEnd aSecondEnd) { second = aSecondEnd; };
+    server.pool.Send(head, std::move(secondEvents));
+  };
+  server.pool.Send(head, std::move(events));
+  server.loop.RunUntil([&] { return second.has_value(); });
+  EXPECT_EQ(second, CallEnd::Complete);
+}
+
 TEST(ConnectionPool, ReusesAConnectionAfterAResponseThatNeverHasABody)
 {
   for (auto const* const status : { "204 No Content", "304 Not Modified" }) {
