--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -21,6 +21,8 @@
 /// If more bytes than this are unsent to a slow caller, reading from the endpoint is paused.
 static constexpr std::size_t kMaxUnsentBytes = 131072;
 static constexpr std::size_t kMaxLoggedEventId = 32;
+/// An attempt whose stream contains a longer event is failed, because an event is buffered until it is complete.
+static constexpr std::size_t kMaxEventBytes = 262144;
 
 bool
 ProxiedRequest::RefuseIfQuarantined()
@@ -281,6 +283,16 @@
          " suspected=" + std::to_string(this->suspected) + " parts=" + ToLogField(this->parts);
 }
 
+void
+ProxiedRequest::FailAttempt(std::string_view aCause)
+{
+  this->call.Abandon();
+  this->RecordAttemptHealth(AttemptHealth::Failed);
+  this->mayHaveExecuted = true;
+  ++this->endedAttempts;
+  this->HandleFailedAttempt(aCause);
+}
+
 void
 ProxiedRequest::HandleFailedAttempt(std::string_view aCause)
 {
@@ -308,7 +320,6 @@
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
   if (this->responseBegun) {
-    this->ArmStallTimer();
     this->ForwardBody(std::move(aData));
     return;
   }
@@ -337,22 +348,32 @@
 void
 ProxiedRequest::ForwardBody(std::string aData)
 {
-  if (!this->ForwardsEvents()) {
+  if (this->ForwardsEvents())
+    this->ForwardEvents(aData);
+  else
     this->exchange->SendChunk(aData);
-  } else {
-    auto const whole = ExtractCompleteEvents(this->eventStream, aData);
-    if (this->eventStream.outOfOrder) {
-      this->call.Abandon();
-      this->RecordAttemptHealth(AttemptHealth::Failed);
-      this->End(RequestOutcome::Interrupted, 0, "events-out-of-order");
-      return;
-    }
-    this->exchange->SendChunk(whole);
-  }
-  if (this->exchange->Unsent() > kMaxUnsentBytes)
+  if (!this->ended && this->exchange->Unsent() > kMaxUnsentBytes)
     this->call.PauseReading();
 }
 
+void
+ProxiedRequest::ForwardEvents(std::string_view aBytes)
+{
+  auto const whole = ExtractCompleteEvents(this->eventStream, aBytes);
+  if (this->eventStream.outOfOrder) {
+    this->call.Abandon();
+    this->RecordAttemptHealth(AttemptHealth::Failed);
+    this->End(RequestOutcome::Interrupted, 0, "events-out-of-order");
+    return;
+  }
+  this->exchange->SendChunk(whole);
+  // Bytes of an incomplete event do not reach the caller, so they are no progress.
+  if (!whole.empty())
+    this->ArmStallTimer();
+  if (this->eventStream.partial.size() > kMaxEventBytes)
+    this->FailAttempt("event-too-long");
+}
+
 void
 ProxiedRequest::OnAttemptEnd(CallEnd aEnd)
 {
@@ -366,7 +387,8 @@
     this->FinishResponse();
     return;
   }
-  if (aEnd == CallEnd::Broken)
+  // A stream that ends inside an event was broken off, however its connection ended.
+  if (aEnd == CallEnd::Broken || (aEnd == CallEnd::Complete && insideEvent))
     this->suspected = this->proxy.crashes.OnAttemptEnd(this->watchedAttempt, WatchedEnd::Broken);
   this->RecordAttemptHealth(AttemptHealth::Failed);
   if (aEnd == CallEnd::NotSent) {
