LibGateway: Merge reports of one crash sooner, and keep the suspects

The part that crashed the endpoint may be in exactly that front's candidates. It now adds to the returned report after 20 to 40 ms.

A full report made no room for further candidates, so many sound parts could crowd out the one that matters; cleared ones make room. A report that was removed from the store before the watch knew it is dropped from the cache, and a conflicting object that is no report is left alone.

--- a/Libraries/LibGateway/CrashService.cpp
+++ b/Libraries/LibGateway/CrashService.cpp
@@ -4,12 +4,14 @@
 
 namespace Hornbeam::Gateway {
 
-static constexpr Duration kUpdateInterval = 100ms;
+static constexpr Duration kUpdateInterval = 250ms;
 /// Limits the writes of a front that sees many crashes.
 static constexpr Duration kWriteInterval = 250ms;
 static constexpr std::size_t kMaxUnpublished = 16;
 /// A write that the store did not answer is repeated after one to two times this delay.
 static constexpr Duration kRepeatDelay = 1s;
+/// Fronts that report the same crash at the same time add to the report one after the other.
+static constexpr Duration kConflictDelay = 20ms;
 static constexpr Duration kObsoleteInterval = 10s;
 /// Fronts clear a part after a random delay, and only if no other one did so meanwhile: a few chosen fronts first, the
 /// others by the time they must have seen it.
@@ -222,10 +224,16 @@
     if (stored == this->stateCache.Crashes().end()) {
       ForgetCrash(this->ledger, process);
     } else if (IsAmongOwners(this->stateCache.Fronts(), process, this->settings.name, 1)) {
-      this->store.Remove(
-        ObjectKind::EndpointCrash, process, stored->second.revision, [process](Platform::WriteResult const& aResult) {
-          PART_LOG("crashes") << "event=report-removed process=" << process << " outcome=" << ToString(aResult.outcome);
-        });
+      this->store.Remove(ObjectKind::EndpointCrash,
+                         process,
+                         stored->second.revision,
+                         [this, process](Platform::WriteResult const& aResult) {
+                           PART_LOG("crashes")
+                             << "event=report-removed process=" << process << " outcome=" << ToString(aResult.outcome);
+                           using Platform::StoreOutcome;
+                           if (aResult.outcome == StoreOutcome::Done || aResult.outcome == StoreOutcome::NotFound)
+                             this->stateCache.DropCrash(process);
+                         });
     }
   }
   this->Update();
@@ -285,15 +293,17 @@
   PART_LOG("crashes") << "event=report-written process=" << aProcess << " outcome=" << ToString(aResult.outcome);
   if (aResult.outcome == Platform::StoreOutcome::Done || aResult.outcome == Platform::StoreOutcome::NotFound)
     return;
+  std::uniform_real_distribution<double> distribution(1, 2);
+  double const jitter = distribution(this->random);
   if (aResult.outcome == Platform::StoreOutcome::Conflict && aResult.object) {
-    // Another front wrote first; what it lacks is added to its report.
     this->stateCache.ApplyCrash(*aResult.object);
-    this->Publish(aProcess);
+    // An object that is no report, from another writer, cannot be added to.
+    if (!this->stateCache.Crashes().contains(aProcess))
+      return;
+    this->clock.Schedule(FromSeconds(Seconds(kConflictDelay) * jitter), [this, aProcess] { this->Write(aProcess); });
     return;
   }
-  std::uniform_real_distribution<double> distribution(1, 2);
-  auto const delay = std::chrono::duration_cast<Duration>(kRepeatDelay * distribution(this->random));
-  this->clock.Schedule(delay, [this, aProcess] { this->Publish(aProcess); });
+  this->clock.Schedule(FromSeconds(Seconds(kRepeatDelay) * jitter), [this, aProcess] { this->Publish(aProcess); });
 }
 
 }
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -54,6 +54,7 @@
   std::map<std::string, StoredCrash> const& Crashes() const { return this->crashes; }
   /// Applies a report that the store returned to a write.
   void ApplyCrash(StoredObject const& aObject);
+  void DropCrash(std::string const& aProcess) { this->crashes.erase(aProcess); }
 
   /// Whether the table, the endpoints and the fronts have all been loaded.
   bool IsInitialized() const;
--- a/Libraries/LibServing/CrashSuspicion.cpp
+++ b/Libraries/LibServing/CrashSuspicion.cpp
@@ -25,12 +25,26 @@
 static constexpr std::size_t kMaxCandidates = 64;
 static constexpr std::size_t kMaxReporters = 8;
 
+/// Makes room for a candidate; one that was cleared tells the least.
+static bool
+MakeRoom(CrashReport& aReport)
+{
+  if (aReport.candidates.size() < kMaxCandidates)
+    return true;
+  if (aReport.cleared.empty())
+    return false;
+  aReport.candidates.erase(*aReport.cleared.begin());
+  aReport.cleared.erase(aReport.cleared.begin());
+  return true;
+}
+
 bool
 MergeReport(CrashReport& aReport, CrashReport const& aOther)
 {
   auto const before = aReport;
   for (auto const& [part, position] : aOther.candidates)
-    if (aReport.candidates.contains(part) || aReport.candidates.size() < kMaxCandidates)
+    if (aReport.candidates.contains(part) || (!aOther.cleared.contains(part) && MakeRoom(aReport)) ||
+        aReport.candidates.size() < kMaxCandidates)
       aReport.candidates[part] = std::max(aReport.candidates[part], position);
   for (auto const& part : aOther.cleared)
     if (aReport.candidates.contains(part))
--- a/Tests/LibServing/CrashSuspicionTests.cpp
+++ b/Tests/LibServing/CrashSuspicionTests.cpp
@@ -46,6 +46,21 @@
   EXPECT_FALSE(QuarantineTimeLeft(ledger, { { "caller", 0 }, { "y", 1 } }, kStart + 2s));
 }
 
+// Many sound requests at one endpoint must not crowd out the part that crashed it.
+TEST(CrashSuspicion, KeepsUnclearedCandidatesOfAFullReport)
+{
+  CrashReport full;
+  for (unsigned index = 0; index < 200; ++index) {
+    auto const part = "p" + std::to_string(index);
+    MergeReport(full, { "e1.1", { { part, 1 } }, { part }, { "f0" } });
+  }
+  auto const size = full.candidates.size();
+  EXPECT_LT(size, 200U);
+  EXPECT_TRUE(MergeReport(full, ReportOf(1, { { "dead", 1 } })));
+  EXPECT_TRUE(full.candidates.contains("dead"));
+  EXPECT_EQ(full.candidates.size(), size);
+}
+
 TEST(CrashSuspicion, CountsAProcessOnce)
 {
   CrashLedger ledger;
