LibExchange: Send no last chunk to HEAD

What callers would see: five bytes after the head of a streamed answer to HEAD, which a caller that keeps its connection takes for the beginning of the next answer.

Cause: Respond() leaves out the body of an answer to HEAD, SendChunk() and EndStream() did not.

HttpListener.SendsNoBodyToHead failed before and passes.

--- a/Libraries/LibExchange/ServerConnection.cpp
+++ b/Libraries/LibExchange/ServerConnection.cpp
@@ -21,7 +21,7 @@
   if (!to || to->phase != ServerConnection::Phase::Responding)
     return;
   auto bytes = SerializeResponseHead(aHead, BodyFraming::Sized, aBody.size(), to->ResponseConnectionUse());
-  if (this->request.method != "HEAD")
+  if (this->SendsBody())
     bytes += aBody;
   to->stream->Write(std::move(bytes));
   to->FinishResponse();
@@ -39,7 +39,7 @@
 Exchange::SendChunk(std::string_view aChunk)
 {
   auto const to = this->connection.lock();
-  if (to && to->phase == ServerConnection::Phase::Responding && !aChunk.empty())
+  if (to && to->phase == ServerConnection::Phase::Responding && !aChunk.empty() && this->SendsBody())
     to->stream->Write(SerializeChunk(aChunk));
 }
 
@@ -49,7 +49,8 @@
   auto const to = this->connection.lock();
   if (!to || to->phase != ServerConnection::Phase::Responding)
     return;
-  to->stream->Write(SerializeLastChunk());
+  if (this->SendsBody())
+    to->stream->Write(SerializeLastChunk());
   to->FinishResponse();
 }
 
--- a/Libraries/LibExchange/ServerConnection.h
+++ b/Libraries/LibExchange/ServerConnection.h
@@ -48,6 +48,9 @@
   std::function<void()> onDrained;
 
 private:
+  /// The response to HEAD has no body, whatever its head says.
+  bool SendsBody() const { return this->request.method != "HEAD"; }
+
   std::weak_ptr<ServerConnection> connection;
   RequestMessage request;
   MonotonicTime received;
--- a/Tests/LibExchange/ServerConnectionTests.cpp
+++ b/Tests/LibExchange/ServerConnectionTests.cpp
@@ -52,11 +52,11 @@
   }
 
   /// Sends aCount pipelined requests and waits for the first.
-  void Request(unsigned aCount = 1)
+  void Request(unsigned aCount = 1, std::string const& aMethod = "GET")
   {
     std::string bytes;
     for (unsigned index = 0; index < aCount; ++index)
-      bytes += "GET /" + std::to_string(index) + " HTTP/1.1\r\nHost: x\r\n\r\n";
+      bytes += aMethod + " /" + std::to_string(index) + " HTTP/1.1\r\nHost: x\r\n\r\n";
     this->caller->Write(bytes);
     ASSERT_TRUE(this->RunUntil([&] { return !this->exchanges.empty(); }));
   }
@@ -127,4 +127,18 @@
   EXPECT_TRUE(world.answer.ends_with("stopping"));
 }
 
+// A streamed answer to a HEAD request ended with the last chunk of a body that it must not have.
+TEST(HttpListener, SendsNoBodyToHead)
+{
+  ListenerWorld world;
+  world.Request(1, "HEAD");
+  world.exchanges[0]->BeginStream({ 200, {} });
+  world.exchanges[0]->SendChunk("body");
+  world.exchanges[0]->EndStream();
+  world.RunFor(50ms);
+  EXPECT_TRUE(world.answer.starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(world.answer.ends_with("\r\n\r\n"));
+  EXPECT_EQ(world.answer.find("\r\n\r\n"), world.answer.size() - 4);
+}
+
 }
