LibGateway: Send a job on for as long as its deadline allows

A job was sent to at most 8 owners, then its request failed with 503 stage-failed although it had seconds left. When fronts stop one after the other, each owner in turn hands off the jobs that wait, which used up the sends.

Only sends without a response count now.

--- a/Libraries/LibGateway/StageService.cpp
+++ b/Libraries/LibGateway/StageService.cpp
@@ -5,8 +5,8 @@
 
 /// The delay before a job is sent again, so that an owner with an unstable connection is not flooded.
 static constexpr Duration kResendDelay = 20ms;
-/// The maximum number of times a job is sent: twice to each of a few owners that appeared to be alive.
-static constexpr unsigned kMaxSends = 8;
+/// The maximum number of sends without a response: two to each of a few owners that appeared to be alive.
+static constexpr unsigned kMaxFailedSends = 8;
 
 StageService::StageService(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
@@ -22,7 +22,7 @@
   RemoteStageJob job;
   StageCallback done;
   CancelAction cancel;
-  unsigned sends{ 0 };
+  unsigned failedSends{ 0 };
   /// The front at which the last send failed.
   std::string lastFailedFront;
   bool ended{ false };
@@ -59,7 +59,7 @@
   if (aPending->ended)
     return;
   auto const now = this->clock.Now();
-  if (++aPending->sends > kMaxSends || now >= aPending->job.job.deadline) {
+  if (aPending->failedSends >= kMaxFailedSends || now >= aPending->job.job.deadline) {
     aPending->End({ 0, StageEnd::Failed, {}, Duration::zero() });
     return;
   }
@@ -99,6 +99,9 @@
   PART_WARNING("stages") << "event=owner-failed service=" << aPending->job.service << " front=" << aFront
                          << " request=" << aPending->job.job.requestId << " suspected=" << suspected;
   aPending->lastFailedFront = aFront;
+  // Owners that hand a job off are not chosen again for a while, so its deadline is bound enough.
+  if (aFault == OwnerFault::NoResponse)
+    ++aPending->failedSends;
   if (suspected)
     SuspectFront(this->stateCache.Fronts(), aFront, this->clock.Now());
   this->clock.Schedule(kResendDelay, [this, aPending] { this->Send(aPending); });
