LibGateway: Remove an entry that a stopping front learns of late

A front that was told to stop before it knew the revision of its own entry did not remove it, and never tried again: callers were sent to it until a neighbour had found it dead. This happens when the response to the registration is lost and the entry arrives through relays afterwards.

While it stops, the front tries to remove its entry at each change of state, with one call at a time.

RemovesAnEntryThatItLearnsOfWhileItStops: still there after 1 s before, gone after.

--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -35,7 +35,13 @@
 void
 PresenceService::Start()
 {
-  this->stateCache.AddChangeListener([this] { this->Register(); });
+  this->stateCache.AddChangeListener([this] {
+    // The entry may become known only after the front was told to stop.
+    if (this->deregistering)
+      this->Deregister();
+    else
+      this->Register();
+  });
   this->clock.Schedule(kProbeInterval, [this] { this->Probe(); });
   this->clock.Schedule(kPeerFetchDelay, [this] { this->FetchFromPeers(); });
 }
@@ -88,16 +94,22 @@
 {
   this->deregistering = true;
   auto const revision = this->stateCache.OwnRevision();
-  if (revision == 0)
+  if (revision == 0 || std::exchange(this->removing, true))
     return;
   this->store.Remove(ObjectKind::Front, this->settings.name, revision, [this](Platform::WriteResult aResult) {
     PART_LOG("presence") << "event=deregister outcome=" << ToString(aResult.outcome);
     using Platform::StoreOutcome;
-    if (aResult.outcome == StoreOutcome::Done || aResult.outcome == StoreOutcome::NotFound)
+    if (aResult.outcome == StoreOutcome::Done || aResult.outcome == StoreOutcome::NotFound) {
+      this->stateCache.Fronts().byName.erase(this->settings.name);
+      this->removing = false;
       return;
+    }
     if (aResult.outcome == StoreOutcome::Conflict && aResult.object)
       ApplyFront(this->stateCache.Fronts(), this->ownEntry, aResult.object->revision);
-    this->clock.Schedule(kRegistrationRetryDelay, [this] { this->Deregister(); });
+    this->clock.Schedule(kRegistrationRetryDelay, [this] {
+      this->removing = false;
+      this->Deregister();
+    });
   });
 }
 
--- a/Libraries/LibGateway/PresenceService.h
+++ b/Libraries/LibGateway/PresenceService.h
@@ -38,6 +38,8 @@
   std::int64_t incarnation;
   bool registering{ false };
   bool deregistering{ false };
+  /// A call that removes this front's entry is in flight or about to be repeated.
+  bool removing{ false };
   unsigned seedsTried{ 0 };
   /// Until then, this front itself may be isolated from the network and removes no other front.
   MonotonicTime possiblyIsolatedUntil{};
--- a/Tests/Platform/PlatformStageOwnerStopTests.cpp
+++ b/Tests/Platform/PlatformStageOwnerStopTests.cpp
@@ -176,7 +176,7 @@
 }
 
 // Callers were sent to a front that had stopped, because it had not known of its own entry when it was told to stop.
-TEST(Platform, DISABLED_RemovesAnEntryThatItLearnsOfWhileItStops)
+TEST(Platform, RemovesAnEntryThatItLearnsOfWhileItStops)
 {
   constexpr unsigned kFronts = 7;
   PlatformWorld world(kFronts);
