LibRelay: Pause before polling a relay that answers at once

A relay with 256 followers answered further polls at once, and the follower polled it again at once, in a tight loop that cost both of them.

A full relay now reports that it does not watch the store, so that the follower prefers others. If there are none, the follower waits 250 ms after an answer that came at once. RelayService::FollowedRelays() was unused.

PausesBeforeItPollsAnAvoidedRelayThatAnswersAtOnce: 200 polls in a second before; the limit of 10 holds after.

--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -9,7 +9,7 @@
 static constexpr Duration kAnswerDelay = 20ms;
 /// By then, changes have arrived by a shorter way than from a relay in another data centre.
 static constexpr Duration kNoticeDelay = 150ms;
-/// Bounds the memory and the link of a relay; further followers choose another one.
+/// Bounds the memory and the link of a relay; further followers are answered at once and told to choose another one.
 static constexpr std::size_t kMaxFollowers = 256;
 
 static Duration
@@ -147,9 +147,15 @@
 {
   auto const id = ++this->lastPoll;
   auto const wait = std::clamp<Duration>(aRequest.wait, Duration::zero(), kMaxPollTime);
-  bool const full = this->polls.size() >= kMaxFollowers;
+  if (this->polls.size() >= kMaxFollowers) {
+    auto response = this->MakeResponse(aRequest);
+    response.watchesStore = false;
+    this->clock.Schedule(Duration::zero(),
+                         [response = std::move(response), aDone = std::move(aDone)] { aDone(response); });
+    return [] {};
+  }
   bool const newer = HasNewerRevision(this->stateCache.Revisions(), aRequest.revisions);
-  auto const delay = full ? Duration::zero() : newer ? std::min(wait, ChangeDelay(aRequest.kind)) : wait;
+  auto const delay = newer ? std::min(wait, ChangeDelay(aRequest.kind)) : wait;
   auto& poll = this->polls[id];
   poll.request = std::move(aRequest);
   poll.done = std::move(aDone);
--- a/Libraries/LibGateway/RelayService.h
+++ b/Libraries/LibGateway/RelayService.h
@@ -17,7 +17,6 @@
 
   StoreUse Use() const { return this->subscription.use; }
   std::size_t Followers() const { return this->polls.size(); }
-  std::size_t FollowedRelays() const { return this->subscription.relays.size(); }
 
 private:
   struct PendingPoll
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -8,6 +8,10 @@
 static constexpr std::size_t kFollowedRelays = 2;
 static constexpr Duration kFailedPause = 2s;
 static constexpr Duration kAvoidedPause = 1s;
+/// Pause after an avoided relay has answered at once, as one with too many followers does.
+static constexpr Duration kQuickAnswerPause = 250ms;
+/// Answers that take less than this come at once.
+static constexpr Duration kQuickAnswerTime = 100ms;
 /// How long a relay may wait for a change before it answers. A silent relay is detected by it.
 static constexpr Duration kPollTime = 600ms;
 /// A new role must last this long before the front acts on it: while a fleet starts, roles change with every front that
@@ -105,10 +109,11 @@
   auto kind = aSubscription.use == StoreUse::Watch ? PollKind::Notice : PollKind::Changes;
   for (auto& address : ChooseRelays(aSubscription, aRoles, aNow)) {
     auto& relay = aSubscription.relays[address];
-    if (!relay.polling) {
+    if (!relay.polling && relay.pausedUntil <= aNow) {
       bool const isFirst = relay.lastResponse == MonotonicTime();
       bool const hasNews = std::exchange(relay.hasNews, false);
       relay.polling = true;
+      relay.lastPolled = aNow;
       relay.lastPoll = hasNews ? PollKind::Changes : kind;
       decisions.polls.push_back(
         { std::move(address), relay.lastPoll, isFirst || hasNews ? Duration::zero() : kPollTime });
@@ -132,6 +137,8 @@
   relay.lastResponse = aNow;
   relay.hasNews = aStatus.hasNews && relay.lastPoll == PollKind::Notice;
   relay.avoidedUntil = aStatus.age > kMaxRelayedAge || !aStatus.watchesStore ? aNow + kAvoidedPause : MonotonicTime();
+  if (relay.avoidedUntil > aNow && aNow - relay.lastPolled < kQuickAnswerTime)
+    relay.pausedUntil = aNow + kQuickAnswerPause;
   if (!aStatus.hasNews)
     aSubscription.confirmed = std::max<MonotonicTime>(aSubscription.confirmed, aNow - aStatus.age);
 }
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -38,6 +38,9 @@
     MonotonicTime failedUntil{};
     /// The relay's state was old, or it did not watch the store itself; others are preferred until this time.
     MonotonicTime avoidedUntil{};
+    MonotonicTime lastPolled{};
+    /// The relay is not polled until this time, although it may be followed.
+    MonotonicTime pausedUntil{};
     /// A notice of the relay told of changes that this front does not have.
     bool hasNews{ false };
   };
--- a/Tests/LibRelay/RelayTests.cpp
+++ b/Tests/LibRelay/RelayTests.cpp
@@ -77,7 +77,7 @@
 
 // A relay that has as many followers as it can serve answers at once: polled again at once, it would be asked in a
 // tight loop.
-TEST(Subscription, DISABLED_PausesBeforeItPollsAnAvoidedRelayThatAnswersAtOnce)
+TEST(Subscription, PausesBeforeItPollsAnAvoidedRelayThatAnswersAtOnce)
 {
   RelayRoles const roles{ false, true, { { "a1", "a" } } };
   auto subscription = FollowingSince(kStart);
