Tests: Stop fronts in series under callers that keep connections and addresses

Callers keep connections and addresses as the platform describes, and some streams last 2 to 6 s on a route with a timeout of 20 s. Each request that a front has read must get a complete response.

--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -58,6 +58,7 @@
   StandInEndpoint(uv_loop_t& aLoop, Clock& aClock, EndpointKind aKind, std::string aId, std::string aAddress);
 
   std::string const& Id() const { return this->id; }
+  EndpointKind Kind() const { return this->kind; }
   std::string const& Address() const { return this->address; }
 
   /// Sets the address at which fronts reach the endpoint, if it differs from the listening address.
@@ -68,6 +69,7 @@
   std::function<EndpointFault(std::size_t)> faultOf;
   Duration workTime{ 5ms };
   unsigned events{ 5 };
+  Duration eventTime{ 3ms };
   /// Longer than the time without data after which a front abandons an attempt.
   Duration pauseTime{ 1500ms };
   /// Responses, events and results include the id of their request.
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -1,3 +1,4 @@
+#include "PlannedCallers.h"
 #include "SoakCallers.h"
 #include <CLI/CLI.hpp>
 #include <filesystem>
@@ -11,11 +12,8 @@
 static constexpr Duration kStartTime = 2s;
 static constexpr Duration kSettleTime = 7s;
 
-enum class FaultInjection
-{
-  Disabled,
-  Enabled,
-};
+/// As the platform gives it to processes, in runs of planned stops.
+static constexpr Duration kPlannedGraceTime = 8s;
 
 /// Runs cycle through the ports from firstPort to firstPort + kPortRange, which are below the ephemeral ports of the
 /// operating system.
@@ -24,11 +22,47 @@
 static unsigned
 PortsOf(SoakSettings const& aSettings)
 {
-  return 25 + 6 * aSettings.fronts;
+  return 35 + 6 * aSettings.fronts;
+}
+
+static void
+Report(SoakSettings const& aSettings,
+       std::size_t aFaults,
+       SoakCallers const& aCallers,
+       std::vector<std::string> const& aViolations)
+{
+  std::cout << "seed=" << aSettings.seed << " faults=" << aFaults << " requests=" << aCallers.Sent()
+            << " served=" << aCallers.Served() << " broken=" << aViolations.size() << std::endl;
+  aCallers.PrintTimes();
+  for (auto const& violation : aViolations)
+    std::cout << "  broken: " << violation << "\n";
+}
+
+/// Terminates fronts while callers keep connections and addresses. The load lasts until all processes have stopped.
+static std::vector<std::string>
+RunPlannedStops(SoakSettings const& aSettings, Duration aGap)
+{
+  std::filesystem::create_directories(aSettings.directory);
+  SoakWorld world(aSettings);
+  PlannedCallers callers(world, aSettings.seed);
+  SoakCallers recovery(world, aSettings.seed);
+  world.Start();
+  world.RunFor(kStartTime);
+  auto const faults = PlanStops(aSettings.seed, aSettings.time, aSettings.fronts);
+  world.Schedule(faults);
+  auto const lastAt = std::ranges::max(faults, {}, &SoakFault::at).at;
+  callers.Load(lastAt + aSettings.graceTime + 1s, aGap);
+  auto violations = callers.CheckGuarantees();
+  std::ranges::move(recovery.CheckRecovery(), std::back_inserter(violations));
+  std::ranges::move(recovery.CheckGuarantees(), std::back_inserter(violations));
+  std::ranges::copy(world.violations, std::back_inserter(violations));
+  Report(aSettings, faults.size(), recovery, violations);
+  callers.PrintCounts();
+  return violations;
 }
 
 static std::vector<std::string>
-RunSeed(SoakSettings const& aSettings, FaultInjection aFaultInjection, Duration aGap)
+RunSeed(SoakSettings const& aSettings, Duration aGap)
 {
   std::filesystem::create_directories(aSettings.directory);
   SoakWorld world(aSettings);
@@ -36,7 +70,7 @@
   world.Start();
   world.RunFor(kStartTime);
   std::vector<SoakFault> faults;
-  if (aFaultInjection == FaultInjection::Enabled)
+  if (aSettings.mode == SoakMode::RandomFaults)
     faults = PlanSoak(aSettings.seed, aSettings.time, aSettings.fronts, unsigned(world.endpoints.size()));
   world.Schedule(faults);
   callers.Load(aSettings.time + 3s, aGap);
@@ -45,11 +79,7 @@
   auto violations = callers.CheckRecovery();
   std::ranges::move(callers.CheckGuarantees(), std::back_inserter(violations));
   std::ranges::copy(world.violations, std::back_inserter(violations));
-  std::cout << "seed=" << aSettings.seed << " faults=" << faults.size() << " requests=" << callers.Sent()
-            << " served=" << callers.Served() << " broken=" << violations.size() << std::endl;
-  callers.PrintTimes();
-  for (auto const& violation : violations)
-    std::cout << "  broken: " << violation << "\n";
+  Report(aSettings, faults.size(), callers, violations);
   return violations;
 }
 
@@ -62,6 +92,7 @@
   double seconds = 8;
   double gapMs = 10;
   bool calm = false;
+  bool planned = false;
   settings.directory = "soak";
   application.add_option("--program", settings.program, "hornbeamfront")->required()->check(CLI::ExistingFile);
   application.add_option("--directory", settings.directory, "Directory for settings and logs");
@@ -73,6 +104,7 @@
   application.add_option("--gap-ms", gapMs, "Interval between requests")->check(CLI::Range(1.0, 1000.0));
   application.add_flag(
     "--calm", calm, "Inject no faults: put load on fronts and stand-ins and report the response times");
+  application.add_flag("--planned", planned, "Only terminate fronts, in series and beside other planned work");
   application.add_option("--first-port", settings.firstPort, "First port; further ones are allocated upwards");
   CLI11_PARSE(application, aCount, aArguments);
   google::InitGoogleLogging(aArguments[0]);
@@ -80,6 +112,12 @@
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = google::GLOG_ERROR;
   settings.time = FromSeconds(seconds);
+  if (calm)
+    settings.mode = SoakMode::Calm;
+  if (planned) {
+    settings.mode = SoakMode::PlannedStops;
+    settings.graceTime = kPlannedGraceTime;
+  }
   auto const gap = FromSeconds(gapMs / 1000);
   auto const directory = settings.directory;
   std::vector<unsigned> failed;
@@ -88,7 +126,7 @@
     // Closing connections of the previous run may still occupy its ports.
     settings.firstPort = firstPort + index * PortsOf(settings) % kPortRange;
     settings.directory = directory + "/" + std::to_string(settings.seed);
-    if (!RunSeed(settings, calm ? FaultInjection::Disabled : FaultInjection::Enabled, gap).empty())
+    if (!(planned ? RunPlannedStops(settings, gap) : RunSeed(settings, gap)).empty())
       failed.push_back(settings.seed);
   }
   std::cout << seeds << " seeds, " << failed.size() << " with a violated guarantee";
--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -1,6 +1,5 @@
 #include "SoakCallers.h"
 #include <Platform/CallerRequest.h>
-#include <Platform/StandInTable.h>
 #include <iostream>
 #include <sstream>
 
@@ -15,6 +14,8 @@
 /// be ejected briefly.
 static constexpr double kMinServedAfterFaults = 0.95;
 static constexpr unsigned kRecoveryRequests = 5;
+/// Events of a stream.
+static constexpr unsigned kEvents = 5;
 /// Time within which every front that reaches the store must have applied a new table.
 static constexpr Duration kMaxApplyTime = 2s;
 
@@ -84,11 +85,11 @@
   this->WaitForAll();
 }
 
-static std::string
-WholeStream(std::string const& aId)
+std::string
+WholeStream(std::string const& aId, unsigned aEvents)
 {
   std::string events;
-  for (int event = 1; event <= 5; ++event)
+  for (unsigned event = 1; event <= aEvents; ++event)
     events += "id: " + std::to_string(event) + "\ndata: t" + std::to_string(event) + "-" + aId + "\n\n";
   return events;
 }
@@ -99,7 +100,7 @@
   if (aRequest.end != CallEnd::Complete || aRequest.status != 200)
     return false;
   return aRequest.kind >= SoakRequestKind::Model
-           ? aRequest.body == WholeStream(aRequest.id)
+           ? aRequest.body == WholeStream(aRequest.id, kEvents)
            : aRequest.body.starts_with("answer of i-ledger-") && aRequest.body.ends_with("-" + aRequest.id);
 }
 
@@ -141,7 +142,7 @@
   if (complete && success && !this->IsServed(aRequest))
     return "got an incomplete or foreign response: " + aRequest.body;
   bool const stream = aRequest.kind >= SoakRequestKind::Model;
-  if (!complete && success && stream && !WholeStream(aRequest.id).starts_with(aRequest.body))
+  if (!complete && success && stream && !WholeStream(aRequest.id, kEvents).starts_with(aRequest.body))
     return "got bytes that are not part of its response: " + aRequest.body;
   if (this->world.WasUnavailable(aRequest.front, aRequest.sent, aRequest.endedAt))
     return std::nullopt;
@@ -208,7 +209,7 @@
 SoakCallers::CheckRecovery()
 {
   std::vector<std::string> violations;
-  this->world.store->Put("config", "main", StandInTable(++this->world.tableVersion));
+  this->world.store->Put("config", "main", this->world.NextTable());
   this->world.RunFor(kMaxApplyTime);
   auto const before = this->requests.size();
   for (unsigned front = 0; front < this->world.settings.fronts; ++front) {
--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -27,7 +27,11 @@
   std::string body;
 };
 
-/// Callers that reuse connections until the process of their front ends, and that check the guarantees of the fronts.
+/// The body of a whole stream of a stand-in endpoint.
+std::string
+WholeStream(std::string const& aId, unsigned aEvents);
+
+/// Callers that use a new connection for each request, and that check the guarantees of the fronts.
 class SoakCallers
 {
 public:
--- a/Tests/Soak/SoakFront.cpp
+++ b/Tests/Soak/SoakFront.cpp
@@ -48,7 +48,11 @@
     std::signal(number, handler);
 }
 
-SoakFront::SoakFront(std::string aProgram, std::string aDirectory, std::string aName, SoakFrontAddresses aAddresses)
+SoakFront::SoakFront(std::string aProgram,
+                     std::string aDirectory,
+                     std::string aName,
+                     SoakFrontAddresses aAddresses,
+                     Duration aGraceTime)
   : program(std::move(aProgram))
   , name(std::move(aName))
   , settingsFile(aDirectory + "/" + this->name + ".yaml")
@@ -63,7 +67,8 @@
            << "\nseeds: [";
   for (auto const& seed : this->addresses.seeds)
     settings << (seed == this->addresses.seeds.front() ? "" : ", ") << '"' << seed << '"';
-  settings << "]\nshutdown:\n  grace_s: 3\ndirectory:\n  longest_lifetime_s: 2\n"
+  settings << "]\nshutdown:\n  grace_s: " << Milliseconds(aGraceTime) / 1000
+           << "\ndirectory:\n  longest_lifetime_s: 2\n"
            << "retries:\n  ratio: 0.2\n  window_s: 10\n  slack: 50\ncold:\n  overshoot: 1.5\n  slack: 5\n";
 }
 
--- a/Tests/Soak/SoakFront.h
+++ b/Tests/Soak/SoakFront.h
@@ -29,7 +29,11 @@
 {
 public:
   /// Writes the settings file to aDirectory. The log also goes there.
-  SoakFront(std::string aProgram, std::string aDirectory, std::string aName, SoakFrontAddresses aAddresses);
+  SoakFront(std::string aProgram,
+            std::string aDirectory,
+            std::string aName,
+            SoakFrontAddresses aAddresses,
+            Duration aGraceTime);
   SoakFront(SoakFront const&) = delete;
   SoakFront& operator=(SoakFront const&) = delete;
   ~SoakFront();
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -49,4 +49,52 @@
   return faults;
 }
 
+/// The time in which a series reaches every front.
+static constexpr unsigned kMaxSeriesMs = 12000;
+
+std::vector<SoakFault>
+PlanStops(unsigned aSeed, Duration aTime, unsigned aFronts)
+{
+  std::mt19937 random(aSeed);
+  auto const below = [&](unsigned aLimit) { return unsigned(random() % aLimit); };
+  std::vector<SoakFault> faults;
+  auto at = std::chrono::milliseconds(300);
+  auto const add = [&](SoakFaultKind aKind, unsigned aTarget, unsigned aDelayMs) {
+    SoakFault fault;
+    fault.kind = aKind;
+    fault.at = at + std::chrono::milliseconds(aDelayMs);
+    fault.target = aTarget;
+    faults.push_back(fault);
+  };
+  while (at < aTime) {
+    auto const target = below(aFronts);
+    switch (below(5)) {
+      case 0:
+      case 1: {
+        // Two series overlap if the second begins before the processes of the first have stopped.
+        static constexpr unsigned kMaxGapsMs[] = { 300, 1500, 5000 };
+        auto const gap = std::min(50 + below(kMaxGapsMs[below(3)]), kMaxSeriesMs / aFronts);
+        for (unsigned series = 1 + below(2); series > 0; --series, at += std::chrono::milliseconds(below(3000)))
+          for (unsigned index = 0; index < aFronts; ++index, at += std::chrono::milliseconds(gap))
+            add(SoakFaultKind::FrontTerminated, (target + index) % aFronts, 0);
+        break;
+      }
+      case 2:
+        add(SoakFaultKind::FrontTerminated, target, 0);
+        add(SoakFaultKind::FrontTerminated, target, below(3000));
+        break;
+      case 3:
+        add(SoakFaultKind::FrontTerminated, target, below(50));
+        add(SoakFaultKind::FrontReloadsSettings, target, below(50));
+        break;
+      default:
+        add(SoakFaultKind::FrontTerminated, target, 0);
+        add(SoakFaultKind::FrontTerminated, below(aFronts), below(1000));
+        add(SoakFaultKind::TableChanges, 0, below(7000));
+    }
+    at += std::chrono::milliseconds(300 + below(2700));
+  }
+  return faults;
+}
+
 }
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -53,4 +53,9 @@
 std::vector<SoakFault>
 PlanSoak(unsigned aSeed, Duration aTime, unsigned aFronts, unsigned aEndpoints);
 
+/// Returns planned work alone: fronts terminated in series, twice, and beside settings signals and table changes. The
+/// plan depends only on the parameters.
+std::vector<SoakFault>
+PlanStops(unsigned aSeed, Duration aTime, unsigned aFronts);
+
 }
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -8,11 +8,16 @@
 
 /// Time within which a started process must serve requests.
 static constexpr Duration kMaxStartTime = 1500ms;
-/// Time within which a process must exit: the shutdown grace period of the settings plus a tolerance.
-static constexpr Duration kMaxExitTime = 3s + 1500ms;
+/// Tolerance beyond the grace time, within which a process must exit.
+static constexpr Duration kExitSlack = 1500ms;
 /// Time that a process may need to catch up after SIGCONT.
 static constexpr Duration kRecoveryAfterContinue = 300ms;
 
+/// The service of streams that last 2 to 6 s.
+static constexpr char const* kSlowService = "slow";
+static constexpr unsigned kSlowSlots = 64;
+static constexpr Duration kSlowStageTime = 100ms;
+
 SoakWorld::SoakWorld(SoakSettings aSettings)
   : settings(std::move(aSettings))
   , nextPort(this->settings.firstPort)
@@ -20,13 +25,15 @@
 {
   auto& uvLoop = this->loop.UvLoop();
   this->store = std::make_unique<StandInStore>(uvLoop, this->clock, this->NextAddress());
-  this->store->Put("config", "main", StandInTable(this->tableVersion));
+  this->store->Put("config", "main", this->NextTable());
   for (unsigned index = 0; index < 3; ++index) {
     this->AddEndpoint(EndpointKind::Plain, "ledger", index == 2 ? "b" : "a");
     this->AddEndpoint(EndpointKind::Model, "model", index == 2 ? "b" : "a");
     this->AddEndpoint(EndpointKind::Stage, "encode", index == 2 ? "b" : "a");
     this->AddEndpoint(EndpointKind::Stage, "rank", index == 2 ? "b" : "a");
   }
+  if (this->settings.mode == SoakMode::PlannedStops)
+    this->AddSlowEndpoints();
   std::vector<SoakFrontAddresses> all;
   for (unsigned index = 0; index < this->settings.fronts; ++index) {
     SoakFrontAddresses addresses;
@@ -43,8 +50,11 @@
   }
   for (unsigned index = 0; index < this->settings.fronts; ++index) {
     all[index].seeds = { all[0].peers, all[this->settings.fronts / 2].peers };
-    this->fronts.push_back(std::make_unique<SoakFront>(
-      this->settings.program, this->settings.directory, "front-" + std::to_string(index), all[index]));
+    this->fronts.push_back(std::make_unique<SoakFront>(this->settings.program,
+                                                       this->settings.directory,
+                                                       "front-" + std::to_string(index),
+                                                       all[index],
+                                                       this->settings.graceTime));
   }
 }
 
@@ -55,6 +65,47 @@
 }
 
 void
+SoakWorld::AddSlowEndpoints()
+{
+  for (auto& endpoint : this->endpoints)
+    if (endpoint.standIn->Kind() == EndpointKind::Stage)
+      endpoint.standIn->workTime = kSlowStageTime;
+  for (auto const eventTime : { 50ms, 100ms, 150ms }) {
+    auto& standIn = *this->AddEndpoint(EndpointKind::Model, kSlowService, "a").standIn;
+    standIn.events = kSlowEvents;
+    standIn.eventTime = eventTime;
+  }
+}
+
+nlohmann::json
+SoakWorld::NextTable()
+{
+  auto table = StandInTable(++this->tableVersion);
+  if (this->settings.mode != SoakMode::PlannedStops)
+    return table;
+  for (auto& service : table["services"])
+    if (service.contains("segments"))
+      service["segments"]["call_ms"] = double(Milliseconds(kSlowStageTime));
+  table["services"].push_back({ { "name", kSlowService },
+                                { "max_connections", 1000 },
+                                { "cold_start_s", 2.0 },
+                                { "cold_per_s", 10.0 },
+                                { "engine", { { "slots", kSlowSlots } } } });
+  auto& routes = table["route_table"];
+  for (std::string const name : { "model", "staged" }) {
+    auto const fast = std::ranges::find(
+      routes, "/" + name + "/", [](auto const& aRoute) { return aRoute["path_prefix"].template get<std::string>(); });
+    auto slow = *fast;
+    slow["name"] = "slow-" + name;
+    slow["path_prefix"] = "/slow-" + name + "/";
+    slow["service"] = kSlowService;
+    slow["timeout_ms"] = Milliseconds(kSlowTimeout);
+    routes.push_back(std::move(slow));
+  }
+  return table;
+}
+
+SoakEndpoint&
 SoakWorld::AddEndpoint(EndpointKind aKind, std::string const& aService, std::string const& aDataCenter)
 {
   SoakEndpoint endpoint;
@@ -69,16 +120,17 @@
   endpoint.proxy = std::make_unique<SoakProxy>(this->loop.UvLoop(), this->clock, publicAddress, address);
   this->PutEndpoint(endpoint, "ready");
   this->endpoints.push_back(std::move(endpoint));
+  return this->endpoints.back();
 }
 
 void
 SoakWorld::PutEndpoint(SoakEndpoint const& aEndpoint, std::string const& aState)
 {
-  this->store->Put(
-    "servers",
-    aEndpoint.standIn->Id(),
-    StandInEntry(
-      aEndpoint.service, aEndpoint.standIn->PublicAddress(), aState, aEndpoint.dataCenter, aEndpoint.incarnation));
+  auto entry = StandInEntry(
+    aEndpoint.service, aEndpoint.standIn->PublicAddress(), aState, aEndpoint.dataCenter, aEndpoint.incarnation);
+  if (aEndpoint.service == kSlowService)
+    entry["slots"] = kSlowSlots;
+  this->store->Put("servers", aEndpoint.standIn->Id(), std::move(entry));
 }
 
 void
@@ -207,7 +259,7 @@
       this->store->responsesToLose += 1 + aFault.randomValue % 3;
       return;
     case SoakFaultKind::TableChanges:
-      return this->store->Put("config", "main", StandInTable(++this->tableVersion));
+      return this->store->Put("config", "main", this->NextTable());
     default:
       this->store->Put("evacuations", "b", nlohmann::json::object());
       this->RunAfter(aFault.length, [this] { this->store->Remove("evacuations", "b"); });
@@ -280,7 +332,8 @@
       this->RunAfter(kMaxStartTime, [this, index] { this->MarkAvailable(index); });
       continue;
     }
-    if (state.exitExpected && state.stops == 0 && now - state.exitExpectedSince > kMaxExitTime) {
+    if (state.exitExpected && state.stops == 0 &&
+        now - state.exitExpectedSince > this->settings.graceTime + kExitSlack) {
       this->violations.push_back(front.Name() + " did not exit within its grace period");
       state.exitExpectedSince = now;
       front.Signal(SIGKILL);
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -8,8 +8,20 @@
 
 namespace Hornbeam::Testing {
 
+enum class SoakMode
+{
+  Calm,
+  /// Faults of processes, links, endpoints and the store.
+  RandomFaults,
+  /// Planned work alone, with the platform's grace time, and endpoints with slow streams and slow stages.
+  PlannedStops,
+};
+
 struct SoakSettings
 {
+  SoakMode mode{ SoakMode::RandomFaults };
+  /// The time between SIGTERM and SIGKILL.
+  Duration graceTime{ 3s };
   unsigned seed{ 1 };
   unsigned fronts{ 3 };
   Duration time{ 10s };
@@ -18,6 +30,11 @@
   std::string directory;
 };
 
+/// The longest time that callers wait for a slow stream.
+static constexpr Duration kSlowTimeout = 20s;
+/// Events of a slow stream.
+static constexpr unsigned kSlowEvents = 40;
+
 /// A stand-in endpoint and the proxy in front of it.
 struct SoakEndpoint
 {
@@ -54,6 +71,15 @@
   /// Whether the front was unavailable at any time from aBegin to aEnd.
   bool WasUnavailable(unsigned aFront, MonotonicTime aBegin, MonotonicTime aEnd) const;
 
+  /// Returns the periods in which the front was unavailable, each beginning with the first signal that ends it.
+  std::vector<UnavailablePeriod> const& UnavailablePeriodsOf(unsigned aFront) const
+  {
+    return this->states[aFront].unavailablePeriods;
+  }
+
+  /// The table with the next version.
+  nlohmann::json NextTable();
+
   void RunFor(Duration aTime);
 
   SoakSettings settings;
@@ -62,7 +88,7 @@
   std::unique_ptr<StandInStore> store;
   std::vector<SoakEndpoint> endpoints;
   std::vector<std::unique_ptr<SoakFront>> fronts;
-  std::uint64_t tableVersion{ 1 };
+  std::uint64_t tableVersion{ 0 };
   /// Guarantees violated by processes: unexpected exits, and exits that took too long.
   std::vector<std::string> violations;
 
@@ -77,7 +103,8 @@
   };
 
   std::string NextAddress();
-  void AddEndpoint(EndpointKind aKind, std::string const& aService, std::string const& aDataCenter);
+  SoakEndpoint& AddEndpoint(EndpointKind aKind, std::string const& aService, std::string const& aDataCenter);
+  void AddSlowEndpoints();
   void PutEndpoint(SoakEndpoint const& aEndpoint, std::string const& aState);
   void Begin(SoakFault const& aFault);
   void BeginAtFront(SoakFault const& aFault);
