--- a/Libraries/LibExchange/ServerConnection.h
+++ b/Libraries/LibExchange/ServerConnection.h
@@ -135,6 +135,8 @@
   HttpListener& operator=(HttpListener const&) = delete;
 
   bool Open(std::string const& aAddress) { return this->listener.Open(aAddress); }
+  /// Stops listening; connections stay open. The listener can be opened again.
+  void Close() { this->listener.Close(); }
   ServerContext& Context() { return this->context; }
 
   /// Accepts no more connections and closes those that are idle; the others are closed after their response.
