--- a/Libraries/LibFront/RequestService.h
+++ b/Libraries/LibFront/RequestService.h
@@ -60,7 +60,14 @@
   /// is kept for a resend.
   void HandleDisconnect(RequestId aRequest);
 
-  std::size_t ActiveRequests() const { return this->active.size(); }
+  /// Ends all work by aEndsAt: new requests that may take longer are refused, and active ones get a response then.
+  void LimitWork(MonotonicTime aEndsAt);
+
+  /// Refuses new requests from now on. Active requests are completed.
+  void CloseAdmission();
+
+  /// Requests that this front runs, or has forwarded, without a response so far.
+  std::size_t ActiveRequests() const { return this->active.size() + this->forwards.size(); }
   RequestUsage const& Usage() const { return this->usage; }
   std::size_t KnownKeys() const { return this->keys.entries.size(); }
 
@@ -68,11 +75,25 @@
   struct ActiveRequest;
   using RequestPointer = std::shared_ptr<ActiveRequest>;
 
+  /// A request that awaits the response of the front that its key names.
+  struct PendingForward
+  {
+    CallerRequest request;
+    ResponseSink sink;
+    std::string holder;
+  };
+
   void PruneKeys();
   RequestId Refuse(CallerRequest const& aRequest, ResponseSink const& aSink, Refusal aRefusal);
   std::optional<Refusal> Validate(CallerRequest const& aRequest) const;
   RequestId SubmitWithKey(CallerRequest const& aRequest, ResponseSink aSink, PipelineRow const& aPipeline);
+  Refusal StoppingRefusal(RunState aRun) const;
   RequestId Forward(CallerRequest const& aRequest, ResponseSink aSink, IdempotencyKey const& aKey);
+  void LimitDeadline(ActiveRequest& aRequest);
+  bool MayOutlastThisFront(RequestPointer const& aRequest);
+  void RefuseForwards();
+  Refusal LateRefusal(ActiveRequest const& aRequest, RefusalReason aReason, std::string aDetail) const;
+  void FinishForward(std::uint64_t aForward, std::optional<std::string> const& aResponse);
   RequestId StartRequest(CallerRequest const& aRequest, ResponseSink aSink, PipelineRow const& aPipeline);
   void Admit(RequestPointer const& aRequest);
   bool AdmitAccount(RequestPointer const& aRequest);
@@ -109,6 +130,8 @@
   FrontSettings const& settings;
   RequestId lastRequest{ 0 };
   std::map<RequestId, RequestPointer> active;
+  std::uint64_t lastForward{ 0 };
+  std::map<std::uint64_t, PendingForward> forwards;
   /// Requests that wait for the lease or for an account slot, in order of arrival.
   std::vector<RequestPointer> waiting;
   std::map<std::string, FairQueue> queues;
@@ -120,6 +143,9 @@
   OutlierSettings outlierSettings;
   RequestUsage usage;
   bool dispatchScheduled{ false };
+  bool admissionClosed{ false };
+  /// When all work must have ended, once this front is stopping.
+  std::optional<MonotonicTime> workEndsAt;
 };
 
 }
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -29,6 +29,8 @@
   this->kernel.Provide(GatewayName::kPresence, *this->presence);
   this->relay = std::make_unique<RelayService>(this->kernel);
   this->kernel.Provide(GatewayName::kRelay, *this->relay);
+  this->crashes = std::make_unique<CrashService>(this->kernel);
+  this->kernel.Provide(GatewayName::kCrashes, *this->crashes);
   this->proxy = std::make_unique<ProxyService>(this->kernel);
   this->kernel.Provide(GatewayName::kProxy, *this->proxy);
   this->directory = std::make_unique<DirectoryService>(this->kernel);
@@ -108,6 +110,7 @@
   this->stateCache->AddChangeListener([this] { this->ApplyCallerLimits(); });
   this->relay->Start();
   this->presence->Start();
+  this->crashes->Start();
 }
 
 void
@@ -146,7 +149,7 @@
                     << " requests_end_ms=" << Milliseconds(this->stop->requestsEnd - now);
   this->directory->BeginDraining();
   this->presence->Deregister();
-  this->stageOwner->HandOff();
+  this->stageOwner->HandOff(this->stop->requestsEnd);
   this->callers->Context().use = ConnectionUse::Close;
   this->proxy->BeginStop(*this->stop);
   this->ContinueStop();
@@ -157,6 +160,7 @@
 {
   StopProgress progress;
   progress.requests = this->proxy->ActiveRequests();
+  progress.hasForeignWork = !this->stageOwner->IsIdle() || !this->stages->IsIdle();
   progress.step = this->stopStep;
   for (auto const& entry : this->entries)
     progress.connections += entry->Context().connections.size();
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -22,10 +22,21 @@
 static constexpr std::size_t kMaxUnsentBytes = 131072;
 static constexpr std::size_t kMaxLoggedEventId = 32;
 
+bool
+ProxiedRequest::RefuseIfQuarantined()
+{
+  auto const timeLeft = this->proxy.crashes.QuarantineTimeLeft(this->parts);
+  if (!timeLeft || this->ended)
+    return false;
+  this->proxy.crashes.CountRefusal();
+  this->Refuse("prompt-part-quarantined", *timeLeft);
+  return true;
+}
+
 void
 ProxiedRequest::TryEndpoint()
 {
-  if (this->ended || this->attempting || this->RefuseIfUnfinishable())
+  if (this->ended || this->attempting || this->RefuseIfUnfinishable() || this->RefuseIfQuarantined())
     return;
   auto const now = this->proxy.clock.Now();
   OnReady(this->timeline, now);
@@ -99,6 +110,7 @@
     if (auto const request = self.lock())
       request->OnAttemptEnd(aEnd);
   };
+  this->watchedAttempt = this->proxy.crashes.OnAttemptSent(entry, this->parts);
   OnAttemptSent(this->timeline, now);
   OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, now);
   this->call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
@@ -142,6 +154,8 @@
 {
   this->proxy.clock.Cancel(this->stallTimer);
   this->attempting = false;
+  this->proxy.crashes.OnAttemptEnd(this->watchedAttempt,
+                                   aHealth == AttemptHealth::Healthy ? WatchedEnd::Complete : WatchedEnd::Other);
   auto& endpoints = this->proxy.stateCache.Endpoints();
   OnRequestEnded(endpoints, this->endpoint);
   auto const coldTime = RuleOf(*this->table, this->serviceName).coldTime;
@@ -155,12 +169,13 @@
     return;
   this->headReceived = true;
   auto const response = Platform::DecodeEndpointResponse(aHead);
-  // A response that names another request, or none, does not belong to this request.
-  bool const mismatched = response.requestId != this->metadata.requestId && !response.notExecuted;
+  // A response that names another request, or none, does not belong to this request. Only a refusal may name none.
+  bool const anonymousRefusal = response.notExecuted && response.requestId.empty();
+  bool const mismatched = response.requestId != this->metadata.requestId && !anonymousRefusal;
   bool const success = aHead.status / 100 == 2;
   if (response.notExecuted || mismatched || (success && (!response.hasSignature || response.hasContentEncoding))) {
     this->call.Abandon();
-    if (response.notExecuted) {
+    if (response.notExecuted && !mismatched) {
       this->OnNotExecuted(response);
       return;
     }
@@ -218,7 +233,7 @@
                       << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts;
   this->triedEndpoints.push_back(this->endpoint);
   // A stream resumes after its last complete event, so a partial event is sent again in full.
-  this->eventStream.partial.clear();
+  DiscardPartialEvent(this->eventStream);
   if (this->stages && this->resultsReleased)
     this->RestartStages(aCause);
   else
@@ -263,7 +278,7 @@
          " answer_age_ms=" + (begun == MonotonicTime() ? "-" : std::to_string(Milliseconds(age))) +
          " answer_bytes=" + std::to_string(this->attemptBytes) +
          " last_event=" + this->eventStream.lastId.value_or("-").substr(0, kMaxLoggedEventId) +
-         " parts=" + ToLogField(SharedParts(this->metadata.prefixHashes));
+         " suspected=" + std::to_string(this->suspected) + " parts=" + ToLogField(this->parts);
 }
 
 void
@@ -274,7 +289,7 @@
                       << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts
                       << " may_have_executed=" << this->mayHaveExecuted << " response_begun=" << this->responseBegun
                       << ' ' << this->AttemptProgress();
-  bool const retryable = this->IsRetryable() || !this->mayHaveExecuted;
+  bool const retryable = !this->suspected && (this->IsRetryable() || !this->mayHaveExecuted);
   if (retryable && this->TryAcquireRetry())
     this->Retry(aCause);
   else
@@ -286,21 +301,24 @@
 {
   if (this->ended || !this->forwarding)
     return;
-  this->ArmStallTimer();
   this->attemptBytes += aData.size();
+  if (!this->bufferedHead || this->bufferedHead->status / 100 == 2)
+    this->proxy.crashes.OnAnswerBytes(this->watchedAttempt);
   OnResponseBytes(this->timeline, this->proxy.clock.Now());
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
   if (this->responseBegun) {
+    this->ArmStallTimer();
     this->ForwardBody(std::move(aData));
     return;
   }
   this->bufferedBody += aData;
-  if (this->bufferedBody.size() <= kMaxBufferedResponseBytes)
-    return;
-  this->BeginResponse(*this->bufferedHead);
-  this->exchange->SendChunk(this->bufferedBody);
-  this->bufferedBody.clear();
+  if (this->bufferedBody.size() > kMaxBufferedResponseBytes) {
+    this->BeginResponse(*this->bufferedHead);
+    this->exchange->SendChunk(this->bufferedBody);
+    this->bufferedBody.clear();
+  }
+  this->ArmStallTimer();
 }
 
 void
@@ -319,7 +337,7 @@
 void
 ProxiedRequest::ForwardBody(std::string aData)
 {
-  if (this->route.kind != RequestKind::Streaming) {
+  if (!this->ForwardsEvents()) {
     this->exchange->SendChunk(aData);
   } else {
     auto const whole = ExtractCompleteEvents(this->eventStream, aData);
@@ -340,13 +358,16 @@
 {
   if (this->ended || !this->attempting)
     return;
-  if (aEnd == CallEnd::Complete && this->forwarding) {
+  bool const insideEvent = this->ForwardsEvents() && EndsInsideEvent(this->eventStream);
+  if (aEnd == CallEnd::Complete && this->forwarding && !insideEvent) {
     bool const healthy = !this->bufferedHead || this->bufferedHead->status < 500;
     this->RecordAttemptHealth(healthy ? AttemptHealth::Healthy : AttemptHealth::Failed);
     ++this->endedAttempts;
     this->FinishResponse();
     return;
   }
+  if (aEnd == CallEnd::Broken)
+    this->suspected = this->proxy.crashes.OnAttemptEnd(this->watchedAttempt, WatchedEnd::Broken);
   this->RecordAttemptHealth(AttemptHealth::Failed);
   if (aEnd == CallEnd::NotSent) {
     this->triedEndpoints.push_back(this->endpoint);
@@ -361,15 +382,15 @@
   }
   this->mayHaveExecuted = true;
   ++this->endedAttempts;
-  this->HandleFailedAttempt(ToString(aEnd));
+  this->HandleFailedAttempt(aEnd == CallEnd::Complete && insideEvent ? "ended-inside-event" : ToString(aEnd));
 }
 
 void
 ProxiedRequest::FinishResponse()
 {
   if (this->responseBegun) {
-    if (this->route.kind == RequestKind::Streaming && !this->eventStream.partial.empty())
-      this->exchange->SendChunk(this->eventStream.partial);
+    // What follows the last event is at most a comment.
+    this->exchange->SendChunk(this->eventStream.partial);
     this->exchange->EndStream();
     this->End(RequestOutcome::Completed, 200, "complete");
     return;
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -38,6 +38,7 @@
   , route(aRoute)
   , account(std::move(aAccount))
   , metadata(std::move(aMetadata))
+  , parts(SharedParts(this->metadata.prefixHashes))
 {
 }
 
@@ -50,6 +51,9 @@
 bool
 ProxiedRequest::IsRetryable() const
 {
+  // Only a stream of events can be continued by another response.
+  if (this->responseBegun && !this->ForwardsEvents())
+    return false;
   return this->route.kind == RequestKind::Safe || (this->route.kind == RequestKind::Streaming && this->route.resumable);
 }
 
@@ -112,6 +116,8 @@
 ProxiedRequest::StartStages()
 {
   auto const strongSelf = this->shared_from_this();
+  if (this->RefuseIfQuarantined())
+    return;
   for (auto const stage : StartableStages(*this->stages)) {
     if (this->ended)
       return;
@@ -334,6 +340,7 @@
   if (this->attempting) {
     this->call.Abandon();
     this->attempting = false;
+    this->proxy.crashes.OnAttemptEnd(this->watchedAttempt, WatchedEnd::Other);
     OnRequestEnded(this->proxy.stateCache.Endpoints(), this->endpoint);
   }
   if (aOutcome == RequestOutcome::Interrupted)
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -10,9 +10,12 @@
 /// deadlines.
 static constexpr Duration kTickInterval = 50ms;
 static constexpr Duration kReleaseTimeout = 1s;
+/// By then, a result that was passed on has been written to the peer's connection.
+static constexpr Duration kResultSendTime = 20ms;
 
 StageOwnerService::StageOwnerService(Kernel& aKernel)
-  : stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
+  : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
+  , stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
   , clock(aKernel.Find<Clock>(GatewayName::kClock))
   , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
 {
@@ -64,10 +67,17 @@
   }
 }
 
+bool
+StageOwnerService::LeavesJobsToOthers() const
+{
+  auto const others = FindOtherFronts(this->stateCache.Fronts(), this->settings.name, this->clock.Now());
+  return this->stop && others != OtherFronts::None;
+}
+
 CancelAction
 StageOwnerService::RunStage(RemoteStageJob aJob, StageCallback aDone)
 {
-  auto* const pool = this->handedOff ? nullptr : this->FindOrCreatePool(aJob.service);
+  auto* const pool = this->LeavesJobsToOthers() ? nullptr : this->FindOrCreatePool(aJob.service);
   if (pool == nullptr) {
     this->clock.Schedule(Duration::zero(), [aDone = std::move(aDone)] {
       aDone({ 0, StageEnd::HandedOff, {}, Duration::zero() });
@@ -88,17 +98,36 @@
 void
 StageOwnerService::Release(std::string const& aService, std::vector<std::string> const& aHandles)
 {
-  auto* const pool = this->FindOrCreatePool(aService);
-  if (pool != nullptr)
-    this->ApplyDecisions(aService, ReleaseResults(aHandles));
+  this->ApplyDecisions(aService, ReleaseResults(aHandles));
+}
+
+void
+StageOwnerService::HandOff(MonotonicTime aStop)
+{
+  this->stop = aStop;
+  this->HandOffJobs();
 }
 
 void
-StageOwnerService::HandOff()
+StageOwnerService::HandOffJobs()
+{
+  if (!this->LeavesJobsToOthers())
+    return;
+  for (auto& [service, pool] : this->pools) {
+    auto decisions = Gateway::HandOffJobs(pool, *this->stop, this->clock.Now());
+    if (!decisions.results.empty())
+      PART_LOG("stages") << "event=handed-off service=" << service << " jobs=" << decisions.results.size()
+                         << " left=" << pool.jobs.size();
+    this->ApplyDecisions(service, std::move(decisions));
+  }
+}
+
+bool
+StageOwnerService::IsIdle() const
 {
-  this->handedOff = true;
-  for (auto& [service, pool] : this->pools)
-    this->ApplyDecisions(service, Gateway::HandOffJobs(pool));
+  auto const calling = [](auto const& aEntry) { return !aEntry.second.running.empty(); };
+  return this->callbacks.empty() && this->releases.empty() && this->releaseCalls == 0 &&
+         std::ranges::none_of(this->pools, calling) && this->clock.Now() - this->lastResult >= kResultSendTime;
 }
 
 void
@@ -120,6 +149,7 @@
       continue;
     auto const done = std::move(found->second);
     this->callbacks.erase(found);
+    this->lastResult = this->clock.Now();
     done(std::move(result));
   }
 }
@@ -189,6 +219,7 @@
   this->releases.clear();
   for (auto const& [destination, handles] : releases) {
     ++this->usage.releases;
+    ++this->releaseCalls;
     auto const& [service, address] = destination;
     OutgoingCall call;
     call.address = address;
@@ -196,8 +227,11 @@
     call.request = Platform::EncodeStageRelease(address, handles);
     auto const done =
       [this, service = service, address = address, handles = handles](BufferedResponse const& aResponse) {
+        --this->releaseCalls;
         if (aResponse.end == CallEnd::Complete) {
-          this->ApplyDecisions(service, OnResultsReleased(this->pools.at(service), handles, this->clock.Now()));
+          auto const pool = this->pools.find(service);
+          if (pool != this->pools.end())
+            this->ApplyDecisions(service, OnResultsReleased(pool->second, handles, this->clock.Now()));
           return;
         }
         // The endpoint releases the results itself when their lifetime expires.
@@ -216,6 +250,7 @@
   this->tickScheduled = true;
   this->clock.Schedule(kTickInterval, [this] {
     this->tickScheduled = false;
+    this->HandOffJobs();
     auto const now = this->clock.Now();
     for (auto& [service, pool] : this->pools)
       this->ApplyDecisions(service, Schedule(pool, now));
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -15,10 +15,16 @@
   /// Calls back exactly once unless cancelled; the returned action cancels the job.
   CancelAction RunStage(RemoteStageJob aJob, StageCallback aDone);
 
+  /// Releases results at their endpoints, also those that another owner had computed.
   void Release(std::string const& aService, std::vector<std::string> const& aHandles);
 
-  /// Hands off to another front: waiting jobs end as HandedOff, and calls in flight continue.
-  void HandOff();
+  /// Hands off to another front, if there is one, before this one stops at aStop: jobs that wait or cannot be completed
+  /// by then end as HandedOff, and the others continue. Later jobs run here only while no other front is known.
+  void HandOff(MonotonicTime aStop);
+
+  /// Whether no job, call or release is in progress and all results have been sent, so that nothing is lost if the
+  /// front stops.
+  bool IsIdle() const;
 
   struct Usage
   {
@@ -31,6 +37,8 @@
   std::map<std::string, StagePool> const& Pools() const { return this->pools; }
 
 private:
+  bool LeavesJobsToOthers() const;
+  void HandOffJobs();
   StagePool* FindOrCreatePool(std::string const& aService);
   void UpdatePools();
   void ApplyDecisions(std::string const& aService, StageDecisions aDecisions);
@@ -39,6 +47,7 @@
   void SendReleases();
   void ScheduleTick();
 
+  GatewaySettings const& settings;
   StateCache& stateCache;
   Clock& clock;
   ConnectionPool& connections;
@@ -47,8 +56,13 @@
   /// Results to release, by service and address; sent in batches after kReleaseDelay.
   std::map<std::pair<std::string, std::string>, std::vector<std::string>> releases;
   bool releasesScheduled{ false };
+  /// Calls that release results.
+  unsigned releaseCalls{ 0 };
+  /// When the last result was passed on.
+  MonotonicTime lastResult{};
   bool tickScheduled{ false };
-  bool handedOff{ false };
+  /// When this front stops, once it hands off.
+  std::optional<MonotonicTime> stop;
   Usage usage;
 };
 
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -59,6 +59,11 @@
     aExchange->Respond({ 503, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
     return;
   }
+  if (fault == EndpointFault::MismatchedRefusal) {
+    aExchange->Respond({ 503, { { "Hornbeamfront-Not-Executed", "1" }, { "Hornbeamfront-Request-Id", "another" } } },
+                       "");
+    return;
+  }
   if (fault == EndpointFault::InputsGone) {
     aExchange->Respond({ 409, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
     return;
@@ -202,10 +207,12 @@
 void
 StandInEndpoint::ReleaseItems(std::shared_ptr<Exchange> const& aExchange)
 {
-  auto const body = json::parse(aExchange->Request().body, nullptr, false);
-  for (auto const& handle : body["handle_ids"])
-    this->heldResults.erase(handle.get<std::string>());
-  aExchange->Respond({ 200, {} }, "{}");
+  this->clock.Schedule(this->releaseTime, [this, aExchange] {
+    auto const body = json::parse(aExchange->Request().body, nullptr, false);
+    for (auto const& handle : body["handle_ids"])
+      this->heldResults.erase(handle.get<std::string>());
+    aExchange->Respond({ 200, {} }, "{}");
+  });
 }
 
 }
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -39,6 +39,8 @@
   LostResponse,
   /// Responds with the id of another request.
   MismatchedResponse,
+  /// Executes the request; first, the refusal of another request arrives in place of its response.
+  MismatchedRefusal,
   /// Closes the connection in the middle of the response.
   BreakOff,
   /// Pauses after every second event.
@@ -68,6 +70,8 @@
   /// Returns the fault of a request by its number, starting at 0.
   std::function<EndpointFault(std::size_t)> faultOf;
   Duration workTime{ 5ms };
+  /// How long releasing results takes.
+  Duration releaseTime{ 0 };
   unsigned events{ 5 };
   Duration eventTime{ 3ms };
   /// Longer than the time without data after which a front abandons an attempt.
