--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -60,6 +60,7 @@
   StandInEndpoint(uv_loop_t& aLoop, Clock& aClock, EndpointKind aKind, std::string aId, std::string aAddress);
 
   std::string const& Id() const { return this->id; }
+  EndpointKind Kind() const { return this->kind; }
   std::string const& Address() const { return this->address; }
 
   /// Sets the address at which fronts reach the endpoint, if it differs from the listening address.
@@ -72,6 +73,7 @@
   /// How long releasing results takes.
   Duration releaseTime{ 0 };
   unsigned events{ 5 };
+  Duration eventTime{ 3ms };
   /// Longer than the time without data after which a front abandons an attempt.
   Duration pauseTime{ 1500ms };
   /// The endpoint crashes when it begins to answer a request whose prompt has this part; empty for none.
