LibServing: Count requests in progress in the estimate during a stop

What callers would see: a long stream cut at a planned stop of a front that had started a few seconds before, while no other front was there.

Cause: the estimate of a route is that of completed requests. On a young front, these are the short ones; its long streams are still in progress. Class: work taken that cannot be finished in time.

The age of the route's oldest request in progress is a lower bound of the estimate now. StopPlan.CountsTheOldestRequestInProgress: 4 s after SIGTERM, ten requests of 0.5 s in the history and one of 5 s in progress, a request was accepted by the estimate without it, and is refused.

--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -48,6 +48,7 @@
   /// Ends the request because the process ends: refuses it if it was not executed, and cuts its response otherwise.
   void EndForStop();
 
+  std::string const& RouteName() const { return this->route.name; }
   int Priority() const { return this->priority; }
   MonotonicTime Received() const { return this->exchange->Received(); }
 
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -72,13 +72,24 @@
   return FindOtherFronts(this->stateCache.Fronts(), this->settings.name, this->clock.Now());
 }
 
+Duration
+ProxyService::OldestRequest(std::string const& aRoute) const
+{
+  auto const now = this->clock.Now();
+  Duration oldest{ 0 };
+  for (auto const& request : this->activeRequests)
+    if (request->RouteName() == aRoute)
+      oldest = std::max<Duration>(oldest, now - request->Received());
+  return oldest;
+}
+
 std::optional<Duration>
 ProxyService::RefusalDuringStop(RemainingWork const& aWork) const
 {
   if (!this->stop)
     return std::nullopt;
   auto const now = this->clock.Now();
-  auto const needed = EstimateDuringStop(*this->stop, this->durations, aWork, now);
+  auto const needed = EstimateDuringStop(*this->stop, this->durations, aWork, this->OldestRequest(aWork.route), now);
   auto const others = this->FindOthers();
   if (this->accepting && AcceptsDuringStop(*this->stop, aWork, needed, others, now))
     return std::nullopt;
--- a/Libraries/LibGateway/ProxyService.h
+++ b/Libraries/LibGateway/ProxyService.h
@@ -36,6 +36,8 @@
   /// Returns the Retry-After of a request that was just read and cannot end before the stop; nothing if it is accepted.
   std::optional<Duration> RefusalDuringStop(RemainingWork const& aWork) const;
   OtherFronts FindOthers() const;
+  /// Returns the age of the oldest request in progress on a route; zero if there is none.
+  Duration OldestRequest(std::string const& aRoute) const;
 
   /// Retries the requests that wait for an endpoint, in order of priority.
   void RetryWaiting();
--- a/Libraries/LibServing/StopPlan.cpp
+++ b/Libraries/LibServing/StopPlan.cpp
@@ -89,11 +89,12 @@
 EstimateDuringStop(StopPlan const& aPlan,
                    DurationHistory const& aHistory,
                    RemainingWork const& aWork,
+                   Duration aOldest,
                    MonotonicTime aNow)
 {
   bool const excused = aNow < aPlan.estimatesUntil;
   if (excused || FindDurations(aHistory, aWork) != nullptr)
-    return EstimateWhole(aHistory, aWork);
+    return std::max<Duration>(EstimateWhole(aHistory, aWork), FromSeconds(Seconds(aOldest) * kEstimateFactor));
   return aWork.deadline - aNow;
 }
 
--- a/Libraries/LibServing/StopPlan.h
+++ b/Libraries/LibServing/StopPlan.h
@@ -60,11 +60,13 @@
 PlanStop(Duration aGraceTime, Duration aAddressLifetime, MonotonicTime aNow);
 
 /// EstimateWhole() of a request that is read during a stop. Once wrong estimates cost an answer, a route without enough
-/// recent requests is assumed to need all its time.
+/// recent requests is assumed to need all its time. aOldest is the age of the route's oldest request in progress: the
+/// history of a young front holds only the short ones.
 Duration
 EstimateDuringStop(StopPlan const& aPlan,
                    DurationHistory const& aHistory,
                    RemainingWork const& aWork,
+                   Duration aOldest,
                    MonotonicTime aNow);
 
 /// Returns whether a request that was just read is accepted. aNeeded is its EstimateDuringStop().
--- a/Tests/LibServing/StopPlanTests.cpp
+++ b/Tests/LibServing/StopPlanTests.cpp
@@ -73,7 +73,7 @@
   auto const accepts = [&](Duration aAt) {
     auto const now = kStart + aAt;
     RemainingWork const work{ kRoute, 500ms, now + 20s };
-    auto const needed = EstimateDuringStop(plan, history, work, now);
+    auto const needed = EstimateDuringStop(plan, history, work, 0s, now);
     return AcceptsDuringStop(plan, work, needed, OtherFronts::None, now);
   };
   EXPECT_TRUE(accepts(1s));
@@ -86,6 +86,23 @@
   EXPECT_FALSE(accepts(4s));
 }
 
+// A front that had been up for some seconds knew only the short streams of a route; long ones were still in progress.
+TEST(StopPlan, CountsTheOldestRequestInProgress)
+{
+  auto const plan = PlanStop(kGraceTime, kAddressLifetime, kStart);
+  DurationHistory history;
+  for (unsigned index = 0; index < 10; ++index)
+    RecordDurations(history, kRoute, 500ms, 500ms);
+  auto const now = kStart + 4s;
+  auto const work = WorkUntil(now + 20s);
+  auto const accepts = [&](Duration aOldest) {
+    auto const needed = EstimateDuringStop(plan, history, work, aOldest, now);
+    return AcceptsDuringStop(plan, work, needed, OtherFronts::None, now);
+  };
+  EXPECT_TRUE(accepts(500ms));
+  EXPECT_FALSE(accepts(5s));
+}
+
 // The process ended in the same moment in which its last request had ended, with responses unsent.
 TEST(StopPlan, ClosesConnectionsBeforeTheProcessEnds)
 {
