LibServing: Bound the routes in the history of durations

What operators would see: memory of a front growing with each table that renames or adds routes. Cause: the history kept the routes of all tables. Found by reading. StopPlan.BoundsTheNumberOfRoutes: 10,000 entries before, 1,024 at most now.

--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -45,7 +45,7 @@
   /// During a stop, refuses the request if it was not executed and cannot end in time. Returns whether it has ended.
   bool RefuseIfUnfinishable();
 
-  /// Ends the request because the process ends: refuses it if it was not executed, and cuts its response otherwise.
+  /// Ends the request because the process ends: with a final answer, or by an interruption if its response has begun.
   void EndForStop();
 
   std::string const& RouteName() const { return this->route.name; }
--- a/Libraries/LibServing/StopPlan.cpp
+++ b/Libraries/LibServing/StopPlan.cpp
@@ -5,6 +5,8 @@
 
 /// Number of requests that an estimate is based on; a longer memory would keep the times of an overload.
 static constexpr std::size_t kRememberedRequests = 64;
+/// Bounds the memory for routes that the table does not have any more.
+static constexpr std::size_t kMaxRoutes = 1024;
 /// With fewer requests, the estimate is a multiple of the route's target latency.
 static constexpr std::size_t kMinRequestsForEstimate = 8;
 static constexpr unsigned kTargetLatencyFactor = 2;
@@ -36,6 +38,8 @@
 void
 RecordDurations(DurationHistory& aHistory, std::string const& aRoute, Duration aWhole, Duration aAnswering)
 {
+  if (aHistory.size() >= kMaxRoutes && !aHistory.contains(aRoute))
+    aHistory.clear();
   auto& durations = aHistory[aRoute];
   Remember(durations.whole, aWhole);
   Remember(durations.answering, aAnswering);
--- a/Libraries/LibServing/StopPlan.h
+++ b/Libraries/LibServing/StopPlan.h
@@ -19,6 +19,7 @@
 /// Durations by the name of the route.
 using DurationHistory = std::unordered_map<std::string, RouteDurations>;
 
+/// Records a completed request. The number of routes is bounded: a new one may take the place of all others.
 void
 RecordDurations(DurationHistory& aHistory, std::string const& aRoute, Duration aWhole, Duration aAnswering);
 
--- a/Tests/LibServing/StopPlanTests.cpp
+++ b/Tests/LibServing/StopPlanTests.cpp
@@ -86,6 +86,16 @@
   EXPECT_FALSE(accepts(4s));
 }
 
+// The history kept the routes of all tables that a front had ever had.
+TEST(StopPlan, BoundsTheNumberOfRoutes)
+{
+  DurationHistory history;
+  for (unsigned index = 0; index < 10000; ++index)
+    RecordDurations(history, "route-" + std::to_string(index), 1s, 1s);
+  EXPECT_LE(history.size(), 1024U);
+  EXPECT_TRUE(history.contains("route-9999"));
+}
+
 // A front that had been up for some seconds knew only the short streams of a route; long ones were still in progress.
 TEST(StopPlan, CountsTheOldestRequestInProgress)
 {
