--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -145,6 +145,61 @@
   }
 }
 
+/// The second crash of a resumed stream, at an endpoint whose answers end with their connection.
+static RawWorld::AnswerOf
+CrashesInSeries()
+{
+  auto const crashes = std::make_shared<unsigned>(0);
+  return [crashes](RequestMessage const& aRequest) {
+    if (++*crashes == 1)
+      return RawAnswer{ RawHead(aRequest) + Events(1, 1), Ending::Reset, 20ms };
+    if (*crashes == 2)
+      return RawAnswer{ RawHead(aRequest) + Events(2, 2) + "id: 3\nda", Ending::Close, 20ms };
+    return RestOfStream(aRequest);
+  };
+}
+
+// Incident inc1: the first crash of a stream was noticed, and the end of the connection at the second one was forwarded
+// as the end of the stream.
+TEST(PlatformAnswers, DoesNotEndAResumedStreamWhoseSecondEndpointCrashes)
+{
+  auto const crashes = CrashesInSeries();
+  auto const result = CallOnce(crashes, crashes, "/model/x");
+  EXPECT_FALSE(result.response.end == CallEnd::Complete && result.response.body != Events(1, 5));
+  EXPECT_TRUE(result.response.body.starts_with(Events(1, 2)));
+}
+
+// An endpoint that crashed before its first event closed the connection of a response without length, and the caller
+// got an empty stream as complete.
+TEST(PlatformAnswers, DISABLED_DoesNotTakeAStreamWithoutLengthOrEventsForComplete)
+{
+  for (auto const* const bytes : { "", "\n", ": note\n\n" }) {
+    auto const empty = [bytes](auto const& aRequest) {
+      return RawAnswer{ RawHead(aRequest) + bytes, Ending::Close, 20ms };
+    };
+    auto const resumed = CallOnce(empty, RestOfStream, "/model/x");
+    EXPECT_EQ(resumed.response.end, CallEnd::Complete);
+    EXPECT_TRUE(resumed.response.body.ends_with(Events(1, 5)));
+    EXPECT_EQ(resumed.requests, 2U);
+    auto const interrupted = CallOnce(empty, RestOfStream, "/once/x");
+    EXPECT_FALSE(interrupted.response.end == CallEnd::Complete && interrupted.response.status == 200);
+    EXPECT_EQ(interrupted.requests, 1U);
+  }
+}
+
+// As above, after the stream was resumed: the caller had some events, and the connection that brought no more was taken
+// for their end.
+TEST(PlatformAnswers, DISABLED_DoesNotTakeAResumptionWithoutLengthOrEventsForComplete)
+{
+  auto const first = [](auto const& aRequest) {
+    return RawAnswer{ RawHead(aRequest) + Events(1, 2), Ending::Reset, 20ms };
+  };
+  auto const empty = [](auto const& aRequest) { return RawAnswer{ RawHead(aRequest), Ending::Close, 20ms }; };
+  auto const result = CallOnce(first, empty, "/model/x");
+  EXPECT_EQ(result.response.end, CallEnd::Broken);
+  EXPECT_EQ(result.response.body, Events(1, 2));
+}
+
 TEST(PlatformAnswers, AcceptsAStreamWithoutLengthWhoseConnectionIsClosed)
 {
   for (auto const* const target : { "/model/x", "/once/x" }) {
