LibGateway: Do not take an empty stream without length for complete

Callers got an empty stream as complete, or the events of the first endpoint as a whole stream, when an endpoint crashed before its first event and closed the connection of a response that had neither a length nor chunks. Only the end inside an event was taken for a cut.

Ruled out: a response with a length or chunks that is empty says itself that it is complete, and a stream without length that ends between two events cannot be told from a whole one.

An attempt on a response without length or chunks that has delivered no event, apart from comments and blank lines, is now a failed attempt: the stream is resumed or broken off.

--- a/Libraries/LibExchange/HttpMessage.cpp
+++ b/Libraries/LibExchange/HttpMessage.cpp
@@ -57,6 +57,13 @@
     aTo.insert(name, value);
 }
 
+bool
+HasBodyFraming(ResponseHead const& aHead)
+{
+  return FindField(aHead.fields, "Content-Length") != nullptr ||
+         FindField(aHead.fields, "Transfer-Encoding") != nullptr;
+}
+
 std::string
 SerializeRequest(RequestMessage const& aRequest)
 {
--- a/Libraries/LibExchange/HttpMessage.h
+++ b/Libraries/LibExchange/HttpMessage.h
@@ -43,6 +43,10 @@
   HeaderFields fields;
 };
 
+/// Whether the body of a response has a length or chunks. If not, it ends with its connection.
+bool
+HasBodyFraming(ResponseHead const& aHead);
+
 /// Serializes a request, with a Content-Length unless it is a GET or HEAD without a body.
 std::string
 SerializeRequest(RequestMessage const& aRequest);
--- a/Libraries/LibGateway/EventStream.cpp
+++ b/Libraries/LibGateway/EventStream.cpp
@@ -34,6 +34,18 @@
   return std::nullopt;
 }
 
+/// Whether there is anything but comments and blank lines.
+static bool
+HasContent(std::string_view aLines)
+{
+  while (!aLines.empty()) {
+    auto const line = TakeLine(aLines);
+    if (!line.empty() && !line.starts_with(':'))
+      return true;
+  }
+  return false;
+}
+
 static std::optional<std::int64_t>
 NumberOf(std::string const& aId)
 {
@@ -45,6 +57,7 @@
 static void
 RecordEvent(EventStream& aStream, std::string_view aEvent)
 {
+  aStream.hasEvent = aStream.hasEvent || HasContent(aEvent);
   auto const id = IdOf(aEvent);
   if (!id)
     return;
@@ -99,10 +112,11 @@
 }
 
 void
-DiscardPartialEvent(EventStream& aStream)
+PrepareResumption(EventStream& aStream)
 {
   aStream.partial.clear();
   aStream.lineStart = 0;
+  aStream.hasEvent = false;
 }
 
 }
--- a/Libraries/LibGateway/EventStream.h
+++ b/Libraries/LibGateway/EventStream.h
@@ -17,6 +17,8 @@
   std::size_t lineStart{ 0 };
   /// The id of the last complete event.
   std::optional<std::string> lastId;
+  /// Whether there was a complete event since the start or the last resumption.
+  bool hasEvent{ false };
   /// Set if event ids do not increase: the stream is not the requested continuation.
   bool outOfOrder{ false };
 };
@@ -33,6 +35,6 @@
 
 /// Drops the bytes after the last complete event, before the stream is resumed.
 void
-DiscardPartialEvent(EventStream& aStream);
+PrepareResumption(EventStream& aStream);
 
 }
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -80,6 +80,7 @@
   this->attempting = true;
   this->headReceived = false;
   this->forwarding = false;
+  this->framed = false;
   this->attemptBytes = 0;
   this->bufferedHead.reset();
   this->bufferedBody.clear();
@@ -170,6 +171,7 @@
   if (this->ended)
     return;
   this->headReceived = true;
+  this->framed = HasBodyFraming(aHead);
   auto const response = Platform::DecodeEndpointResponse(aHead);
   // A response that names another request, or none, does not belong to this request. Only a refusal may name none.
   bool const anonymousRefusal = response.notExecuted && response.requestId.empty();
@@ -235,7 +237,7 @@
                       << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts;
   this->triedEndpoints.push_back(this->endpoint);
   // A stream resumes after its last complete event, so a partial event is sent again in full.
-  DiscardPartialEvent(this->eventStream);
+  PrepareResumption(this->eventStream);
   if (this->stages && this->resultsReleased)
     this->RestartStages(aCause);
   else
@@ -276,7 +278,7 @@
 {
   auto const begun = this->timeline.firstByte;
   auto const age = this->proxy.clock.Now() - begun;
-  return "head_received=" + std::to_string(this->headReceived) +
+  return "head_received=" + std::to_string(this->headReceived) + " framed=" + std::to_string(this->framed) +
          " answer_age_ms=" + (begun == MonotonicTime() ? "-" : std::to_string(Milliseconds(age))) +
          " answer_bytes=" + std::to_string(this->attemptBytes) +
          " last_event=" + this->eventStream.lastId.value_or("-").substr(0, kMaxLoggedEventId) +
@@ -374,21 +376,29 @@
     this->FailAttempt("event-too-long");
 }
 
+bool
+ProxiedRequest::EndsPrematurely() const
+{
+  if (!this->ForwardsEvents())
+    return false;
+  // An endpoint that crashes before its first event may close the connection regularly.
+  return EndsInsideEvent(this->eventStream) || (!this->framed && !this->eventStream.hasEvent);
+}
+
 void
 ProxiedRequest::OnAttemptEnd(CallEnd aEnd)
 {
   if (this->ended || !this->attempting)
     return;
-  bool const insideEvent = this->ForwardsEvents() && EndsInsideEvent(this->eventStream);
-  if (aEnd == CallEnd::Complete && this->forwarding && !insideEvent) {
+  bool const premature = aEnd == CallEnd::Complete && this->EndsPrematurely();
+  if (aEnd == CallEnd::Complete && this->forwarding && !premature) {
     bool const healthy = !this->bufferedHead || this->bufferedHead->status < 500;
     this->RecordAttemptHealth(healthy ? AttemptHealth::Healthy : AttemptHealth::Failed);
     ++this->endedAttempts;
     this->FinishResponse();
     return;
   }
-  // A stream that ends inside an event was broken off, however its connection ended.
-  if (aEnd == CallEnd::Broken || (aEnd == CallEnd::Complete && insideEvent))
+  if (aEnd == CallEnd::Broken || premature)
     this->suspected = this->proxy.crashes.OnAttemptEnd(this->watchedAttempt, WatchedEnd::Broken);
   this->RecordAttemptHealth(AttemptHealth::Failed);
   if (aEnd == CallEnd::NotSent) {
@@ -404,7 +414,8 @@
   }
   this->mayHaveExecuted = true;
   ++this->endedAttempts;
-  this->HandleFailedAttempt(aEnd == CallEnd::Complete && insideEvent ? "ended-inside-event" : ToString(aEnd));
+  auto const* const where = EndsInsideEvent(this->eventStream) ? "ended-inside-event" : "ended-without-event";
+  this->HandleFailedAttempt(premature ? where : ToString(aEnd));
 }
 
 void
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -357,8 +357,9 @@
   PART_LOG("request") << "id=" << this->metadata.requestId << " outcome=" << ToString(aOutcome) << " status=" << aStatus
                       << " reason=" << aReason << " route=" << this->route.name << " service=" << this->serviceName
                       << " account=" << this->account.name << " endpoint=" << this->endpoint
-                      << " attempts=" << this->endedAttempts << " stage_restarts=" << this->stageRestarts
-                      << " table=" << this->table->version << " duration_ms=" << Milliseconds(took)
+                      << " attempts=" << this->endedAttempts << " framed=" << this->framed
+                      << " stage_restarts=" << this->stageRestarts << " table=" << this->table->version
+                      << " duration_ms=" << Milliseconds(took)
                       << " target_ms=" << Milliseconds(this->route.targetLatency) << ' ' << ToLogFields(this->timeline)
                       << " beliefs_age_ms=" << Milliseconds(this->proxy.stateCache.Age());
   this->proxy.activeRequests.erase(strongSelf);
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -94,6 +94,8 @@
   bool ForwardsEvents() const { return this->responseBegun && !this->bufferedHead; }
   void ForwardBody(std::string aData);
   void ForwardEvents(std::string_view aBytes);
+  /// Whether the stream of events that is being forwarded was broken off, although its response ended regularly.
+  bool EndsPrematurely() const;
   void FinishResponse();
 
   void OnDeadline();
@@ -139,6 +141,8 @@
   bool headReceived{ false };
   /// Set if the head of the response was accepted, so that its body is forwarded to the caller.
   bool forwarding{ false };
+  /// Set if the body of the response has a length or chunks; otherwise it ends with its connection.
+  bool framed{ false };
   /// Bytes of the response that the attempt has delivered.
   std::size_t attemptBytes{ 0 };
   std::vector<std::string> triedEndpoints;
--- a/Tests/LibGateway/EventStreamTests.cpp
+++ b/Tests/LibGateway/EventStreamTests.cpp
@@ -107,7 +107,7 @@
     EventStream stream;
     ExtractCompleteEvents(stream, std::string("id: 1\n\n") + rest);
     EXPECT_TRUE(EndsInsideEvent(stream)) << rest;
-    DiscardPartialEvent(stream);
+    PrepareResumption(stream);
     EXPECT_EQ(ExtractCompleteEvents(stream, "id: 2\n\n"), "id: 2\n\n");
   }
 }
--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -171,7 +171,7 @@
 
 // An endpoint that crashed before its first event closed the connection of a response without length, and the caller
 // got an empty stream as complete.
-TEST(PlatformAnswers, DISABLED_DoesNotTakeAStreamWithoutLengthOrEventsForComplete)
+TEST(PlatformAnswers, DoesNotTakeAStreamWithoutLengthOrEventsForComplete)
 {
   for (auto const* const bytes : { "", "\n", ": note\n\n" }) {
     auto const empty = [bytes](auto const& aRequest) {
@@ -189,7 +189,7 @@
 
 // As above, after the stream was resumed: the caller had some events, and the connection that brought no more was taken
 // for their end.
-TEST(PlatformAnswers, DISABLED_DoesNotTakeAResumptionWithoutLengthOrEventsForComplete)
+TEST(PlatformAnswers, DoesNotTakeAResumptionWithoutLengthOrEventsForComplete)
 {
   auto const first = [](auto const& aRequest) {
     return RawAnswer{ RawHead(aRequest) + Events(1, 2), Ending::Reset, 20ms };
