Tests: Show what a restored store does to a front

The stand-in store can take a copy and return to it: later writes are gone, their revisions are given out again, answers bear an era that rises by one, a watch from an unknown revision gets 410, and waiting watches are cut or stay open.

--- a/Tests/Platform/PlatformCrashingPartTests.cpp
+++ b/Tests/Platform/PlatformCrashingPartTests.cpp
@@ -175,4 +175,31 @@
   EXPECT_EQ(QuarantinedAt(crashing.world, 0), std::vector<std::string>{ "dead" });
 }
 
+// The reports were lost with a restore of the store, and what had been learnt from them was forgotten.
+TEST(PlatformRestore, DISABLED_KeepsAQuarantineAndWritesItsReportsAgain)
+{
+  CrashingWorld crashing;
+  auto& world = crashing.world;
+  world.store->TakeCopy();
+  crashing.SendFor(500ms, false);
+  crashing.SendFor(2500ms, true);
+  auto const expected = std::vector<std::string>{ "dead" };
+  ASSERT_EQ(QuarantinedAt(world, 0), expected);
+  auto const reports = world.store->Count("endpoint-crashes");
+  ASSERT_GT(reports, 0U);
+  auto const creations = world.store->creations;
+  world.store->Restore();
+  ASSERT_EQ(world.store->Count("endpoint-crashes"), 0U);
+  auto const isForgotten = [&] {
+    for (unsigned front = 0; front < 3; ++front)
+      if (QuarantinedAt(world, front) != expected)
+        return true;
+    return false;
+  };
+  EXPECT_FALSE(world.RunUntil(isForgotten, 4s));
+  EXPECT_EQ(world.store->Count("endpoint-crashes"), reports);
+  // Each report once, and the entries of three fronts.
+  EXPECT_LE(world.store->creations - creations, reports + 3);
+}
+
 }
--- /dev/null
+++ b/Tests/Platform/PlatformRestoreTests.cpp
@@ -0,0 +1,254 @@
+#include "PlatformFixtures.h"
+
+// A store that returns from a copy: what was written since then is gone, its revisions are given out again, and the era
+// in the header of its answers is one more. Its other writers write again within about two seconds.
+
+namespace Hornbeam::Testing {
+
+/// Entries that are still missing this long after the return of the store count as gone.
+static constexpr Duration kRewriteTime = 2s;
+/// For reading the state and for timers of the fronts, on a busy machine.
+static constexpr Duration kTolerance = 700ms;
+
+/// Some writes of no interest here, so that the revisions before and after a restore differ.
+static void
+AdvanceRevision(PlatformWorld& aWorld, unsigned aWrites)
+{
+  for (unsigned index = 0; index < aWrites; ++index)
+    aWorld.store->Put("config", "other", { { "write", index } });
+}
+
+static nlohmann::json
+StateOfEndpoint(PlatformWorld& aWorld, std::string const& aId)
+{
+  auto const state = CachedStateOf(aWorld, 0);
+  for (auto const& endpoint : state["endpoints"])
+    if (endpoint["id"] == aId)
+      return endpoint["state"];
+  return nullptr;
+}
+
+static bool
+IsOutOfRotation(PlatformWorld& aWorld, std::string const& aDataCenter)
+{
+  auto const state = CachedStateOf(aWorld, 0);
+  return std::ranges::count(state["data_centers_out"], nlohmann::json(aDataCenter)) > 0;
+}
+
+static bool
+AllFrontsHaveVersion(PlatformWorld& aWorld, unsigned aFronts, std::uint64_t aVersion)
+{
+  for (unsigned front = 0; front < aFronts; ++front)
+    if (VersionAt(aWorld, front) != aVersion)
+      return false;
+  return true;
+}
+
+// Tables that were confirmed after a restore were ignored until the new revisions had passed the old ones.
+TEST(PlatformRestore, DISABLED_TakesATableThatIsWrittenAfterARestore)
+{
+  for (auto const watches : { WaitingWatches::Cut, WaitingWatches::Kept }) {
+    PlainWorld plain;
+    auto& world = plain.world;
+    world.store->TakeCopy();
+    world.PutTable(2);
+    AdvanceRevision(world, 5);
+    ASSERT_TRUE(world.RunUntil([&] { return VersionAt(world, 0) == 2; }, kApplyBound));
+    world.RunFor(500ms);
+    world.store->Restore(watches);
+    world.RunFor(300ms);
+    EXPECT_EQ(VersionAt(world, 0), 2U);
+    world.PutTable(3);
+    EXPECT_TRUE(world.RunUntil([&] { return VersionAt(world, 0) == 3; }, kApplyBound));
+  }
+}
+
+// As above, in a fleet with relays: followers ignored what their relays had from the new era.
+TEST(PlatformRestore, DISABLED_TakesATableThroughRelaysAfterRestoresInSeries)
+{
+  static constexpr unsigned kFronts = 6;
+  PlainWorld plain(kFronts);
+  auto& world = plain.world;
+  world.RunFor(4s);
+  world.store->TakeCopy();
+  std::uint64_t version = 2;
+  for (auto const watches : { WaitingWatches::Cut, WaitingWatches::Kept, WaitingWatches::Cut }) {
+    AdvanceRevision(world, 7);
+    world.RunFor(600ms);
+    world.store->Restore(watches);
+    world.RunFor(100ms);
+    world.PutTable(version);
+    EXPECT_TRUE(world.RunUntil([&] { return AllFrontsHaveVersion(world, kFronts, version); }, kApplyBound)) << version;
+    ++version;
+  }
+}
+
+// An evacuation that began after the copy was dropped, and one that had ended was obeyed again.
+TEST(PlatformRestore, KeepsDataCentersOutOfRotationAndDoesNotTakeOutOthers)
+{
+  PlainWorld plain;
+  auto& world = plain.world;
+  world.store->Put("evacuations", "ended", nlohmann::json::object());
+  ASSERT_TRUE(world.RunUntil([&] { return IsOutOfRotation(world, "ended"); }, kApplyBound));
+  world.store->TakeCopy();
+  world.store->Remove("evacuations", "ended");
+  world.store->Put("evacuations", "begun", nlohmann::json::object());
+  ASSERT_TRUE(
+    world.RunUntil([&] { return IsOutOfRotation(world, "begun") && !IsOutOfRotation(world, "ended"); }, kApplyBound));
+  world.RunFor(500ms);
+  world.store->Restore();
+  auto const wasWrong = [&] { return !IsOutOfRotation(world, "begun") || IsOutOfRotation(world, "ended"); };
+  EXPECT_FALSE(world.RunUntil(wasWrong, kRewriteTime - 200ms));
+  world.store->Remove("evacuations", "ended");
+  world.store->Put("evacuations", "begun", nlohmann::json::object());
+  EXPECT_FALSE(world.RunUntil(wasWrong, 1s));
+}
+
+// What its writers do not write again is the copy's after all.
+TEST(PlatformRestore, DISABLED_TakesTheCopyForTrueOnceItsWritersHadTime)
+{
+  PlainWorld plain(1, 2);
+  auto& world = plain.world;
+  auto const late = world.endpoints[1]->Id();
+  world.store->Remove("servers", late);
+  world.store->TakeCopy();
+  world.Register(*world.endpoints[1], "ledger", "ready");
+  world.store->Put("evacuations", "begun", nlohmann::json::object());
+  ASSERT_TRUE(world.RunUntil([&] { return IsOutOfRotation(world, "begun") && StateOfEndpoint(world, late) == "ready"; },
+                             kApplyBound));
+  world.RunFor(500ms);
+  world.store->Restore();
+  world.RunFor(kRewriteTime - 300ms);
+  EXPECT_TRUE(IsOutOfRotation(world, "begun"));
+  EXPECT_EQ(StateOfEndpoint(world, late), "ready");
+  EXPECT_TRUE(world.RunUntil([&] { return !IsOutOfRotation(world, "begun") && StateOfEndpoint(world, late).is_null(); },
+                             300ms + kTolerance));
+}
+
+// The copy called endpoints ready that had been draining, or had left, or had been replaced: requests went to them.
+TEST(PlatformRestore, DoesNotUseEndpointsThatHadLeft)
+{
+  PlainWorld plain(1, 3);
+  auto& world = plain.world;
+  auto const draining = world.endpoints[0]->Id();
+  auto const left = world.endpoints[1]->Id();
+  auto const stays = world.endpoints[2]->Id();
+  world.store->TakeCopy();
+  world.Register(*world.endpoints[0], "ledger", "draining");
+  world.store->Remove("servers", left);
+  ASSERT_TRUE(world.RunUntil(
+    [&] { return StateOfEndpoint(world, draining) == "leaving" && StateOfEndpoint(world, left).is_null(); },
+    kApplyBound));
+  world.RunFor(500ms);
+  world.store->Restore();
+  auto const isWrong = [&] {
+    return StateOfEndpoint(world, draining) == "ready" || StateOfEndpoint(world, left) == "ready";
+  };
+  EXPECT_FALSE(world.RunUntil(isWrong, kRewriteTime));
+  EXPECT_EQ(StateOfEndpoint(world, stays), "ready");
+}
+
+// A front's own entry was lost; the front must write it again, once, and not be missing in the directory meanwhile.
+TEST(PlatformRestore, DISABLED_WritesTheEntriesOfFrontsAgain)
+{
+  PlatformWorld world(1);
+  world.PutTable(1);
+  world.store->TakeCopy();
+  world.StartFront(0);
+  ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
+  world.RunFor(500ms);
+  auto const creations = world.store->creations;
+  world.store->Restore();
+  ASSERT_FALSE(world.store->Has("fronts", "front-0"));
+  EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }, kRewriteTime));
+  world.RunFor(1s);
+  EXPECT_EQ(world.store->creations - creations, 1U);
+}
+
+// A front that is gone was in the directory again, since the copy had its entry.
+TEST(PlatformRestore, DISABLED_DoesNotNameFrontsThatHadLeft)
+{
+  PlainWorld plain(2);
+  auto& world = plain.world;
+  auto const namesLeft = [&] {
+    auto const body = world.Get(0, 2, "/lookup?name=a.example&region=r&zone=a").body;
+    return body.find(world.CallerAddress(1)) != std::string::npos;
+  };
+  ASSERT_TRUE(world.RunUntil(namesLeft, kApplyBound));
+  world.store->TakeCopy();
+  world.fronts[1]->BeginDraining();
+  ASSERT_TRUE(world.RunUntil([&] { return world.stopped[1]; }, 8s));
+  world.fronts[1]->StopPeers();
+  ASSERT_FALSE(namesLeft());
+  world.store->Restore();
+  EXPECT_FALSE(world.RunUntil(namesLeft, 4s));
+  EXPECT_FALSE(world.store->Has("fronts", "front-1"));
+}
+
+// A front that starts right after a restore knew only the copy, although others had a newer table.
+TEST(PlatformRestore, TakesANewerTableFromOthersAtAStart)
+{
+  PlatformWorld world(2);
+  world.AddEndpoint(EndpointKind::Plain, "ledger");
+  world.PutTable(1);
+  world.store->TakeCopy();
+  world.StartFront(0);
+  ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
+  world.PutTable(2);
+  ASSERT_TRUE(world.RunUntil([&] { return VersionAt(world, 0) == 2; }, kApplyBound));
+  world.store->Restore();
+  world.StartFront(1);
+  EXPECT_TRUE(world.RunUntil([&] { return VersionAt(world, 1) == 2; }, kApplyBound + kTolerance));
+}
+
+// Answers that bear an era before the latest, or none, took a front back.
+TEST(PlatformRestore, DISABLED_IgnoresAnswersOfAFormerEraOrOfNone)
+{
+  for (auto const* const era : { "1", "", "no number", "-1" }) {
+    PlainWorld plain;
+    auto& world = plain.world;
+    world.store->TakeCopy();
+    world.store->Restore();
+    world.PutTable(2);
+    ASSERT_TRUE(world.RunUntil([&] { return VersionAt(world, 0) == 2; }, kApplyBound));
+    auto const latest = std::exchange(world.store->era, era);
+    world.store->CutWatches();
+    world.store->Put("evacuations", "a", nlohmann::json::object());
+    world.RunFor(500ms);
+    EXPECT_TRUE(CachedStateOf(world, 0)["data_centers_out"].empty()) << era;
+    world.store->era = latest;
+    EXPECT_TRUE(world.RunUntil([&] { return CachedStateOf(world, 0)["data_centers_out"].size() == 1; }, kApplyBound))
+      << era;
+  }
+}
+
+// A write on the condition of a revision that was read before a restore could hit another state with the same revision.
+TEST(PlatformRestore, DISABLED_DoesNotWriteOnTheConditionOfARevisionOfAFormerEra)
+{
+  PlatformWorld world(0);
+  Platform::StoreClient client(world.callers, world.store->Address());
+  world.store->TakeCopy();
+  auto const create = [&](std::string const& aName) {
+    std::optional<Platform::WriteResult> result;
+    client.Create(Platform::ObjectKind::Front, aName, { { "a", 1 } }, [&](auto aResult) { result = aResult; });
+    EXPECT_TRUE(world.RunUntil([&] { return result.has_value(); }));
+    return result->object ? result->object->revision : 0;
+  };
+  auto const before = create("first");
+  world.store->Restore();
+  auto const after = create("first");
+  EXPECT_NE(before, after);
+  for (bool const remove : { true, false }) {
+    std::optional<Platform::StoreOutcome> outcome;
+    auto const done = [&](Platform::WriteResult const& aResult) { outcome = aResult.outcome; };
+    if (remove)
+      client.Remove(Platform::ObjectKind::Front, "first", before, done);
+    else
+      client.Replace(Platform::ObjectKind::Front, "first", before, { { "a", 2 } }, done);
+    EXPECT_TRUE(world.RunUntil([&] { return outcome.has_value(); }));
+    EXPECT_NE(*outcome, Platform::StoreOutcome::Done);
+  }
+  EXPECT_TRUE(world.store->Has("fronts", "first"));
+}
+
+}
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -13,10 +13,13 @@
   VERIFY(this->entry.Open(this->address));
 }
 
-static void
-Respond(Exchange& aExchange, unsigned aStatus, json const& aBody)
+void
+StandInStore::Respond(Exchange& aExchange, unsigned aStatus, json const& aBody) const
 {
-  aExchange.Respond({ aStatus, { { "Content-Type", "application/json" } } }, aBody.dump());
+  HeaderFields fields{ { "Content-Type", "application/json" } };
+  if (!this->era.empty())
+    fields.emplace_back("Store-Era", this->era);
+  aExchange.Respond({ aStatus, fields }, aBody.dump());
 }
 
 json
@@ -33,21 +36,21 @@
 void
 StandInStore::Change(std::string const& aKind, std::string const& aName, json aSpec)
 {
-  auto& object = this->objects[aKind][aName];
+  auto& object = this->state.objects[aKind][aName];
   object.spec = std::move(aSpec);
-  object.revision = ++this->revision;
-  this->history.push_back({ aKind, ToDocument(aName, object), false, this->revision });
+  object.revision = ++this->state.revision;
+  this->state.history.push_back({ aKind, ToDocument(aName, object), false, this->state.revision });
 }
 
 void
 StandInStore::Erase(std::string const& aKind, std::string const& aName)
 {
-  auto const found = this->objects[aKind].find(aName);
-  if (found == this->objects[aKind].end())
+  auto const found = this->state.objects[aKind].find(aName);
+  if (found == this->state.objects[aKind].end())
     return;
-  found->second.revision = ++this->revision;
-  this->history.push_back({ aKind, ToDocument(aName, found->second), true, this->revision });
-  this->objects[aKind].erase(found);
+  found->second.revision = ++this->state.revision;
+  this->state.history.push_back({ aKind, ToDocument(aName, found->second), true, this->state.revision });
+  this->state.objects[aKind].erase(found);
 }
 
 void
@@ -67,8 +70,15 @@
 bool
 StandInStore::Has(std::string const& aKind, std::string const& aName) const
 {
-  auto const found = this->objects.find(aKind);
-  return found != this->objects.end() && found->second.contains(aName);
+  auto const found = this->state.objects.find(aKind);
+  return found != this->state.objects.end() && found->second.contains(aName);
+}
+
+std::size_t
+StandInStore::Count(std::string const& aKind) const
+{
+  auto const found = this->state.objects.find(aKind);
+  return found == this->state.objects.end() ? 0 : found->second.size();
 }
 
 void
@@ -77,7 +87,7 @@
   this->CutWatches();
   this->Change(aKind, aName, std::move(aSpec));
   // A watch that starts now waits for events that have already been dropped.
-  this->history.clear();
+  this->state.history.clear();
   this->clock.Schedule(150ms, [this] { this->DropHistory(); });
 }
 
@@ -94,8 +104,23 @@
 void
 StandInStore::DropHistory()
 {
-  this->history.clear();
-  this->historyFrom = this->revision;
+  this->state.history.clear();
+  this->state.historyFrom = this->state.revision;
+}
+
+void
+StandInStore::TakeCopy()
+{
+  this->copy = this->state;
+}
+
+void
+StandInStore::Restore(WaitingWatches aWatches)
+{
+  if (aWatches == WaitingWatches::Cut)
+    this->CutWatches();
+  this->state = this->copy;
+  this->era = std::to_string(std::stoull(this->era) + 1);
 }
 
 void
@@ -120,17 +145,17 @@
 bool
 StandInStore::TryCompleteWatch(PendingWatch const& aWatch)
 {
-  if (aWatch.since < this->historyFrom) {
-    Respond(*aWatch.exchange, 410, { { "error", "history is gone" } });
+  if (aWatch.since < this->state.historyFrom) {
+    this->Respond(*aWatch.exchange, 410, { { "error", "history is gone" } });
     return true;
   }
   json events = json::array();
-  for (auto const& event : this->history)
+  for (auto const& event : this->state.history)
     if (event.kind == aWatch.kind && event.revision > aWatch.since)
       events.push_back({ { "deleted", event.removed }, { "object", event.object } });
   if (events.empty())
     return false;
-  Respond(*aWatch.exchange, 200, { { "events", events }, { "as_of", this->revision } });
+  this->Respond(*aWatch.exchange, 200, { { "events", events }, { "as_of", this->state.revision } });
   return true;
 }
 
@@ -140,12 +165,12 @@
   ++this->calls;
   switch (this->behavior) {
     case StoreBehavior::Refusing:
-      return Respond(*aExchange, 503, json::object());
+      return this->Respond(*aExchange, 503, json::object());
     case StoreBehavior::Resetting:
       return aExchange->Abort();
     case StoreBehavior::Silent:
       // Keeps the exchange open without a response.
-      this->pendingWatches.push_back({ aExchange, "none", this->revision });
+      this->pendingWatches.push_back({ aExchange, "none", this->state.revision });
       return;
     case StoreBehavior::Healthy:
       break;
@@ -165,7 +190,7 @@
   auto const kind = path.substr(0, slash);
   auto const name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
   if (!this->unknownKind.empty() && kind == this->unknownKind)
-    return Respond(*aExchange, 404, json::object());
+    return this->Respond(*aExchange, 404, json::object());
   if (request.method != "GET")
     return this->HandleWrite(*aExchange, kind, name);
   if (query.contains("watch"))
@@ -178,11 +203,12 @@
 StandInStore::HandleList(Exchange& aExchange, std::string const& aKind, std::string const& aAfter)
 {
   json items = json::array();
-  auto const& all = this->objects[aKind];
+  auto const& all = this->state.objects[aKind];
   auto next = all.upper_bound(aAfter);
   for (; next != all.end() && items.size() < this->pageSize; ++next)
     items.push_back(ToDocument(next->first, next->second));
-  Respond(aExchange, 200, { { "items", items }, { "has_more", next != all.end() }, { "as_of", this->revision } });
+  this->Respond(
+    aExchange, 200, { { "items", items }, { "has_more", next != all.end() }, { "as_of", this->state.revision } });
 }
 
 void
@@ -192,6 +218,8 @@
                           Duration aWait)
 {
   PendingWatch const watch{ aExchange, aKind, aSince };
+  if (aSince > this->state.revision)
+    return this->Respond(*aExchange, 410, { { "error", "unknown revision" } });
   if (this->TryCompleteWatch(watch))
     return;
   this->pendingWatches.push_back(watch);
@@ -200,7 +228,7 @@
       std::erase_if(this->pendingWatches, [&](PendingWatch const& aOther) { return aOther.exchange == aExchange; });
     // Events that were dropped meanwhile are not made up for: the response names the requested revision.
     if (erased != 0)
-      Respond(*aExchange, 200, { { "events", json::array() }, { "as_of", aSince } });
+      this->Respond(*aExchange, 200, { { "events", json::array() }, { "as_of", aSince } });
   });
 }
 
@@ -210,17 +238,19 @@
   auto const& request = aExchange.Request();
   auto const body = json::parse(request.body, nullptr, false);
   auto const name = aName.empty() ? body["metadata"]["name"].get<std::string>() : aName;
-  auto const existing = this->objects[aKind].find(name);
-  bool const exists = existing != this->objects[aKind].end();
+  auto const existing = this->state.objects[aKind].find(name);
+  bool const exists = existing != this->state.objects[aKind].end();
   std::uint64_t expected = 0;
   if (auto const position = request.target.find("revision="); position != std::string::npos)
     expected = std::stoull(request.target.substr(position + 9));
   else if (body.is_object() && body["metadata"].contains("revision"))
     expected = body["metadata"]["revision"].get<std::uint64_t>();
   if (request.method == "POST" ? exists : (exists && expected != 0 && existing->second.revision != expected))
-    return Respond(aExchange, 409, ToDocument(name, existing->second));
+    return this->Respond(aExchange, 409, ToDocument(name, existing->second));
   if (request.method != "POST" && !exists)
-    return Respond(aExchange, 404, json::object());
+    return this->Respond(aExchange, 404, json::object());
+  if (request.method == "POST")
+    ++this->creations;
   if (request.method == "DELETE") {
     ++this->removals;
     this->Erase(aKind, name);
@@ -231,9 +261,9 @@
     --this->responsesToLose;
     aExchange.Abort();
   } else if (request.method == "DELETE") {
-    Respond(aExchange, 200, json::object());
+    this->Respond(aExchange, 200, json::object());
   } else {
-    Respond(aExchange, 200, ToDocument(name, this->objects[aKind][name]));
+    this->Respond(aExchange, 200, ToDocument(name, this->state.objects[aKind][name]));
   }
   this->NotifyWatches();
 }
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -18,6 +18,14 @@
   Silent,
 };
 
+/// What happens to the watches that wait while the store is restored.
+enum class WaitingWatches
+{
+  Cut,
+  /// They stay open, and start at a revision that the store does not have any more.
+  Kept,
+};
+
 /// A stand-in for the platform's store, with object revisions, paged lists, watches and conditional writes.
 class StandInStore
 {
@@ -31,6 +39,8 @@
   void Remove(std::string const& aKind, std::string const& aName);
   bool Has(std::string const& aKind, std::string const& aName) const;
 
+  std::size_t Count(std::string const& aKind) const;
+
   /// Disconnects the watches, writes an object and drops its event. The store reports the gap in the history only after
   /// a short delay, so watches that start before that miss the change.
   void PutInHistoryGap(std::string const& aKind, std::string const& aName, nlohmann::json aSpec);
@@ -41,6 +51,12 @@
   void CutWatches();
   void DropHistory();
 
+  /// Keeps a copy of the objects, from which the store can be restored.
+  void TakeCopy();
+
+  /// Returns to the copy: all later writes are gone, and their revisions are given out again in a new era.
+  void Restore(WaitingWatches aWatches = WaitingWatches::Cut);
+
   StoreBehavior behavior{ StoreBehavior::Healthy };
   /// The number of next writes that are applied but whose response is lost.
   unsigned responsesToLose{ 0 };
@@ -48,6 +64,10 @@
   /// A kind whose calls the store refuses with 404; empty for none.
   std::string unknownKind;
   std::uint64_t calls{ 0 };
+  /// The number of calls that created an object.
+  unsigned creations{ 0 };
+  /// The value of the era header; an empty one is not sent.
+  std::string era{ "1" };
   /// The number of objects removed through calls.
   unsigned removals{ 0 };
 
@@ -71,6 +91,15 @@
     std::uint64_t since{ 0 };
   };
 
+  struct State
+  {
+    std::map<std::string, std::map<std::string, Object>> objects;
+    std::vector<Event> history;
+    std::uint64_t revision{ 1 };
+    std::uint64_t historyFrom{ 0 };
+  };
+
+  void Respond(Gateway::Exchange& aExchange, unsigned aStatus, nlohmann::json const& aBody) const;
   void Handle(std::shared_ptr<Gateway::Exchange> const& aExchange);
   void HandleList(Gateway::Exchange& aExchange, std::string const& aKind, std::string const& aAfter);
   void HandleWatch(std::shared_ptr<Gateway::Exchange> const& aExchange,
@@ -87,11 +116,9 @@
   Clock& clock;
   std::string address;
   Gateway::HttpListener entry;
-  std::map<std::string, std::map<std::string, Object>> objects;
-  std::vector<Event> history;
+  State state;
+  State copy;
   std::vector<PendingWatch> pendingWatches;
-  std::uint64_t revision{ 1 };
-  std::uint64_t historyFrom{ 0 };
 };
 
 }
