LibServing, LibGateway: Keep what is newer than a restored copy

Requests went to endpoints that had been draining or had left, evacuations that were in force were dropped and ended ones obeyed again, and fronts that were gone or missing in the copy came and went in the directory, for about two seconds after a restore.

Cause: the first list of a new era was taken for the present, although its writers had not written again yet.

On the first update of a new era, entries of earlier processes, of a process before it began to leave, and of processes that have left are withheld; evacuations and fronts stay as known; missing endpoints are kept as after an outage. Later writes of the new era count at once. After 2.3 s, what the store holds is true; withheld endpoints that it still lists after 4.5 s live, since the store removes silent ones by then, and a front that had left is suspected until a probe shows that it lives.

In the first run of all tests of this kind in one process, one failed and the next could not open a loop: the tests polled fronts 500 times a second over new connections and used up the descriptors (19,000 open). They now look every 25 ms.

--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -269,7 +269,11 @@
   if (log.revision == before)
     return;
   bool const restored = before != 0 && EraOf(log.revision) != EraOf(before);
+  if (restored)
+    this->BeginRestore(aKind, before, changes);
   for (auto const& object : changes) {
+    if (restored && this->KeepsKnownState(aKind, object))
+      continue;
     if (!object.document)
       this->OnRemoved(aKind, object.name);
     else if (auto const stored = Platform::ParseObjectDocument(*object.document, EraOf(object.revision)))
@@ -331,6 +335,8 @@
     }
     case ObjectKind::Front:
       PART_LOG("fronts") << "event=removed name=" << aName;
+      if (auto const known = this->fronts.byName.find(aName); known != this->fronts.byName.end())
+        RecordDeparture(this->departedFronts, aName, known->second.entry.incarnation);
       RemoveFront(this->fronts, aName, this->clock.Now());
       break;
     case ObjectKind::EndpointCrash:
@@ -368,6 +374,10 @@
     this->DropEndpoint(aObject.name, "no-entry");
     return;
   }
+  if (this->clock.Now() < this->restore.endpointsSettleAt && IsOutdated(this->endpoints, *entry)) {
+    this->restore.withheldEndpoints.insert(entry->id);
+    return;
+  }
   auto const coldTime = this->table ? RuleOf(*this->table, entry->service).coldTime : Duration::zero();
   auto const change = ApplyEntry(this->endpoints, *entry, coldTime, this->clock.Now());
   if (change == EntryChange::Unchanged)
@@ -388,6 +398,7 @@
   if (found == this->endpoints.byId.end())
     return;
   PART_LOG("endpoints") << "event=dropped id=" << aId << " reason=" << aReason;
+  RecordDeparture(this->departedEndpoints, aId, found->second.entry.incarnation);
   this->connections.CloseIdleConnections(found->second.entry.address);
   RemoveEndpoint(this->endpoints, aId);
 }
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -115,10 +115,29 @@
   // Defined in StateCacheRestore.cpp.
 
   void OnStoreRestored();
+  /// Called after the log of a kind went from one era of the store to another, before its changes are applied.
+  void BeginRestore(ObjectKind aKind, StorePosition aFormer, std::vector<LoggedObject> const& aChanges);
+  /// Whether what is known of an object stays although a restored copy says otherwise.
+  bool KeepsKnownState(ObjectKind aKind, LoggedObject const& aObject);
+  bool KeepsKnownEndpoint(LoggedObject const& aObject);
+  bool KeepsKnownFront(LoggedObject const& aObject);
   /// Moves revisions of objects that the store still has in the same state to its new era, for conditional writes.
   void MoveRevisions(ObjectKind aKind);
   /// The object as the store has it; nothing if it does not exist.
   std::optional<StoredObject> ObjectInLog(ObjectKind aKind, std::string const& aName) const;
+  /// Takes what the store holds for true, once writers had time to write again.
+  void SettleRestore();
+  void SettleFronts();
+  void SettleEndpoints();
+
+  /// What follows from the last restore of the store.
+  struct Restore
+  {
+    MonotonicTime settlesAt{};
+    MonotonicTime endpointsSettleAt{};
+    std::set<std::string> withheldEndpoints;
+  };
+
   GatewaySettings const& settings;
   Clock& clock;
   StoreClient& store;
@@ -140,6 +159,9 @@
   bool fetchedFromSeed{ false };
   /// Until then, the entry of a missing endpoint may merely have expired while the store was unavailable.
   MonotonicTime reregistrationEnd{};
+  Restore restore;
+  DepartedProcesses departedEndpoints;
+  DepartedProcesses departedFronts;
   std::uint64_t eraOfPeers{ 0 };
   bool notificationScheduled{ false };
   std::vector<std::function<void()>> listeners;
--- a/Libraries/LibGateway/StateCacheRestore.cpp
+++ b/Libraries/LibGateway/StateCacheRestore.cpp
@@ -1,8 +1,16 @@
 #include "StateCache.h"
 #include <algorithm>
 
+// What a front does when the store returns from a copy, which lacks what was written since then.
+
 namespace Hornbeam::Gateway {
 
+/// Writers have written again about two seconds after the store's return.
+static constexpr Duration kRewriteTime = 2300ms;
+/// The store removes entries of endpoints after three check-in intervals of silence, so an entry that is still there is
+/// that of a process that lives.
+static constexpr Duration kSilenceTime = 4500ms;
+
 std::uint64_t
 StateCache::Era() const
 {
@@ -33,6 +41,77 @@
     watch->ListInEra(aEra);
 }
 
+void
+StateCache::BeginRestore(ObjectKind aKind, StorePosition aFormer, std::vector<LoggedObject> const& aChanges)
+{
+  auto const now = this->clock.Now();
+  auto const removed = std::ranges::count_if(aChanges, [](auto const& aObject) { return !aObject.document; });
+  PART_WARNING("store") << "event=state-restored kind=" << ToString(aKind) << ' '
+                        << ToLogFields(this->logs.at(aKind).revision) << " former_revision=" << RevisionOf(aFormer)
+                        << " former_era=" << EraOf(aFormer) << " missing=" << removed
+                        << " different=" << std::int64_t(aChanges.size()) - removed;
+  this->restore.settlesAt = now + kRewriteTime;
+  this->restore.endpointsSettleAt = now + kSilenceTime;
+  this->AwaitReregistration();
+  this->clock.Schedule(kRewriteTime, [this] {
+    if (this->clock.Now() >= this->restore.settlesAt)
+      this->SettleRestore();
+  });
+  this->clock.Schedule(kSilenceTime, [this] {
+    if (this->clock.Now() >= this->restore.endpointsSettleAt)
+      this->SettleEndpoints();
+  });
+}
+
+bool
+StateCache::KeepsKnownState(ObjectKind aKind, LoggedObject const& aObject)
+{
+  switch (aKind) {
+    case ObjectKind::ServingTable:
+      // Its version decides.
+      return false;
+    case ObjectKind::Endpoint:
+      return this->KeepsKnownEndpoint(aObject);
+    case ObjectKind::DataCenterOutOfRotation:
+      return true;
+    case ObjectKind::Front:
+      return this->KeepsKnownFront(aObject);
+    case ObjectKind::EndpointCrash:
+      return false;
+  }
+  VerifyNotReached();
+}
+
+bool
+StateCache::KeepsKnownEndpoint(LoggedObject const& aObject)
+{
+  // A missing entry is kept until its endpoint had time to register again.
+  if (!aObject.document)
+    return false;
+  std::string error;
+  auto const stored = Platform::ParseObjectDocument(*aObject.document, EraOf(aObject.revision));
+  auto const entry = stored ? Platform::DecodeEndpoint(*stored, error) : std::nullopt;
+  if (!entry || !IsOutdatedInCopy(this->endpoints, this->departedEndpoints, *entry))
+    return false;
+  PART_LOG("endpoints") << "event=withheld id=" << aObject.name << ' ' << ToLogFields(aObject.revision);
+  this->restore.withheldEndpoints.insert(aObject.name);
+  return true;
+}
+
+bool
+StateCache::KeepsKnownFront(LoggedObject const& aObject)
+{
+  // This front acts on its own entry at once.
+  if (aObject.name == this->settings.name)
+    return false;
+  if (!aObject.document)
+    return true;
+  std::string error;
+  auto const stored = Platform::ParseObjectDocument(*aObject.document, EraOf(aObject.revision));
+  auto const entry = stored ? Platform::DecodeFront(*stored, error) : std::nullopt;
+  return entry && IsOutdatedInCopy(this->fronts, this->departedFronts, *entry);
+}
+
 void
 StateCache::MoveRevisions(ObjectKind aKind)
 {
@@ -62,4 +141,57 @@
   return object;
 }
 
+void
+StateCache::SettleRestore()
+{
+  std::set<std::string> outOfRotation;
+  for (auto const& [name, entry] : this->logs.at(ObjectKind::DataCenterOutOfRotation).entries)
+    if (entry.object.document)
+      outOfRotation.insert(name);
+  this->UpdateDataCentersOutOfRotation(std::move(outOfRotation));
+  this->SettleFronts();
+  PART_LOG("store") << "event=restore-settled era=" << this->Era();
+  this->NotifyListeners();
+}
+
+void
+StateCache::SettleFronts()
+{
+  std::vector<std::string> missing;
+  for (auto const& [name, front] : this->fronts.byName)
+    if (!this->ObjectInLog(ObjectKind::Front, name))
+      missing.push_back(name);
+  for (auto const& name : missing)
+    this->OnRemoved(ObjectKind::Front, name);
+  for (auto const& [name, entry] : this->logs.at(ObjectKind::Front).entries) {
+    auto const object = this->ObjectInLog(ObjectKind::Front, name);
+    auto const known = this->fronts.byName.find(name);
+    if (!object || (known != this->fronts.byName.end() && known->second.revision == object->revision))
+      continue;
+    this->UpdateFront(*object);
+    // Its process had left, unless a probe shows that it has not.
+    if (name != this->settings.name)
+      SuspectFront(this->fronts, name, this->clock.Now());
+  }
+}
+
+void
+StateCache::SettleEndpoints()
+{
+  for (auto const& id : std::exchange(this->restore.withheldEndpoints, {})) {
+    this->departedEndpoints.incarnations.erase(id);
+    std::erase(this->departedEndpoints.order, id);
+    auto const object = this->ObjectInLog(ObjectKind::Endpoint, id);
+    std::string error;
+    auto const entry = object ? Platform::DecodeEndpoint(*object, error) : std::nullopt;
+    auto const known = this->endpoints.byId.find(id);
+    bool const sameProcess =
+      entry && known != this->endpoints.byId.end() && known->second.entry.incarnation == entry->incarnation;
+    // A process that began to leave does not come back.
+    if (entry && !(sameProcess && IsOutdated(this->endpoints, *entry)))
+      this->UpdateEndpoint(*object);
+  }
+  this->NotifyListeners();
+}
+
 }
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -9,6 +9,7 @@
 #include "PromptParts.h"
 #include "RequestStages.h"
 #include "RequestTimeline.h"
+#include "RestoredCopy.h"
 #include "RetryQuota.h"
 #include "ServingTable.h"
 #include "StagePool.h"
--- a/Tests/Platform/PlatformFixtures.h
+++ b/Tests/Platform/PlatformFixtures.h
@@ -34,6 +34,16 @@
 /// fronts.
 constexpr Duration kApplyBound = 2s;
 
+/// Runs the event loop until the condition holds, and looks rarely: a condition that calls a front opens connections.
+inline bool
+HappensWithin(PlatformWorld& aWorld, std::function<bool()> const& aCondition, Duration aTime)
+{
+  auto const limit = aWorld.clock.Now() + aTime;
+  while (!aCondition() && aWorld.clock.Now() < limit)
+    aWorld.RunFor(25ms);
+  return aCondition();
+}
+
 inline nlohmann::json
 CachedStateOf(PlatformWorld& aWorld, unsigned aFront)
 {
--- a/Tests/Platform/PlatformRestoreTests.cpp
+++ b/Tests/Platform/PlatformRestoreTests.cpp
@@ -53,13 +53,15 @@
     world.store->TakeCopy();
     world.PutTable(2);
     AdvanceRevision(world, 5);
-    ASSERT_TRUE(world.RunUntil([&] { return VersionAt(world, 0) == 2; }, kApplyBound));
+    ASSERT_TRUE(HappensWithin(
+      world, [&] { return VersionAt(world, 0) == 2; }, kApplyBound));
     world.RunFor(500ms);
     world.store->Restore(watches);
     world.RunFor(300ms);
     EXPECT_EQ(VersionAt(world, 0), 2U);
     world.PutTable(3);
-    EXPECT_TRUE(world.RunUntil([&] { return VersionAt(world, 0) == 3; }, kApplyBound));
+    EXPECT_TRUE(HappensWithin(
+      world, [&] { return VersionAt(world, 0) == 3; }, kApplyBound));
   }
 }
 
@@ -78,34 +80,37 @@
     world.store->Restore(watches);
     world.RunFor(100ms);
     world.PutTable(version);
-    EXPECT_TRUE(world.RunUntil([&] { return AllFrontsHaveVersion(world, kFronts, version); }, kApplyBound)) << version;
+    EXPECT_TRUE(HappensWithin(
+      world, [&] { return AllFrontsHaveVersion(world, kFronts, version); }, kApplyBound))
+      << version;
     ++version;
   }
 }
 
 // An evacuation that began after the copy was dropped, and one that had ended was obeyed again.
-TEST(PlatformRestore, DISABLED_KeepsDataCentersOutOfRotationAndDoesNotTakeOutOthers)
+TEST(PlatformRestore, KeepsDataCentersOutOfRotationAndDoesNotTakeOutOthers)
 {
   PlainWorld plain;
   auto& world = plain.world;
   world.store->Put("evacuations", "ended", nlohmann::json::object());
-  ASSERT_TRUE(world.RunUntil([&] { return IsOutOfRotation(world, "ended"); }, kApplyBound));
+  ASSERT_TRUE(HappensWithin(
+    world, [&] { return IsOutOfRotation(world, "ended"); }, kApplyBound));
   world.store->TakeCopy();
   world.store->Remove("evacuations", "ended");
   world.store->Put("evacuations", "begun", nlohmann::json::object());
-  ASSERT_TRUE(
-    world.RunUntil([&] { return IsOutOfRotation(world, "begun") && !IsOutOfRotation(world, "ended"); }, kApplyBound));
+  ASSERT_TRUE(HappensWithin(
+    world, [&] { return IsOutOfRotation(world, "begun") && !IsOutOfRotation(world, "ended"); }, kApplyBound));
   world.RunFor(500ms);
   world.store->Restore();
   auto const wasWrong = [&] { return !IsOutOfRotation(world, "begun") || IsOutOfRotation(world, "ended"); };
-  EXPECT_FALSE(world.RunUntil(wasWrong, kRewriteTime - 200ms));
+  EXPECT_FALSE(HappensWithin(world, wasWrong, kRewriteTime - 200ms));
   world.store->Remove("evacuations", "ended");
   world.store->Put("evacuations", "begun", nlohmann::json::object());
-  EXPECT_FALSE(world.RunUntil(wasWrong, 1s));
+  EXPECT_FALSE(HappensWithin(world, wasWrong, 1s));
 }
 
 // What its writers do not write again is the copy's after all.
-TEST(PlatformRestore, DISABLED_TakesTheCopyForTrueOnceItsWritersHadTime)
+TEST(PlatformRestore, TakesTheCopyForTrueOnceItsWritersHadTime)
 {
   PlainWorld plain(1, 2);
   auto& world = plain.world;
@@ -114,19 +119,21 @@
   world.store->TakeCopy();
   world.Register(*world.endpoints[1], "ledger", "ready");
   world.store->Put("evacuations", "begun", nlohmann::json::object());
-  ASSERT_TRUE(world.RunUntil([&] { return IsOutOfRotation(world, "begun") && StateOfEndpoint(world, late) == "ready"; },
-                             kApplyBound));
+  ASSERT_TRUE(HappensWithin(
+    world, [&] { return IsOutOfRotation(world, "begun") && StateOfEndpoint(world, late) == "ready"; }, kApplyBound));
   world.RunFor(500ms);
   world.store->Restore();
   world.RunFor(kRewriteTime - 300ms);
   EXPECT_TRUE(IsOutOfRotation(world, "begun"));
   EXPECT_EQ(StateOfEndpoint(world, late), "ready");
-  EXPECT_TRUE(world.RunUntil([&] { return !IsOutOfRotation(world, "begun") && StateOfEndpoint(world, late).is_null(); },
-                             300ms + kTolerance));
+  EXPECT_TRUE(HappensWithin(
+    world,
+    [&] { return !IsOutOfRotation(world, "begun") && StateOfEndpoint(world, late).is_null(); },
+    300ms + kTolerance));
 }
 
 // The copy called endpoints ready that had been draining, or had left, or had been replaced: requests went to them.
-TEST(PlatformRestore, DISABLED_DoesNotUseEndpointsThatHadLeft)
+TEST(PlatformRestore, DoesNotUseEndpointsThatHadLeft)
 {
   PlainWorld plain(1, 3);
   auto& world = plain.world;
@@ -136,7 +143,8 @@
   world.store->TakeCopy();
   world.Register(*world.endpoints[0], "ledger", "draining");
   world.store->Remove("servers", left);
-  ASSERT_TRUE(world.RunUntil(
+  ASSERT_TRUE(HappensWithin(
+    world,
     [&] { return StateOfEndpoint(world, draining) == "leaving" && StateOfEndpoint(world, left).is_null(); },
     kApplyBound));
   world.RunFor(500ms);
@@ -144,7 +152,7 @@
   auto const isWrong = [&] {
     return StateOfEndpoint(world, draining) == "ready" || StateOfEndpoint(world, left) == "ready";
   };
-  EXPECT_FALSE(world.RunUntil(isWrong, kRewriteTime));
+  EXPECT_FALSE(HappensWithin(world, isWrong, kRewriteTime));
   EXPECT_EQ(StateOfEndpoint(world, stays), "ready");
 }
 
@@ -166,7 +174,7 @@
 }
 
 // A front that is gone was in the directory again, since the copy had its entry.
-TEST(PlatformRestore, DISABLED_DoesNotNameFrontsThatHadLeft)
+TEST(PlatformRestore, DoesNotNameFrontsThatHadLeft)
 {
   PlainWorld plain(2);
   auto& world = plain.world;
@@ -174,14 +182,14 @@
     auto const body = world.Get(0, 2, "/lookup?name=a.example&region=r&zone=a").body;
     return body.find(world.CallerAddress(1)) != std::string::npos;
   };
-  ASSERT_TRUE(world.RunUntil(namesLeft, kApplyBound));
+  ASSERT_TRUE(HappensWithin(world, namesLeft, kApplyBound));
   world.store->TakeCopy();
   world.fronts[1]->BeginDraining();
   ASSERT_TRUE(world.RunUntil([&] { return world.stopped[1]; }, 8s));
   world.fronts[1]->StopPeers();
   ASSERT_FALSE(namesLeft());
   world.store->Restore();
-  EXPECT_FALSE(world.RunUntil(namesLeft, 4s));
+  EXPECT_FALSE(HappensWithin(world, namesLeft, 4s));
   EXPECT_FALSE(world.store->Has("fronts", "front-1"));
 }
 
@@ -195,10 +203,12 @@
   world.StartFront(0);
   ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
   world.PutTable(2);
-  ASSERT_TRUE(world.RunUntil([&] { return VersionAt(world, 0) == 2; }, kApplyBound));
+  ASSERT_TRUE(HappensWithin(
+    world, [&] { return VersionAt(world, 0) == 2; }, kApplyBound));
   world.store->Restore();
   world.StartFront(1);
-  EXPECT_TRUE(world.RunUntil([&] { return VersionAt(world, 1) == 2; }, kApplyBound + kTolerance));
+  EXPECT_TRUE(HappensWithin(
+    world, [&] { return VersionAt(world, 1) == 2; }, kApplyBound + kTolerance));
 }
 
 // Answers that bear an era before the latest, or none, took a front back.
@@ -210,14 +220,16 @@
     world.store->TakeCopy();
     world.store->Restore();
     world.PutTable(2);
-    ASSERT_TRUE(world.RunUntil([&] { return VersionAt(world, 0) == 2; }, kApplyBound));
+    ASSERT_TRUE(HappensWithin(
+      world, [&] { return VersionAt(world, 0) == 2; }, kApplyBound));
     auto const latest = std::exchange(world.store->era, era);
     world.store->CutWatches();
     world.store->Put("evacuations", "a", nlohmann::json::object());
     world.RunFor(500ms);
     EXPECT_TRUE(CachedStateOf(world, 0)["data_centers_out"].empty()) << era;
     world.store->era = latest;
-    EXPECT_TRUE(world.RunUntil([&] { return CachedStateOf(world, 0)["data_centers_out"].size() == 1; }, kApplyBound))
+    EXPECT_TRUE(HappensWithin(
+      world, [&] { return CachedStateOf(world, 0)["data_centers_out"].size() == 1; }, kApplyBound))
       << era;
   }
 }
