LibGateway: Write crash reports again that a restore lost

Prompts that crash endpoints reached them again after a restore: fronts take a report that is missing in the store for obsolete, and forgot the quarantine with it.

A report that a restored copy lacks, or holds in an older state, is no longer forgotten. It is written again within a second by the front with the greatest weight for it, and 1.5 s later by others if it is still missing; Write() sends only what the store lacks.

--- a/Libraries/LibGateway/CrashService.cpp
+++ b/Libraries/LibGateway/CrashService.cpp
@@ -10,6 +10,9 @@
 static constexpr std::size_t kMaxUnpublished = 16;
 /// A write that the store did not answer is repeated after one to two times this delay.
 static constexpr Duration kRepeatDelay = 1s;
+/// Reports that a restored store lost are written again within this time by one front each, and by the others if they
+/// are still missing after that.
+static constexpr Duration kRestoreTime = 1s;
 /// Fronts that report the same crash at the same time add to the report one after the other.
 static constexpr Duration kConflictDelay = 20ms;
 static constexpr Duration kObsoleteInterval = 10s;
@@ -130,6 +133,7 @@
     revision = stored.revision;
     changed = RecordCrash(this->ledger, stored.report, now) || changed;
   }
+  this->RestoreReports();
   // A report that was removed from the store was obsolete.
   for (auto entry = this->applied.begin(); entry != this->applied.end();) {
     if (this->stateCache.Crashes().contains(entry->first)) {
@@ -240,6 +244,22 @@
   this->clock.Schedule(kObsoleteInterval, [this] { this->RemoveObsolete(); });
 }
 
+void
+CrashService::RestoreReports()
+{
+  std::uniform_real_distribution<double> distribution;
+  for (auto const& process : this->stateCache.TakeReportsToRestore()) {
+    if (!this->ledger.crashes.contains(process))
+      continue;
+    this->applied.erase(process);
+    bool const first = IsAmongOwners(this->stateCache.Fronts(), process, this->settings.name, 1);
+    auto const delay = FromSeconds(Seconds(kRestoreTime) * (distribution(this->random) + (first ? 0 : 1.5)));
+    PART_LOG("crashes") << "event=report-lost process=" << process << " delay_ms=" << Milliseconds(delay);
+    // Write() writes only what the store lacks.
+    this->clock.Schedule(delay, [this, process] { this->Publish(process); });
+  }
+}
+
 void
 CrashService::Publish(std::string const& aProcess)
 {
--- a/Libraries/LibGateway/CrashService.h
+++ b/Libraries/LibGateway/CrashService.h
@@ -52,6 +52,8 @@
   void ClearParts();
   void RemoveObsolete();
 
+  /// Writes reports again that the store lost when it was restored from a copy.
+  void RestoreReports();
   /// Queues the report of a crash to be written to the store.
   void Publish(std::string const& aProcess);
   void PublishNext();
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -64,6 +64,8 @@
   /// Applies a report that the store returned to a write.
   void ApplyCrash(StoredObject const& aObject);
   void DropCrash(std::string const& aProcess) { this->crashes.erase(aProcess); }
+  /// Returns and clears the reports that a restored copy did not hold, or held in an older state.
+  std::set<std::string> TakeReportsToRestore() { return std::exchange(this->restore.reports, {}); }
 
   /// Whether the table, the endpoints and the fronts have all been loaded.
   bool IsInitialized() const;
@@ -136,6 +138,7 @@
     MonotonicTime settlesAt{};
     MonotonicTime endpointsSettleAt{};
     std::set<std::string> withheldEndpoints;
+    std::set<std::string> reports;
   };
 
   GatewaySettings const& settings;
--- a/Libraries/LibGateway/StateCacheRestore.cpp
+++ b/Libraries/LibGateway/StateCacheRestore.cpp
@@ -77,6 +77,7 @@
     case ObjectKind::Front:
       return this->KeepsKnownFront(aObject);
     case ObjectKind::EndpointCrash:
+      this->restore.reports.insert(aObject.name);
       return false;
   }
   VerifyNotReached();
--- a/Tests/Platform/PlatformCrashingPartTests.cpp
+++ b/Tests/Platform/PlatformCrashingPartTests.cpp
@@ -176,7 +176,7 @@
 }
 
 // The reports were lost with a restore of the store, and what had been learnt from them was forgotten.
-TEST(PlatformRestore, DISABLED_KeepsAQuarantineAndWritesItsReportsAgain)
+TEST(PlatformRestore, KeepsAQuarantineAndWritesItsReportsAgain)
 {
   CrashingWorld crashing;
   auto& world = crashing.world;
