LibGateway: Spread the entries that fronts write again

A restored store lacks the entries of all fronts that registered after its copy, and all of them would write at the same moment: at 370 fronts close to its limit of 400 writes a second, with those of endpoints and operators on top, and refused writes cost as much.

A front whose entry was lost writes it again within a random part of a time that allows 200 writes a second: 35 ms at 7 fronts, 1 s at 195, 1.9 s at 370, below the two seconds after which a missing entry counts as gone. First registrations do not wait.

--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -39,6 +39,7 @@
   , peers(aKernel.Find<FrontPeers>(GatewayName::kPeers))
   // The incarnation only tells processes apart, so jumps of the wall clock are harmless.
   , incarnation(this->clock.WallNow().time_since_epoch().count())
+  , random(std::random_device{}())
 {
   this->ownEntry = { this->settings.name,        this->settings.callerAddress,
                      this->settings.peerAddress, this->settings.dataCenter,
@@ -66,12 +67,32 @@
     return;
   auto const known = this->stateCache.Fronts().byName.find(this->settings.name);
   bool const listed = known != this->stateCache.Fronts().byName.end();
-  if (listed && known->second.entry == this->ownEntry)
+  if (listed && known->second.entry == this->ownEntry) {
+    this->wasRegistered = true;
     return;
+  }
   this->registering = true;
+  if (listed || !this->wasRegistered) {
+    this->WriteEntry();
+    return;
+  }
+  // A store that was restored from a copy has lost the entries of many fronts at once.
+  std::uniform_real_distribution<double> distribution;
+  auto const spread = Seconds(RegistrationSpread(this->stateCache.Fronts().byName.size()));
+  this->wasRegistered = false;
+  this->clock.Schedule(FromSeconds(spread * distribution(this->random)), [this] {
+    this->registering = false;
+    this->Register();
+  });
+}
+
+void
+PresenceService::WriteEntry()
+{
+  auto const known = this->stateCache.Fronts().byName.find(this->settings.name);
   auto const done = [this](Platform::WriteResult aResult) { this->OnRegistered(std::move(aResult)); };
   auto const value = Platform::EncodeFront(this->ownEntry);
-  if (listed)
+  if (known != this->stateCache.Fronts().byName.end())
     this->store.Replace(ObjectKind::Front, this->settings.name, known->second.revision, value, done);
   else
     this->store.Create(ObjectKind::Front, this->settings.name, value, done);
--- a/Libraries/LibGateway/PresenceService.h
+++ b/Libraries/LibGateway/PresenceService.h
@@ -28,6 +28,7 @@
   void ProbeFront(FrontEntry const& aFront);
   void OnProbeAnswered(FrontEntry const& aFront, PeerStatus const& aStatus);
   void FetchNewerTable(std::string const& aAddress);
+  void WriteEntry();
   void OnProbeFailed(FrontEntry const& aFront);
   void RemoveDeadFront(FrontEntry const& aFront);
   void FetchFromPeers();
@@ -40,6 +41,9 @@
   FrontEntry ownEntry;
   std::int64_t incarnation;
   bool registering{ false };
+  /// Set once this process has had an entry.
+  bool wasRegistered{ false };
+  std::minstd_rand random;
   bool deregistering{ false };
   /// A call that removes this front's entry is in flight or about to be repeated.
   bool removing{ false };
--- a/Libraries/LibServing/RestoredCopy.cpp
+++ b/Libraries/LibServing/RestoredCopy.cpp
@@ -3,6 +3,8 @@
 namespace Hornbeam::Gateway {
 
 static constexpr std::size_t kMaxDepartures = 512;
+/// Half of the write calls that the platform's stores allow in a second; endpoints and operators write as well.
+static constexpr std::size_t kRegistrationsPerSecond = 200;
 
 void
 RecordDeparture(DepartedProcesses& aDeparted, std::string const& aName, std::int64_t aIncarnation)
@@ -52,4 +54,10 @@
   return HasLeft(aDeparted, aEntry.name, aEntry.incarnation);
 }
 
+Duration
+RegistrationSpread(std::size_t aFronts)
+{
+  return Duration(std::chrono::seconds(1)) * std::int64_t(aFronts) / std::int64_t(kRegistrationsPerSecond);
+}
+
 }
--- a/Libraries/LibServing/RestoredCopy.h
+++ b/Libraries/LibServing/RestoredCopy.h
@@ -32,4 +32,8 @@
 bool
 IsOutdatedInCopy(FrontSet const& aSet, DepartedProcesses const& aDeparted, FrontEntry const& aEntry);
 
+/// Over what time the fronts of a fleet spread the writes of their entries, when all of them were lost at once.
+Duration
+RegistrationSpread(std::size_t aFronts);
+
 }
--- a/Tests/LibServing/RestoredCopyTests.cpp
+++ b/Tests/LibServing/RestoredCopyTests.cpp
@@ -57,6 +57,18 @@
   EXPECT_TRUE(departed.incarnations.contains("e2499"));
 }
 
+// All fronts of a fleet wrote their entries at the same moment, and the store refused most of them.
+TEST(RestoredCopy, SpreadsRegistrationsBelowTheWriteRateOfTheStore)
+{
+  static constexpr double kWritesPerSecond = 400;
+  static constexpr Duration kMissingCountsAsGone = 2s;
+  for (std::size_t const fronts : { 7U, 195U, 370U }) {
+    auto const spread = RegistrationSpread(fronts);
+    EXPECT_LE(double(fronts), Seconds(spread) * kWritesPerSecond) << fronts;
+    EXPECT_LT(spread, kMissingCountsAsGone) << fronts;
+  }
+}
+
 // An answer that bears no era, or a former one, was used like any other.
 TEST(StoreEra, JudgesAnswersByTheirEra)
 {
