Specifications: Model a store that is restored from a copy

ObjectLog orders positions by era: one restore between two fronts with late updates, 899 thousand states, exhausted; ordering by the revision alone (NO_ERA) and a watch across eras (WATCH_ACROSS) are caught. The search without restores is as large as before (10.8 million states). Not exhausted, and so not in the check: three fronts with three revisions and a restore (72 million states, memory), and two restores (71 million).

--- a/Libraries/LibRelay/ObjectLog.h
+++ b/Libraries/LibRelay/ObjectLog.h
@@ -58,8 +58,8 @@
 };
 
 /// Applies an update and returns the objects that it changed. Updates come from several sources that lag behind each
-/// other; one that adds nothing to the log's revision, or does not connect to it, is ignored. An update of a new era of the
-/// store adds to every former one: it is complete, or comes from a log that a complete one has taken to that era.
+/// other; one that adds nothing to the log's revision, or does not connect to it, is ignored. An update of a new era of
+/// the store adds to every former one: it is complete, or comes from a log that a complete one has taken to that era.
 std::vector<LoggedObject>
 ApplyUpdate(ObjectLog& aLog, ObjectUpdate const& aUpdate);
 
--- a/Specifications/ObjectLog.pml
+++ b/Specifications/ObjectLog.pml
@@ -1,19 +1,33 @@
 /* The logs by which fronts learn the state of the store from the store and from each other (Libraries/LibRelay/ObjectLog).
-   One object exists in some version, or does not (0), at each revision of the store. Three fronts list, watch and
-   follow each other; each update is computed at one moment and arrives at a later one, in any order.
+   One object exists in some version, or does not (0), at each revision of the store. Three fronts (two, with restores) list,
+   watch and follow each other; each update is computed at one moment and arrives at a later one, in any order. The store is restored
+   from a copy: revisions since then are given out again, and positions are ordered by the era first. A watch holds in one
+   era only.
 
    Property: a front has exactly the state of the store at the front's revision, and never goes back.
 
    Seeded faults: NO_ORDER applies updates that end before the front's revision; NO_GAP forgets that a complete update
    hides objects that existed only meanwhile; NO_LIMIT lets readers use an update beyond the gap that it spans;
-   NO_PASSING hides the gaps of a front's sources from its readers. */
+   NO_PASSING hides the gaps of a front's sources from its readers; NO_ERA orders positions by their revision alone;
+   WATCH_ACROSS continues a watch from a revision of a former era. */
 
+#ifndef REVISIONS
 #define REVISIONS 3
+#endif
+#ifndef RESTORES
+#define RESTORES 0
+#endif
+#define POSITIONS (REVISIONS * (RESTORES + 1))
+/* Positions count from 1; 0 is none. */
+#define EraOf(position) ((position - 1) / REVISIONS)
+#define RevisionOf(position) ((position - 1) % REVISIONS + 1)
 #define FRONTS 3
 #define UNLIMITED 255
 
 #ifdef NO_ORDER
 #define IsNewer(front) true
+#elif defined(NO_ERA)
+#define IsNewer(front) (revision[front] == 0 || RevisionOf(to) > RevisionOf(revision[front]))
 #else
 #define IsNewer(front) (to > revision[front])
 #endif
@@ -33,7 +47,13 @@
 #define SpansGap(front) (gapTo[front] > 0 && gapAfter[front] >= from)
 #endif
 
-byte truth[REVISIONS + 1];
+#ifdef WATCH_ACROSS
+#define CanWatch(front) (RevisionOf(revision[front]) <= RevisionOf(now))
+#else
+#define CanWatch(front) (EraOf(revision[front]) == EraOf(now))
+#endif
+
+byte truth[POSITIONS + 1];
 byte now = 1;
 
 byte revision[FRONTS];
@@ -46,8 +66,9 @@
 
 active proctype Store()
 {
+  byte copied;
   do
-  :: now < REVISIONS ->
+  :: RevisionOf(now) < REVISIONS ->
      atomic {
        if
        :: truth[now + 1] = 0
@@ -56,7 +77,21 @@
        fi;
        now++
      }
-  :: now == REVISIONS -> break
+  :: EraOf(now) < RESTORES ->
+     atomic {
+       /* The history up to the copy is kept. */
+       copied = 1;
+       do
+       :: truth[(EraOf(now) + 1) * REVISIONS + copied] = truth[EraOf(now) * REVISIONS + copied];
+          if
+          :: copied < RevisionOf(now) -> copied++
+          :: break
+          fi
+       od;
+       now = (EraOf(now) + 1) * REVISIONS + copied;
+       copied = 0
+     }
+  :: RevisionOf(now) == REVISIONS -> break
   od
 }
 
@@ -101,9 +136,9 @@
      }
      atomic { Apply(front) }
   :: atomic {
-       revision[front] > 0 && revision[front] < now ->
+       revision[front] > 0 && revision[front] < now && CanWatch(front) ->
        from = revision[front]; to = now; object = truth[now]; limit = UNLIMITED;
-       other = from;
+       other = EraOf(now) * REVISIONS + RevisionOf(from);
        do
        :: other < now -> included = (included || truth[other] != truth[other + 1]); other++
        :: else -> break
@@ -137,7 +172,9 @@
     :: truth[1] = 1
     fi;
     run Fetch(0);
+#if RESTORES == 0
     run Fetch(1);
+#endif
     run Fetch(2);
     run Fetch(2)
   }
