LibStore: Report objects that go back to an earlier version

The epoch lease and the table of the own interface rely on versions that only rise. A store restored from an older copy would go unnoticed, and two owners could hold leases of different histories.

A front remembers the greatest version of each object. A response to a call that was made after a greater version had been seen is not used, as if the store were away: leases are then extended by a majority of the fronts only, and nothing is decided on the older state.

Not tested: the own interface under a restore with real processes.

--- a/Libraries/LibFront/MetricsService.cpp
+++ b/Libraries/LibFront/MetricsService.cpp
@@ -91,6 +91,9 @@
   aPage.Add({ { "kind", "write" } }, double(aStore.writes));
   aPage.Add({ { "kind", "watch" } }, double(aStore.watches));
   aPage.Counter("store_calls_refused_total", "Calls that the budget held back.", double(aStore.refusedByBudget));
+  aPage.Counter("store_versions_regressed_total",
+                "Responses about objects that had gone back to an earlier version.",
+                double(aStore.versionRegressions));
 }
 
 static void
--- a/Libraries/LibStore/HttpStore.cpp
+++ b/Libraries/LibStore/HttpStore.cpp
@@ -53,6 +53,22 @@
   this->client.Send(std::move(aCall), { nullptr, nullptr, done });
 }
 
+StoreCallback
+HttpStore::CheckVersion(std::string const& aKey, StoreCallback aDone)
+{
+  auto const before = GreatestVersion(this->versions, aKey);
+  return [this, aKey, before, aDone = std::move(aDone)](StoreResponse aResponse) {
+    bool const tellsVersion = aResponse.status == StoreStatus::Ok || aResponse.status == StoreStatus::Absent;
+    if (tellsVersion && RecordVersion(this->versions, aKey, before, aResponse.version)) {
+      ++this->usage.versionRegressions;
+      PART_WARNING("store") << "event=version-regressed key=" << aKey << " version=" << aResponse.version
+                            << " known=" << before;
+      aResponse = {};
+    }
+    aDone(std::move(aResponse));
+  };
+}
+
 static VmListResponse
 ParseVmList(HttpCallResult const& aResult)
 {
@@ -76,19 +92,19 @@
   port.read = [this](std::string const& aKey, StoreCallback aDone) {
     HttpCall call{ "", HttpMethod::Get, "/objects/" + aKey };
     call.timeout = this->settings.callTimeout;
-    this->Call(std::move(call), this->usage.reads, std::move(aDone));
+    this->Call(std::move(call), this->usage.reads, this->CheckVersion(aKey, std::move(aDone)));
   };
   port.write = [this](std::string const& aKey, std::string aValue, StoreVersion aExpected, StoreCallback aDone) {
     HttpCall call{ "", HttpMethod::Put, "/objects/" + aKey, std::move(aValue) };
     call.ifMatch = "\"" + std::to_string(aExpected) + "\"";
     call.timeout = this->settings.callTimeout;
-    this->Call(std::move(call), this->usage.writes, std::move(aDone));
+    this->Call(std::move(call), this->usage.writes, this->CheckVersion(aKey, std::move(aDone)));
   };
   port.watch = [this](std::string const& aKey, StoreVersion aKnown, StoreCallback aDone) {
     auto const wait = std::to_string(Milliseconds(this->settings.watchTimeout));
     HttpCall call{ "", HttpMethod::Get, "/objects/" + aKey + "?watch=" + std::to_string(aKnown) + "&wait_ms=" + wait };
     call.timeout = this->settings.watchTimeout + this->settings.callTimeout;
-    this->Call(std::move(call), this->usage.watches, std::move(aDone));
+    this->Call(std::move(call), this->usage.watches, this->CheckVersion(aKey, std::move(aDone)));
   };
   port.listVms = [this](std::function<void(VmListResponse)> aDone) {
     ++this->usage.reads;
--- a/Libraries/LibStore/HttpStore.h
+++ b/Libraries/LibStore/HttpStore.h
@@ -2,6 +2,7 @@
 
 #include "CallBudget.h"
 #include "StorePort.h"
+#include "VersionHistory.h"
 #include <LibHttp/LibHttp.h>
 
 namespace Hornbeam {
@@ -26,12 +27,15 @@
 
 private:
   void Call(HttpCall aCall, std::uint64_t& aCounter, StoreCallback aDone);
+  /// Passes on responses about an object, unless the object went back.
+  StoreCallback CheckVersion(std::string const& aKey, StoreCallback aDone);
 
   HttpClient& client;
   Clock& clock;
   HttpStoreSettings settings;
   CallBudget budget;
   StoreUsage usage;
+  VersionHistory versions;
 };
 
 }
--- a/Libraries/LibStore/LibStore.h
+++ b/Libraries/LibStore/LibStore.h
@@ -5,3 +5,4 @@
 #include "CallBudget.h"
 #include "HttpStore.h"
 #include "StorePort.h"
+#include "VersionHistory.h"
--- a/Libraries/LibStore/StorePort.h
+++ b/Libraries/LibStore/StorePort.h
@@ -70,6 +70,8 @@
   std::uint64_t writes{ 0 };
   std::uint64_t watches{ 0 };
   std::uint64_t refusedByBudget{ 0 };
+  /// Responses that were not used because their object had gone back to an earlier version.
+  std::uint64_t versionRegressions{ 0 };
 };
 
 }
