Tests: Restore the store in the soak

The soak copies the stand-in store every four seconds, and a new kind of fault returns it to the copy, with watches that are cut or stay open; operators and endpoints write again up to 1.9 s later, in series and beside all other faults. Endpoints that had been draining now come back as another process, as those of the platform do: a process that began to leave does not come back, and fronts rely on it after a restore.

--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -56,6 +56,7 @@
 void
 StandInStore::Put(std::string const& aKind, std::string const& aName, json aSpec)
 {
+  this->written[aKind][aName] = aSpec;
   this->Change(aKind, aName, std::move(aSpec));
   this->NotifyWatches();
 }
@@ -63,6 +64,7 @@
 void
 StandInStore::Remove(std::string const& aKind, std::string const& aName)
 {
+  this->written[aKind][aName] = std::nullopt;
   this->Erase(aKind, aName);
   this->NotifyWatches();
 }
@@ -114,6 +116,21 @@
   this->copy = this->state;
 }
 
+void
+StandInStore::WriteAgain()
+{
+  for (auto const& [kind, objects] : this->written)
+    for (auto const& [name, spec] : objects) {
+      auto const found = this->state.objects[kind].find(name);
+      bool const exists = found != this->state.objects[kind].end();
+      if (!spec && exists)
+        this->Erase(kind, name);
+      else if (spec && (!exists || found->second.spec != *spec))
+        this->Change(kind, name, *spec);
+    }
+  this->NotifyWatches();
+}
+
 void
 StandInStore::Restore(WaitingWatches aWatches)
 {
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -54,6 +54,9 @@
   /// Keeps a copy of the objects, from which the store can be restored.
   void TakeCopy();
 
+  /// Writes again what operators and endpoints last wrote or removed, where it is gone.
+  void WriteAgain();
+
   /// Returns to the copy: all later writes are gone, and their revisions are given out again in a new era.
   void Restore(WaitingWatches aWatches = WaitingWatches::Cut);
 
@@ -118,6 +121,8 @@
   Gateway::HttpListener entry;
   State state;
   State copy;
+  /// What operators and endpoints wrote last; nothing if they removed it.
+  std::map<std::string, std::map<std::string, std::optional<nlohmann::json>>> written;
   std::vector<PendingWatch> pendingWatches;
 };
 
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -12,11 +12,11 @@
   "store-loses-answers",  "table-changes",          "store-link-slow",      "store-link-reset",
   "store-link-cut-to",    "store-link-cut-from",    "endpoint-link-slow",   "endpoint-link-reset",
   "endpoint-link-cut-to", "endpoint-link-cut-from", "endpoint-link-silent", "endpoint-faulty",
-  "endpoint-leaves",      "endpoint-starts-anew",   "data-center-out",
+  "endpoint-leaves",      "endpoint-starts-anew",   "data-center-out",      "store-restored",
 };
 
 static constexpr unsigned kKinds = std::size(kNames);
-static_assert(kKinds == static_cast<unsigned>(SoakFaultKind::DataCenterOut) + 1);
+static_assert(kKinds == static_cast<unsigned>(SoakFaultKind::StoreRestored) + 1);
 
 std::string_view
 ToString(SoakFaultKind aKind)
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -31,6 +31,8 @@
   EndpointDrains,
   EndpointRestarts,
   DataCenterOut,
+  /// The store is away, and comes back from an older copy; its other writers write again a little later.
+  StoreRestored,
 };
 
 std::string_view
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -18,6 +18,11 @@
 static constexpr unsigned kSlowSlots = 64;
 static constexpr Duration kSlowStageTime = 100ms;
 
+/// A copy from which the store is restored is up to this old.
+static constexpr Duration kCopyInterval = 4s;
+/// Other writers than fronts have written again within two seconds.
+static constexpr unsigned kMaxRewriteMs = 1900;
+
 SoakWorld::SoakWorld(SoakSettings aSettings)
   : settings(std::move(aSettings))
   , nextPort(this->settings.firstPort)
@@ -138,6 +143,7 @@
 {
   for (auto const& front : this->fronts)
     front->Start();
+  this->TakeCopies();
 }
 
 void
@@ -160,7 +166,7 @@
             << " length_ms=" << Milliseconds(aFault.length) << " target=" << aFault.target << "\n";
   if (aFault.kind <= SoakFaultKind::FrontReloadsSettings)
     this->BeginAtFront(aFault);
-  else if (aFault.kind <= SoakFaultKind::TableChanges || aFault.kind == SoakFaultKind::DataCenterOut)
+  else if (aFault.kind <= SoakFaultKind::TableChanges || aFault.kind >= SoakFaultKind::DataCenterOut)
     this->BeginAtStore(aFault);
   else if (aFault.kind <= SoakFaultKind::StoreLinkCutFrom)
     this->BeginAtLink(aFault, *this->storeLinks[aFault.target], SoakFaultKind::StoreLinkSlow);
@@ -260,12 +266,37 @@
       return;
     case SoakFaultKind::TableChanges:
       return this->store->Put("config", "main", this->NextTable());
+    case SoakFaultKind::StoreRestored:
+      return this->RestoreStore(aFault);
     default:
       this->store->Put("evacuations", "b", nlohmann::json::object());
       this->RunAfter(aFault.length, [this] { this->store->Remove("evacuations", "b"); });
   }
 }
 
+void
+SoakWorld::TakeCopies()
+{
+  this->store->TakeCopy();
+  this->RunAfter(kCopyInterval, [this] { this->TakeCopies(); });
+}
+
+void
+SoakWorld::RestoreStore(SoakFault const& aFault)
+{
+  bool const keepsWatches = aFault.randomValue % 2 == 0;
+  if (!keepsWatches) {
+    this->store->behavior = StoreBehavior::Resetting;
+    this->store->CutWatches();
+  }
+  this->RunAfter(aFault.length, [this, keepsWatches] {
+    this->store->behavior = StoreBehavior::Healthy;
+    this->store->Restore(keepsWatches ? WaitingWatches::Kept : WaitingWatches::Cut);
+  });
+  auto const rewriteTime = std::chrono::milliseconds(aFault.randomValue / 2 % kMaxRewriteMs);
+  this->RunAfter(aFault.length + rewriteTime, [this] { this->store->WriteAgain(); });
+}
+
 void
 SoakWorld::BeginAtLink(SoakFault const& aFault, SoakProxy& aProxy, SoakFaultKind aSlow)
 {
@@ -305,6 +336,8 @@
     }
     case SoakFaultKind::EndpointDrains:
       this->PutEndpoint(endpoint, "draining");
+      // It comes back as another process.
+      ++endpoint.incarnation;
       break;
     default:
       ++endpoint.incarnation;
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -109,6 +109,9 @@
   void Begin(SoakFault const& aFault);
   void BeginAtFront(SoakFault const& aFault);
   void BeginAtStore(SoakFault const& aFault);
+  /// Copies the store now and then.
+  void TakeCopies();
+  void RestoreStore(SoakFault const& aFault);
   void BeginAtLink(SoakFault const& aFault, SoakProxy& aProxy, SoakFaultKind aSlow);
   void BeginAtEndpoint(SoakFault const& aFault);
   void RunAfter(Duration aTime, std::function<void()> aAction);
