--- a/Tests/Platform/PlatformRestoreTests.cpp
+++ b/Tests/Platform/PlatformRestoreTests.cpp
@@ -234,33 +234,75 @@
   }
 }
 
+/// A client of the store, whose calls wait for their outcome.
+struct DirectClient
+{
+  explicit DirectClient(PlatformWorld& aWorld)
+    : world(aWorld)
+    , client(aWorld.callers, aWorld.store->Address())
+  {
+  }
+
+  Platform::WriteResult Create(std::string const& aName)
+  {
+    return this->Await([&](auto aDone) {
+      this->client.Create(Platform::ObjectKind::Front, aName, { { "a", 1 } }, aDone);
+    });
+  }
+
+  Platform::WriteResult Replace(std::string const& aName, StorePosition aRevision)
+  {
+    return this->Await([&](auto aDone) {
+      this->client.Replace(Platform::ObjectKind::Front, aName, aRevision, { { "a", 2 } }, aDone);
+    });
+  }
+
+  Platform::WriteResult Remove(std::string const& aName, StorePosition aRevision)
+  {
+    return this->Await([&](auto aDone) { this->client.Remove(Platform::ObjectKind::Front, aName, aRevision, aDone); });
+  }
+
+  Platform::WriteResult Await(std::function<void(std::function<void(Platform::WriteResult)>)> const& aCall)
+  {
+    std::optional<Platform::WriteResult> result;
+    aCall([&result](Platform::WriteResult aResult) { result = std::move(aResult); });
+    EXPECT_TRUE(this->world.RunUntil([&] { return result.has_value(); }));
+    return result.value_or(Platform::WriteResult{});
+  }
+
+  PlatformWorld& world;
+  Platform::StoreClient client;
+};
+
 // A write on the condition of a revision that was read before a restore could hit another state with the same revision.
 TEST(PlatformRestore, DoesNotWriteOnTheConditionOfARevisionOfAFormerEra)
 {
   PlatformWorld world(0);
-  Platform::StoreClient client(world.callers, world.store->Address());
+  DirectClient direct(world);
   world.store->TakeCopy();
-  auto const create = [&](std::string const& aName) {
-    std::optional<Platform::WriteResult> result;
-    client.Create(Platform::ObjectKind::Front, aName, { { "a", 1 } }, [&](auto aResult) { result = aResult; });
-    EXPECT_TRUE(world.RunUntil([&] { return result.has_value(); }));
-    return result->object ? result->object->revision : 0;
-  };
-  auto const before = create("first");
+  auto const before = direct.Create("first").object.value().revision;
   world.store->Restore();
-  auto const after = create("first");
-  EXPECT_NE(before, after);
-  for (bool const remove : { true, false }) {
-    std::optional<Platform::StoreOutcome> outcome;
-    auto const done = [&](Platform::WriteResult const& aResult) { outcome = aResult.outcome; };
-    if (remove)
-      client.Remove(Platform::ObjectKind::Front, "first", before, done);
-    else
-      client.Replace(Platform::ObjectKind::Front, "first", before, { { "a", 2 } }, done);
-    EXPECT_TRUE(world.RunUntil([&] { return outcome.has_value(); }));
-    EXPECT_NE(*outcome, Platform::StoreOutcome::Done);
-  }
-  EXPECT_TRUE(world.store->Has("fronts", "first"));
+  auto const after = direct.Create("first").object.value().revision;
+  EXPECT_EQ(RevisionOf(before), RevisionOf(after));
+  auto const calls = world.store->calls;
+  EXPECT_EQ(direct.Replace("first", before).outcome, Platform::StoreOutcome::Outdated);
+  EXPECT_EQ(direct.Remove("first", before).outcome, Platform::StoreOutcome::Outdated);
+  EXPECT_EQ(world.store->calls, calls);
+}
+
+// Every conditional replacement was refused as a conflict, as the position was sent instead of the revision.
+TEST(PlatformRestore, WritesOnTheConditionOfARevisionOfTheLatestEra)
+{
+  PlatformWorld world(0);
+  DirectClient direct(world);
+  world.store->TakeCopy();
+  direct.Create("first");
+  world.store->Restore();
+  auto const created = direct.Create("first").object.value().revision;
+  auto const replaced = direct.Replace("first", created);
+  ASSERT_EQ(replaced.outcome, Platform::StoreOutcome::Done);
+  EXPECT_EQ(direct.Remove("first", created).outcome, Platform::StoreOutcome::Conflict);
+  EXPECT_EQ(direct.Remove("first", replaced.object.value().revision).outcome, Platform::StoreOutcome::Done);
 }
 
 }
