LibServing, Platform: Note eras that followers learn from relays

The state cache tells the client of the era of what it applies. Only revisions and answers of a former era are unusable. An entry that replaces that of an earlier process is spread over the fleet like one that is missing.

ReplacesTheEntriesOfEarlierProcessesOfFollowers fails without the change.

--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -72,11 +72,11 @@
     return;
   }
   this->registering = true;
-  if (listed || !this->wasRegistered) {
+  if (!this->wasRegistered) {
     this->WriteEntry();
     return;
   }
-  // A store that was restored from a copy has lost the entries of many fronts at once.
+  // A store that was restored from a copy lacks the entries of many fronts at once, or has those of earlier processes.
   std::uniform_real_distribution<double> distribution;
   auto const spread = Seconds(RegistrationSpread(this->stateCache.Fronts().byName.size()));
   this->wasRegistered = false;
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -269,6 +269,8 @@
   if (log.revision == before)
     return;
   bool const restored = before != 0 && EraOf(log.revision) != EraOf(before);
+  // A front that follows relays may learn of the era from them first.
+  this->store.NoteEra(EraOf(log.revision));
   if (restored)
     this->BeginRestore(aKind, before, changes);
   for (auto const& object : changes) {
--- a/Libraries/LibServing/StoreEra.cpp
+++ b/Libraries/LibServing/StoreEra.cpp
@@ -25,11 +25,18 @@
   if (*era == aState.latest)
     return EraVerdict::Current;
   bool const isFirst = aState.latest == 0;
-  aState.latest = *era;
-  if (isFirst)
-    return EraVerdict::Current;
-  ++aState.restores;
-  return EraVerdict::Restored;
+  RaiseEra(aState, *era);
+  return isFirst ? EraVerdict::Current : EraVerdict::Restored;
+}
+
+void
+RaiseEra(StoreEra& aState, std::uint64_t aEra)
+{
+  if (aEra <= aState.latest)
+    return;
+  if (aState.latest != 0)
+    ++aState.restores;
+  aState.latest = aEra;
 }
 
 }
--- a/Libraries/LibServing/StoreEra.h
+++ b/Libraries/LibServing/StoreEra.h
@@ -29,4 +29,8 @@
 EraVerdict
 RecordEra(StoreEra& aState, std::optional<std::string> const& aEra);
 
+/// Records an era that another front learnt from an answer of the store.
+void
+RaiseEra(StoreEra& aState, std::uint64_t aEra);
+
 }
--- a/Tests/LibServing/RestoredCopyTests.cpp
+++ b/Tests/LibServing/RestoredCopyTests.cpp
@@ -84,6 +84,12 @@
   EXPECT_EQ(RecordEra(era, "4"), EraVerdict::Current);
   EXPECT_EQ(RecordEra(era, "9"), EraVerdict::Restored);
   EXPECT_EQ(era.restores, 2U);
+  RaiseEra(era, 8);
+  EXPECT_EQ(era.latest, 9U);
+  RaiseEra(era, 11);
+  EXPECT_EQ(RecordEra(era, "10"), EraVerdict::Unusable);
+  EXPECT_EQ(RecordEra(era, "11"), EraVerdict::Current);
+  EXPECT_EQ(era.restores, 3U);
 }
 
 }
--- a/Tests/Platform/PlatformRestoreTests.cpp
+++ b/Tests/Platform/PlatformRestoreTests.cpp
@@ -173,6 +173,28 @@
   EXPECT_EQ(world.store->creations - creations, 1U);
 }
 
+// Fronts that follow relays did not know the new era from an answer of the store, and held back the replacements of
+// their entries.
+TEST(PlatformRestore, ReplacesTheEntriesOfEarlierProcessesOfFollowers)
+{
+  static constexpr unsigned kFronts = 6;
+  PlatformWorld world(kFronts);
+  world.PutTable(1);
+  nlohmann::json earlier{
+    { "caller_address", "127.0.0.1:9" }, { "peer_address", "127.0.0.1:9" }, { "data_center", "a" }, { "incarnation", 1 }
+  };
+  for (unsigned front = 0; front < kFronts; ++front)
+    world.store->Put("fronts", "front-" + std::to_string(front), earlier);
+  world.store->TakeCopy();
+  auto const entriesOfEarlier = [&] { return world.store->CountSpecs("fronts", earlier); };
+  world.Start();
+  ASSERT_TRUE(world.RunUntil([&] { return entriesOfEarlier() == 0; }, 4s));
+  world.RunFor(4s);
+  world.store->Restore();
+  ASSERT_EQ(entriesOfEarlier(), kFronts);
+  EXPECT_TRUE(world.RunUntil([&] { return entriesOfEarlier() == 0; }, kRewriteTime));
+}
+
 // A front that is gone was in the directory again, since the copy had its entry.
 TEST(PlatformRestore, DoesNotNameFrontsThatHadLeft)
 {
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -1,4 +1,5 @@
 #include "StandInStore.h"
+#include <algorithm>
 
 namespace Hornbeam::Testing {
 
@@ -83,6 +84,16 @@
   return found == this->state.objects.end() ? 0 : found->second.size();
 }
 
+std::size_t
+StandInStore::CountSpecs(std::string const& aKind, json const& aSpec) const
+{
+  auto const found = this->state.objects.find(aKind);
+  if (found == this->state.objects.end())
+    return 0;
+  return std::size_t(
+    std::ranges::count_if(found->second, [&](auto const& aEntry) { return aEntry.second.spec == aSpec; }));
+}
+
 void
 StandInStore::PutInHistoryGap(std::string const& aKind, std::string const& aName, json aSpec)
 {
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -40,6 +40,8 @@
   bool Has(std::string const& aKind, std::string const& aName) const;
 
   std::size_t Count(std::string const& aKind) const;
+  /// The number of objects of a kind with that spec.
+  std::size_t CountSpecs(std::string const& aKind, nlohmann::json const& aSpec) const;
 
   /// Disconnects the watches, writes an object and drops its event. The store reports the gap in the history only after
   /// a short delay, so watches that start before that miss the change.
