LibGateway: Settle a restore once, and leave the own entry alone

At 370 fronts, an entry may be written up to 1.9 s after a restore, and the store's change reach its front after 2.3 s: settling took its own entry for missing, and the front wrote it a second time. It also settled once for each kind, five times in a row.

A front knows of its own entry from writing it, so settling passes over it; the last of the overlapping restores settles them all, once. Found by reading; no test fails without it, as the stand-in's changes arrive within milliseconds. ObjectLog tests show a later era at a lower revision, and readers of a former one that a relay leads to the latest.

--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -377,7 +377,7 @@
     this->DropEndpoint(aObject.name, "no-entry");
     return;
   }
-  if (this->clock.Now() < this->restore.endpointsSettleAt && IsOutdated(this->endpoints, *entry)) {
+  if (this->restore.endpointsSettleAt && IsOutdated(this->endpoints, *entry)) {
     this->restore.withheldEndpoints.insert(entry->id);
     return;
   }
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -138,9 +138,12 @@
   /// What follows from the last restore of the store.
   struct Restore
   {
-    MonotonicTime settlesAt{};
-    MonotonicTime endpointsSettleAt{};
+    /// When what the store holds counts again; nothing once it does.
+    std::optional<MonotonicTime> settlesAt;
+    /// The same for endpoints of the copy that had left.
+    std::optional<MonotonicTime> endpointsSettleAt;
     std::set<std::string> withheldEndpoints;
+    /// Crash reports that the copy lacks, or holds in an older state.
     std::set<std::string> reports;
   };
 
--- a/Libraries/LibGateway/StateCacheRestore.cpp
+++ b/Libraries/LibGateway/StateCacheRestore.cpp
@@ -53,12 +53,19 @@
   this->restore.settlesAt = now + kRewriteTime;
   this->restore.endpointsSettleAt = now + kSilenceTime;
   this->AwaitReregistration();
-  this->clock.Schedule(kRewriteTime, [this] {
-    if (this->clock.Now() >= this->restore.settlesAt)
+  // Each kind begins a restore, and further ones may follow; the last one settles them all.
+  auto const isDue = [this](std::optional<MonotonicTime>& aTime) {
+    bool const due = aTime && this->clock.Now() >= *aTime;
+    if (due)
+      aTime.reset();
+    return due;
+  };
+  this->clock.Schedule(kRewriteTime, [this, isDue] {
+    if (isDue(this->restore.settlesAt))
       this->SettleRestore();
   });
-  this->clock.Schedule(kSilenceTime, [this] {
-    if (this->clock.Now() >= this->restore.endpointsSettleAt)
+  this->clock.Schedule(kSilenceTime, [this, isDue] {
+    if (isDue(this->restore.endpointsSettleAt))
       this->SettleEndpoints();
   });
 }
@@ -159,20 +166,21 @@
 StateCache::SettleFronts()
 {
   std::vector<std::string> missing;
+  // This front knows of its own entry from writing it, before the store's changes tell.
   for (auto const& [name, front] : this->fronts.byName)
-    if (!this->ObjectInLog(ObjectKind::Front, name))
+    if (name != this->settings.name && !this->ObjectInLog(ObjectKind::Front, name))
       missing.push_back(name);
   for (auto const& name : missing)
     this->OnRemoved(ObjectKind::Front, name);
   for (auto const& [name, entry] : this->logs.at(ObjectKind::Front).entries) {
     auto const object = this->ObjectInLog(ObjectKind::Front, name);
     auto const known = this->fronts.byName.find(name);
-    if (!object || (known != this->fronts.byName.end() && known->second.revision == object->revision))
+    bool const isKnown = object && known != this->fronts.byName.end() && known->second.revision == object->revision;
+    if (!object || isKnown || name == this->settings.name)
       continue;
     this->UpdateFront(*object);
     // Its process had left, unless a probe shows that it has not.
-    if (name != this->settings.name)
-      SuspectFront(this->fronts, name, this->clock.Now());
+    SuspectFront(this->fronts, name, this->clock.Now());
   }
 }
 
--- a/Tests/LibRelay/ObjectLogTests.cpp
+++ b/Tests/LibRelay/ObjectLogTests.cpp
@@ -239,4 +239,37 @@
   }
 }
 
+// After a restore of the store, everything was ignored until the new revisions had passed the old ones.
+TEST(ObjectLog, TakesALaterEraAtALowerRevision)
+{
+  auto log = LogOf({ Present("a", MakePosition(1, 3)), Present("b", MakePosition(1, 40)) }, MakePosition(1, 41));
+  auto const copy = MakePosition(2, 30);
+  EXPECT_EQ(ApplyUpdate(log, { true, 0, copy, { Present("a", MakePosition(1, 3)) } }).size(), 1U);
+  EXPECT_EQ(log.revision, copy);
+  EXPECT_EQ(ObjectsOf(log).size(), 1U);
+  // What the store still has in the same state is known at its revision in the new era.
+  EXPECT_EQ(log.entries.at("a").object.revision, MakePosition(2, 3));
+  EXPECT_TRUE(ApplyUpdate(log, { true, 0, MakePosition(1, 60), { Present("b", MakePosition(1, 60)) } }).empty());
+  EXPECT_EQ(log.revision, copy);
+}
+
+// A follower in the former era got changes that do not lead from its state to that of the relay.
+TEST(ObjectLog, LeadsReadersOfAFormerEraToTheLatest)
+{
+  auto relay = LogOf({ Present("a", MakePosition(1, 3)), Present("b", MakePosition(1, 20)) }, MakePosition(1, 40));
+  ApplyUpdate(relay, { true, 0, MakePosition(2, 10), { Present("a", MakePosition(1, 3)) } });
+  ApplyUpdate(relay, { false, MakePosition(2, 10), MakePosition(2, 12), { Present("c", MakePosition(2, 12)) } });
+  auto const reader = [](std::uint64_t aRevision, std::vector<LoggedObject> aObjects) {
+    return LogOf(aObjects, MakePosition(1, aRevision));
+  };
+  auto const a = Present("a", MakePosition(1, 3));
+  for (auto log : { reader(10, { a }),
+                    reader(40, { a, Present("b", MakePosition(1, 20)) }),
+                    reader(60, { a, Present("d", MakePosition(1, 50)) }) }) {
+    ApplyUpdate(log, UpdateSince(relay, log.revision));
+    EXPECT_EQ(ObjectsOf(log), ObjectsOf(relay));
+    EXPECT_EQ(log.revision, relay.revision);
+  }
+}
+
 }
