Tests: Keep the order of bytes in the soak's proxy

Cause: when a slow link recovers, bytes that arrive before the delayed ones are due get the same due time, but each timer adds the time between two readings of the clock. The chunk of event 2 arrived after the last chunk, where the front rightly takes it for bytes that belong to no response, and closes the connection.

Ruled out: the front lost nothing, as a missing chunk within its response would not parse. The run itself could not be repeated: the soak is not deterministic.

What is due is now kept in a queue for each direction, and each timer takes the first of it; ends go the same way.

--- a/Tests/Soak/SoakProxy.cpp
+++ b/Tests/Soak/SoakProxy.cpp
@@ -51,7 +51,7 @@
       if (auto const stream = to.lock(); stream && stream->IsOpen())
         stream->Write(data);
     };
-    this->clock.Schedule(this->DeliveryDelay(*known, aDirection), std::move(write));
+    this->Deliver(known, aDirection, std::move(write));
   };
   events.onEnd = [this, aDirection, link = std::weak_ptr(aLink)](StreamEnd aEnd) {
     if (auto const known = link.lock())
@@ -67,7 +67,7 @@
   if (aLink->silent)
     return;
   auto const other = aDirection == Direction::ToTarget ? aLink->target : aLink->caller;
-  this->clock.Schedule(this->DeliveryDelay(*aLink, aDirection) + 1ms, [other, aEnd] {
+  this->Deliver(aLink, aDirection, [other, aEnd] {
     if (!other->IsOpen())
       return;
     if (aEnd == StreamEnd::Reset)
@@ -77,6 +77,21 @@
   });
 }
 
+void
+SoakProxy::Deliver(LinkPointer const& aLink, Direction aDirection, std::function<void()> aAction)
+{
+  auto const queueOf = [aDirection](Link & aOf) -> auto&
+  {
+    return aDirection == Direction::ToTarget ? aOf.toTarget : aOf.fromTarget;
+  };
+  queueOf(*aLink).push_back(std::move(aAction));
+  this->clock.Schedule(this->DeliveryDelay(*aLink, aDirection), [aLink, queueOf] {
+    auto const action = std::move(queueOf(*aLink).front());
+    queueOf(*aLink).pop_front();
+    action();
+  });
+}
+
 Duration
 SoakProxy::DeliveryDelay(Link& aLink, Direction aDirection) const
 {
--- a/Tests/Soak/SoakProxy.h
+++ b/Tests/Soak/SoakProxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibExchange/LibExchange.h>
+#include <deque>
 #include <list>
 
 namespace Hornbeam::Testing {
@@ -39,8 +40,10 @@
     std::shared_ptr<Gateway::TcpStream> caller;
     std::shared_ptr<Gateway::TcpStream> target;
     bool silent{ false };
-    /// When the last byte of each direction is forwarded. Later bytes are never forwarded earlier, which preserves the
-    /// order.
+    /// What is due in each direction, in order. Timers for the same moment run in any order, so each takes the first.
+    std::deque<std::function<void()>> toTarget;
+    std::deque<std::function<void()>> fromTarget;
+    /// When the last byte of each direction is forwarded. Later bytes are never forwarded earlier.
     MonotonicTime lastToTarget{};
     MonotonicTime lastFromTarget{};
   };
@@ -49,6 +52,8 @@
   void OnAccept(std::shared_ptr<Gateway::TcpStream> aCaller);
   void StartForwarding(LinkPointer const& aLink);
   void Forward(LinkPointer const& aLink, Direction aDirection);
+  /// Runs aAction after the delay of bytes that arrive now, in the order of the calls.
+  void Deliver(LinkPointer const& aLink, Direction aDirection, std::function<void()> aAction);
   /// The delay until bytes that arrive now are forwarded.
   Duration DeliveryDelay(Link& aLink, Direction aDirection) const;
   void PauseIfCut(LinkPointer const& aLink);
