--- a/Tests/Platform/PlatformRestoreTests.cpp
+++ b/Tests/Platform/PlatformRestoreTests.cpp
@@ -233,6 +233,29 @@
     world, [&] { return VersionAt(world, 1) == 2; }, kApplyBound + kTolerance));
 }
 
+// A front that starts right after a restore uses endpoints of the copy that others know to have left.
+TEST(PlatformRestore, DISABLED_TakesDeparturesFromOthersAtAStart)
+{
+  PlatformWorld world(2);
+  auto const left = world.AddEndpoint(EndpointKind::Plain, "ledger").Id();
+  world.AddEndpoint(EndpointKind::Plain, "ledger");
+  world.PutTable(1);
+  world.StartFront(0);
+  ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
+  world.store->TakeCopy();
+  world.store->Remove("servers", left);
+  ASSERT_TRUE(HappensWithin(
+    world, [&] { return StateOfEndpoint(world, left).is_null(); }, kApplyBound));
+  world.store->Restore();
+  world.StartFront(1);
+  auto const usesLeft = [&] {
+    auto const state = CachedStateOf(world, 1);
+    return std::ranges::any_of(state["endpoints"], [&](auto const& aEndpoint) { return aEndpoint["id"] == left; });
+  };
+  world.RunFor(kTolerance);
+  EXPECT_FALSE(HappensWithin(world, usesLeft, kRewriteTime - kTolerance));
+}
+
 // Answers that bear an era before the latest, or none, took a front back.
 TEST(PlatformRestore, IgnoresAnswersOfAFormerEraOrOfNone)
 {
