LibGateway: Show how long the store has not answered a watch

The lines of requests called the state 0 ms old while the table was 10 s old: the age only counts from a failed call, and a watch that the store never heard does not fail. The new gauge store_longest_unanswered_seconds and ms_since_store_answer of /beliefs, by kind, tell such a watch from one that works.

--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -86,6 +86,10 @@
   auto const& endpoints = this->stateCache.Endpoints();
   target.SetGauge("table_version", this->stateCache.Table() ? double(this->stateCache.Table()->version) : 0);
   target.SetGauge("beliefs_age_seconds", double(Milliseconds(this->stateCache.Age())) / 1000);
+  Duration longest{ 0 };
+  for (auto const& [kind, time] : this->stateCache.TimesSinceAnswer())
+    longest = std::max(longest, time);
+  target.SetGauge("store_longest_unanswered_seconds", double(Milliseconds(longest)) / 1000);
   target.SetGauge("endpoints", double(endpoints.byId.size()));
   target.SetGauge("data_centers_out", double(endpoints.dataCentersOutOfRotation.size()));
   target.SetGauge("fronts", double(this->stateCache.Fronts().byName.size()));
@@ -121,6 +125,9 @@
   result["followers"] = this->relay.Followers();
   result["store_era"] = this->stateCache.Era();
   result["age_ms"] = Milliseconds(this->stateCache.Age());
+  auto& unanswered = result["ms_since_store_answer"] = json::object();
+  for (auto const& [kind, time] : this->stateCache.TimesSinceAnswer())
+    unanswered[std::string(ToString(kind))] = Milliseconds(time);
   result["leaving"] = this->draining;
   result["data_centers_out"] = this->stateCache.Endpoints().dataCentersOutOfRotation;
   auto& endpoints = result["endpoints"] = json::array();
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -191,6 +191,17 @@
   return std::min<Duration>({ now - oldest, sinceConfirmed, kUnknownAge });
 }
 
+std::vector<std::pair<ObjectKind, Duration>>
+StateCache::TimesSinceAnswer() const
+{
+  std::vector<std::pair<ObjectKind, Duration>> times;
+  if (this->use == StoreUse::None)
+    return times;
+  for (auto const& [kind, watch] : this->watches)
+    times.emplace_back(kind, std::min<Duration>(this->clock.Now() - watch->LastResponseTime(), kUnknownAge));
+  return times;
+}
+
 std::vector<StorePosition>
 StateCache::Revisions() const
 {
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -92,6 +92,9 @@
   /// confirmed it or, if that is less, the longest time since a watch that cannot reach the store received a response.
   Duration Age() const;
 
+  /// Returns the time since the store last answered this front's watch of each kind; nothing while it does not watch.
+  std::vector<std::pair<ObjectKind, Duration>> TimesSinceAnswer() const;
+
   SelectionView MakeSelectionView() const;
 
 private:
