--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -183,10 +183,25 @@
       events.push_back({ { "deleted", event.removed }, { "object", event.object } });
   if (events.empty())
     return false;
-  this->Respond(*aWatch.exchange, 200, { { "events", events }, { "as_of", this->state.revision } });
+  this->RespondToWatch(aWatch.exchange, { { "events", events }, { "as_of", this->state.revision } });
   return true;
 }
 
+void
+StandInStore::RespondToWatch(std::shared_ptr<Exchange> const& aExchange, json const& aBody)
+{
+  if (this->lostAnswer == LostAnswer::None) {
+    this->Respond(*aExchange, 200, aBody);
+    return;
+  }
+  this->abandoned.push_back(aExchange);
+  if (this->lostAnswer == LostAnswer::Whole)
+    return;
+  aExchange->BeginStream({ 200, { { "Content-Type", "application/json" }, { "Store-Era", this->era } } });
+  if (this->lostAnswer == LostAnswer::InsideBody)
+    aExchange->SendChunk(aBody.dump().substr(0, 20));
+}
+
 void
 StandInStore::Handle(std::shared_ptr<Exchange> const& aExchange)
 {
@@ -197,8 +212,7 @@
     case StoreBehavior::Resetting:
       return aExchange->Abort();
     case StoreBehavior::Silent:
-      // Keeps the exchange open without a response.
-      this->pendingWatches.push_back({ aExchange, "none", this->state.revision });
+      this->abandoned.push_back(aExchange);
       return;
     case StoreBehavior::Healthy:
       break;
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -18,6 +18,15 @@
   Silent,
 };
 
+/// What gets lost of the answers of waiting watches, on connections that stay open.
+enum class LostAnswer
+{
+  None,
+  Whole,
+  AfterHead,
+  InsideBody,
+};
+
 /// What happens to the watches that wait while the store is restored.
 enum class WaitingWatches
 {
@@ -63,6 +72,7 @@
   void Restore(WaitingWatches aWatches = WaitingWatches::Cut);
 
   StoreBehavior behavior{ StoreBehavior::Healthy };
+  LostAnswer lostAnswer{ LostAnswer::None };
   /// The number of next writes that are applied but whose response is lost.
   unsigned responsesToLose{ 0 };
   std::size_t pageSize{ 50 };
@@ -106,6 +116,8 @@
 
   void Respond(Gateway::Exchange& aExchange, unsigned aStatus, nlohmann::json const& aBody) const;
   void Handle(std::shared_ptr<Gateway::Exchange> const& aExchange);
+  /// Responds to a watch, as far as the answer does not get lost.
+  void RespondToWatch(std::shared_ptr<Gateway::Exchange> const& aExchange, nlohmann::json const& aBody);
   void HandleList(Gateway::Exchange& aExchange, std::string const& aKind, std::string const& aAfter);
   void HandleWatch(std::shared_ptr<Gateway::Exchange> const& aExchange,
                    std::string const& aKind,
@@ -126,6 +138,8 @@
   /// What operators and endpoints wrote last; nothing if they removed it.
   std::map<std::string, std::map<std::string, std::optional<nlohmann::json>>> written;
   std::vector<PendingWatch> pendingWatches;
+  /// Kept open although the store has done with them.
+  std::vector<std::shared_ptr<Gateway::Exchange>> abandoned;
 };
 
 }
