LibRelay, LibGateway: Check that no change of the store is missed

Callers saw requests handled by version 13 of the table, and 401 and 404, for more than two seconds after later versions had been confirmed (CONFIG, DENIED), at all fronts of a site, for up to 26 s.

Cause: silence taken for no news. A watch that is sent while the store is silent is never heard, its connection stays open, and the front waits for its time-out of 26.5 s. A watch whose answer is lost does the same.

A check lists the kind with the fewest objects and so learns the store's revision. As each change raises it by one, the state is proven the newest if each revision was seen at an object; kinds that may miss one are listed. The last answer counts, not the greatest.

LearnsChangesThroughRelays counted all calls; it counts the checks of the two relays apart now, bounded by their interval. LONG_FIRST_WATCH of StoreWatch.pml is a fault only without checks and is searched without them, as strictly as before; NO_STORE_CHECK is the fault of this commit.

--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -3,13 +3,11 @@
 namespace Hornbeam::Gateway {
 
 /// Just below the store's maximum wait of 30 s, because each call to the store is billed. A dead connection is detected
-/// by TCP keep-alive probes, not by this timeout.
-static constexpr Duration kWatchTime = 25s;
+/// by TCP keep-alive probes, and a watch that the store did not hear by checks (LibRelay/StoreProof.h).
+static constexpr Duration kWatchTime = 29s;
 /// Watches that start within this time after a disconnect also last no longer than this time: if the store then drops
 /// its event history, a watch that is already waiting receives no changes. See Specifications/StoreWatch.pml.
 static constexpr Duration kShortWatchTime = 1s;
-/// Limits the time for which a whole fleet misses changes because its relays' watches receive none.
-static constexpr Duration kRelayWatchTime = 2s;
 /// Changes that closely follow each other are fetched in one batch, because each response costs every watching front a
 /// billed call. The delay must leave time to apply operators' changes and to stop using leaving endpoints within two
 /// seconds.
@@ -20,7 +18,6 @@
   , clock(aClock)
   , kind(aKind)
   , events(std::move(aEvents))
-  , longestWatch(kWatchTime)
 {
 }
 
@@ -42,12 +39,6 @@
     this->events.onReachabilityChange(aReachability);
 }
 
-void
-ObjectWatch::SetHasFollowers(bool aHasFollowers)
-{
-  this->longestWatch = aHasFollowers ? kRelayWatchTime : kWatchTime;
-}
-
 void
 ObjectWatch::SetWatching(bool aWatching)
 {
@@ -66,9 +57,17 @@
   this->retryTimer.reset();
   this->active = false;
   this->listing = false;
+  this->waiting = false;
   this->reachability = StoreReachability::Unknown;
 }
 
+void
+ObjectWatch::SetKnown(StorePosition aRevision)
+{
+  this->known = aRevision;
+  this->events.onKnown();
+}
+
 void
 ObjectWatch::OnResponse()
 {
@@ -108,6 +107,7 @@
 {
   this->active = true;
   this->listing = true;
+  this->waiting = false;
   if (this->retryTimer)
     this->clock.Cancel(*this->retryTimer);
   this->retryTimer.reset();
@@ -122,6 +122,7 @@
     this->revision = aResponse.revision;
     this->OnResponse();
     this->events.onList(aResponse.objects, aResponse.revision);
+    this->SetKnown(aResponse.revision);
     this->Watch();
   });
 }
@@ -132,8 +133,8 @@
   this->active = this->watching;
   if (!this->watching)
     return;
-  auto const time =
-    this->clock.Now() - this->lastDisconnectTime < kShortWatchTime ? kShortWatchTime : this->longestWatch;
+  this->waiting = true;
+  auto const time = this->clock.Now() - this->lastDisconnectTime < kShortWatchTime ? kShortWatchTime : kWatchTime;
   auto const onResponse = [this, call = ++this->currentCall](Platform::ObjectEvents aResponse) {
     if (this->IsCurrentCall(call))
       this->OnEvents(std::move(aResponse));
@@ -141,9 +142,37 @@
   this->store.Watch(this->kind, this->revision, time, onResponse);
 }
 
+void
+ObjectWatch::Verify(StorePosition aRevision)
+{
+  if (!this->waiting || this->known >= aRevision)
+    return;
+  PART_LOG("store") << "event=verify kind=" << ToString(this->kind) << " known_revision=" << RevisionOf(this->known)
+                    << ' ' << ToLogFields(aRevision);
+  this->List();
+}
+
+void
+ObjectWatch::NoteFailure(std::string_view aCall, Platform::StoreOutcome aOutcome)
+{
+  if (!this->waiting)
+    return;
+  ++this->currentCall;
+  this->waiting = false;
+  this->OnFailure(aCall, aOutcome);
+}
+
+void
+ObjectWatch::NoteList(StorePosition aRevision)
+{
+  this->lastResponseTime = this->clock.Now();
+  this->SetKnown(aRevision);
+}
+
 void
 ObjectWatch::OnEvents(Platform::ObjectEvents aResponse)
 {
+  this->waiting = false;
   switch (aResponse.outcome) {
     case Platform::StoreOutcome::Done:
       break;
@@ -170,6 +199,7 @@
   auto const from = this->revision;
   this->revision = std::max(this->revision, aResponse.revision);
   this->events.onEvents(aResponse.events, from, this->revision);
+  this->SetKnown(this->revision);
   this->clock.Schedule(kEventBatchDelay, [this, call = this->currentCall] {
     if (this->IsCurrentCall(call))
       this->Watch();
--- a/Libraries/LibGateway/ObjectWatch.h
+++ b/Libraries/LibGateway/ObjectWatch.h
@@ -29,6 +29,8 @@
   /// Called after a failed call; returns the delay before the next one.
   std::function<Duration()> onFailure;
   std::function<void()> onResponse;
+  /// Called when all changes up to a later revision than before are known from the store's answers.
+  std::function<void()> onKnown;
 };
 
 /// Tracks all objects of one kind in the store: lists them once and then, while watching is enabled, long-polls for
@@ -45,9 +47,6 @@
   /// Enables or disables the long polls. Disabling also stops retries, but not before the first list.
   void SetWatching(bool aWatching);
 
-  /// Tells whether other fronts follow this one; its long polls are then shorter.
-  void SetHasFollowers(bool aHasFollowers);
-
   /// Retries immediately if a retry after a failure is pending.
   void RetryNow();
 
@@ -55,6 +54,22 @@
   /// events that do not connect to it, or none.
   void ListInEra(std::uint64_t aEra);
 
+  /// Lists all objects, unless all changes up to a revision are known or the answer to a pending list will tell them.
+  /// The long poll that waits may be lost.
+  void Verify(StorePosition aRevision);
+
+  /// Records that a call of this kind outside the watch failed.
+  void NoteFailure(std::string_view aCall, Platform::StoreOutcome aOutcome);
+
+  /// Records that a complete list outside the watch told all changes up to a revision.
+  void NoteList(StorePosition aRevision);
+
+  /// Up to which revision the store's answers have told all changes.
+  StorePosition Known() const { return this->known; }
+
+  /// Whether a long poll is waiting, as opposed to a list or a retry.
+  bool IsWaiting() const { return this->waiting; }
+
   StoreReachability Reachability() const { return this->reachability; }
 
   /// Records that one of this front's watches was disconnected: the store may be about to drop its event history.
@@ -68,6 +83,7 @@
   void List();
   void Watch();
   void OnEvents(Platform::ObjectEvents aResponse);
+  void SetKnown(StorePosition aRevision);
   void SetReachability(StoreReachability aReachability);
   void OnResponse();
   void OnFailure(std::string_view aCall, Platform::StoreOutcome aOutcome);
@@ -76,13 +92,15 @@
   Clock& clock;
   ObjectKind kind;
   ObjectWatchEvents events;
-  Duration longestWatch;
   StoreReachability reachability{ StoreReachability::Unknown };
   MonotonicTime lastResponseTime{};
   MonotonicTime lastDisconnectTime{};
   /// Zero until the first list.
   StorePosition revision{ 0 };
+  StorePosition known{ 0 };
   bool watching{ true };
+  /// Set while a long poll is in flight.
+  bool waiting{ false };
   /// Set while a call, a retry or the next long poll is pending.
   bool active{ false };
   /// Set while a list is in flight.
--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -94,7 +94,7 @@
   }
   auto const decisions = DecideSubscription(this->subscription, this->roles, this->fallbackSpread, this->clock.Now());
   this->stateCache.SetStoreUse(decisions.use);
-  this->stateCache.SetHasFollowers(!this->polls.empty());
+  this->stateCache.CheckStore(this->roles, !this->polls.empty());
   for (auto const& poll : decisions.polls)
     this->Poll(poll);
 }
@@ -132,7 +132,7 @@
   if (!missesChanges && !formerEra)
     this->stateCache.Confirm(now - aResponse.age);
   for (auto const& [kind, update] : aResponse.updates)
-    this->stateCache.Apply(static_cast<ObjectKind>(kind), update);
+    this->stateCache.ApplyRelayed(static_cast<ObjectKind>(kind), update);
   bool const hasNews = HasNewerRevision(aResponse.revisions, this->stateCache.Revisions());
   RelayStatus const status{ formerEra ? Duration::max() : aResponse.age, aResponse.watchesStore, hasNews };
   OnRelayResponse(this->subscription, aAddress, status, now);
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -34,6 +34,7 @@
   , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
   , random(std::random_device{}())
 {
+  this->InitializeProof();
   this->store.AddRestoreListener([this] { this->OnStoreRestored(); });
 }
 
@@ -56,6 +57,7 @@
     for (auto const& object : aObjects)
       update.objects.push_back({ object.name, object.revision, object.document.dump() });
     this->Apply(aKind, update);
+    this->OnListed(aKind, aObjects, aRevision);
   };
   events.onEvents = [this, aKind](auto const& aEvents, StorePosition aFrom, StorePosition aTo) {
     this->OnEvents(aKind, aEvents, aFrom, aTo);
@@ -74,6 +76,7 @@
     for (auto const kind : OnStoreResponse(this->backOff, aKind))
       this->watches.at(kind)->RetryNow();
   };
+  events.onKnown = [this, aKind] { this->NoteKnown(aKind); };
   auto& watch = this->watches[aKind];
   watch = std::make_unique<ObjectWatch>(this->store, this->clock, aKind, std::move(events));
   watch->SetWatching(this->use != StoreUse::None);
@@ -107,13 +110,6 @@
   this->EnableWatches();
 }
 
-void
-StateCache::SetHasFollowers(bool aHasFollowers)
-{
-  for (auto const& [kind, watch] : this->watches)
-    watch->SetHasFollowers(aHasFollowers);
-}
-
 void
 StateCache::EnableWatches()
 {
@@ -170,14 +166,21 @@
 void
 StateCache::Confirm(MonotonicTime aTime)
 {
-  bool const wasOld = this->confirmed != MonotonicTime() && this->Age() > kMaxRelayedAge;
+  bool const wasOld = this->confirmed != MonotonicTime() && this->TimeOutOfReach() > kMaxRelayedAge;
   this->confirmed = std::max(this->confirmed, aTime);
-  if (wasOld && this->Age() <= kMaxRelayedAge)
+  if (wasOld && this->TimeOutOfReach() <= kMaxRelayedAge)
     this->AwaitReregistration();
 }
 
 Duration
 StateCache::Age() const
+{
+  auto const provenAt = std::max({ this->loadedAt, this->confirmed, this->proof.provenAt });
+  return provenAt == MonotonicTime() ? kUnknownAge : std::min<Duration>(this->clock.Now() - provenAt, kUnknownAge);
+}
+
+Duration
+StateCache::TimeOutOfReach() const
 {
   auto const now = this->clock.Now();
   auto const confirmedAt = std::max(this->loadedAt, this->confirmed);
@@ -258,6 +261,8 @@
                      StorePosition aFrom,
                      StorePosition aTo)
 {
+  for (auto const& event : aEvents)
+    OnSeen(this->proof, event.object.revision);
   // The last event of an object tells its state.
   std::map<std::string, LoggedObject> latest;
   for (auto const& [object, removed] : aEvents)
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -27,8 +27,8 @@
 
   void SetStoreUse(StoreUse aUse);
 
-  /// Tells whether other fronts follow this one.
-  void SetHasFollowers(bool aHasFollowers);
+  /// Checks whether changes of the store are missed, if a check is due. To be called every few hundred milliseconds.
+  void CheckStore(RelayRoles const& aRoles, bool aHasFollowers);
 
   /// Whether all objects have been listed once, or were fetched from a seed.
   bool IsLoaded() const;
@@ -42,6 +42,9 @@
   /// Applies an update from the store or from a relay; one that adds nothing is ignored.
   void Apply(ObjectKind aKind, ObjectUpdate const& aUpdate);
 
+  /// Applies an update of another front. If this front watches the store, its own watch must tell the same.
+  void ApplyRelayed(ObjectKind aKind, ObjectUpdate const& aUpdate);
+
   /// The era of the store of which the state is.
   std::uint64_t Era() const;
 
@@ -88,8 +91,7 @@
   /// Whether all watches reach the store, or a relay has confirmed the state lately.
   bool IsCurrent() const;
 
-  /// Returns the age of the cached state: zero while all watches reach the store, otherwise the time since a relay
-  /// confirmed it or, if that is less, the longest time since a watch that cannot reach the store received a response.
+  /// Returns the age of the cached state: the time since it was last proven the newest, by a check or by a relay.
   Duration Age() const;
 
   /// Returns the time since the store last answered this front's watch of each kind; nothing while it does not watch.
@@ -101,6 +103,24 @@
   void StartWatch(ObjectKind aKind);
   /// Enables the watches according to this->use.
   void EnableWatches();
+  /// Returns the time since a relay confirmed the state or, if that is less, the longest time since a watch that cannot
+  /// reach the store received a response; zero if all watches reach it.
+  Duration TimeOutOfReach() const;
+
+  // Defined in StateCacheProof.cpp.
+
+  void InitializeProof();
+  void OnCheckDone(Platform::ObjectList aResponse);
+  /// Called for each list of a watch.
+  void OnListed(ObjectKind aKind, std::vector<StoredObject> const& aObjects, StorePosition aRevision);
+  /// Called when the store's revision is known from a check.
+  void OnRevisionChecked(StorePosition aRevision, Duration aLag);
+  /// Applies a list that a check received, if a watch has missed changes.
+  void ApplyCheckedList(Platform::ObjectList const& aResponse);
+  /// Verifies the kinds that are known up to an earlier revision than the checked one only.
+  void VerifyKinds();
+  void NoteKnown(ObjectKind aKind);
+
   void OnEvents(ObjectKind aKind,
                 std::vector<Platform::ObjectEvent> const& aEvents,
                 StorePosition aFrom,
@@ -156,6 +176,7 @@
   ConnectionPool& connections;
   std::map<ObjectKind, std::unique_ptr<ObjectWatch>> watches;
   StoreBackOff backOff;
+  StoreProof proof;
   std::minstd_rand random;
   std::map<ObjectKind, ObjectLog> logs;
   StoreUse use{ StoreUse::Watch };
--- a/Libraries/LibRelay/LibRelay.h
+++ b/Libraries/LibRelay/LibRelay.h
@@ -5,4 +5,5 @@
 
 #include "ObjectLog.h"
 #include "RelayRoles.h"
+#include "StoreProof.h"
 #include "Subscription.h"
--- a/Libraries/LibRelay/RelayRoles.cpp
+++ b/Libraries/LibRelay/RelayRoles.cpp
@@ -52,6 +52,22 @@
   return aFronts;
 }
 
+/// The front that checks the store for a fleet in which all fronts watch it.
+static FrontEntry const&
+ChooseChecker(std::map<std::string, FrontList> const& aFronts)
+{
+  FrontEntry const* chosen = nullptr;
+  auto const weight = [](FrontEntry const* aFront) {
+    return std::pair(RendezvousWeight("store-check", aFront->name), aFront->name);
+  };
+  for (auto const& [dataCenter, fronts] : aFronts)
+    for (auto const* front : fronts)
+      if (chosen == nullptr || weight(front) > weight(chosen))
+        chosen = front;
+  VERIFY(chosen != nullptr);
+  return *chosen;
+}
+
 static RelayRoles
 RolesFromSeeds(FrontEntry const& aOwn, std::vector<std::string> const& aSeeds)
 {
@@ -86,6 +102,9 @@
         { { remote, ~RendezvousWeight(aOwn.name, relay->name) }, { relay->peerAddress, relay->dataCenter } });
     }
   }
+  auto const& checker = ChooseChecker(byDataCenter);
+  if (!roles.fleetHasFollowers && &checker != &aOwn)
+    roles.checker = { checker.peerAddress, checker.dataCenter };
   std::ranges::sort(ordered, {}, [](auto const& aEntry) { return aEntry.first; });
   for (auto& [order, relay] : ordered)
     roles.relays.push_back(std::move(relay));
--- a/Libraries/LibRelay/RelayRoles.h
+++ b/Libraries/LibRelay/RelayRoles.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibServing/FrontSet.h>
+#include <optional>
 
 namespace Hornbeam::Gateway {
 
@@ -22,6 +23,9 @@
   bool fleetHasFollowers{ false };
   /// The other relays, nearest first and in an order that differs between fronts, and then the seeds.
   std::vector<RelayAddress> relays;
+  /// In a fleet without followers, the front that checks for all others whether they miss changes of the store; nothing
+  /// if it is this one.
+  std::optional<RelayAddress> checker;
 
   bool operator==(RelayRoles const&) const = default;
 };
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -26,6 +26,16 @@
   return aNow - aSubscription.confirmed <= kMaxRelayedAge;
 }
 
+static std::vector<std::string>
+CheckerToFollow(Subscription const& aSubscription, RelayRoles const& aRoles, MonotonicTime aNow)
+{
+  if (!aRoles.checker)
+    return {};
+  auto const known = aSubscription.relays.find(aRoles.checker->address);
+  bool const failed = known != aSubscription.relays.end() && known->second.failedUntil > aNow;
+  return failed ? std::vector<std::string>() : std::vector{ aRoles.checker->address };
+}
+
 /// Chooses the relays to follow: usable ones first, the second in another data centre than the first. Avoided
 /// relays are followed only if there are no others.
 static std::vector<std::string>
@@ -33,7 +43,7 @@
 {
   std::vector<RelayAddress> chosen;
   if (!aRoles.fleetHasFollowers && aSubscription.use == StoreUse::Watch)
-    return {};
+    return CheckerToFollow(aSubscription, aRoles, aNow);
   auto const consider = [&](bool aAvoided, bool aSameDataCenter) {
     for (auto const& relay : aRoles.relays) {
       if (chosen.size() == kFollowedRelays)
--- a/Meta/check-model.sh
+++ b/Meta/check-model.sh
@@ -64,8 +64,11 @@
 search_model StoreWatch watch
 search_model StoreWatch TAKE_OLDER -DTAKE_OLDER
 search_model StoreWatch NO_LIST -DNO_LIST
-search_model StoreWatch LONG_FIRST_WATCH -DLONG_FIRST_WATCH
+# Without checks and lost watches, the short first watch is what finds changes whose history was dropped.
+search_model StoreWatch unchecked -DNO_CHECK -DLOSSES=0
+search_model StoreWatch LONG_FIRST_WATCH -DLONG_FIRST_WATCH -DNO_CHECK -DLOSSES=0
 search_model StoreWatch WATCH_NO_ERA -DNO_ERA
+search_model StoreWatch NO_STORE_CHECK -DNO_CHECK
 search_model StoreWatch WAIT_IN_FORMER_ERA -DWAIT_IN_FORMER_ERA
 
 search_model ObjectLog log &
@@ -82,12 +85,13 @@
 
 exhausted log "lists, watches and updates between three fronts, late and in any order"
 exhausted restored-log "the same between two fronts while the store is restored from a copy"
-exhausted watch "writes, a restore, discarded history, disconnects and a restart while a front watches the table"
+exhausted watch "writes, a restore, discarded history, disconnects, a lost watch and a restart while a front watches the table"
+exhausted unchecked "the same without lost watches and without checks"
 exhausted epochs "three epochs and a restart"
 exhausted table "two epochs and a table edit"
 exhausted rejoin "two epochs, a table edit, and a front that restarts and rejoins"
 for fault in NO_WAIT NO_MAJORITY LEASE_FROM_ANSWER NO_CHECK NO_TABLE_CHECK TAKE_OLDER NO_LIST LONG_FIRST_WATCH \
-  NO_ORDER NO_GAP NO_LIMIT NO_PASSING NO_ERA WATCH_ACROSS WATCH_NO_ERA WAIT_IN_FORMER_ERA; do
+  NO_ORDER NO_GAP NO_LIMIT NO_PASSING NO_ERA WATCH_ACROSS WATCH_NO_ERA WAIT_IN_FORMER_ERA NO_STORE_CHECK; do
   caught "$fault"
 done
 echo "$passes passed, $failures failed"
--- a/Specifications/StoreWatch.pml
+++ b/Specifications/StoreWatch.pml
@@ -6,12 +6,15 @@
  * The store is restored from a copy: its revision goes back, its era rises, the waiting watch is cut or stays open, and the
  * operator writes the newest table again. An answer to any other call of the front tells it of the new era.
  *
+ * The store may be silent: it does not hear a watch, or the answer of a watch is lost. The front checks the store's
+ * revision now and then, and lists what it does not know up to it.
+ *
  * Checked: the table applied at a front never becomes older while its process runs, and once the system is quiescent it
  * is the newest table.
  *
  * Seeded faults: TAKE_OLDER (older tables are applied), NO_LIST (after status 410 the front starts a watch from the
  * newest revision without a list), LONG_FIRST_WATCH (the watch just after a cut is as long as the others), NO_ERA (a
- * watch continues from a revision of a former era), WAIT_IN_FORMER_ERA (a watch that stays open over a restore waits on).
+ * watch continues from a revision of a former era), WAIT_IN_FORMER_ERA (a watch that stays open over a restore waits on), NO_CHECK (a watch that the store did not hear waits on).
  */
 #ifndef WRITES
 #define WRITES 4
@@ -25,6 +28,9 @@
 #ifndef RESTORES
 #define RESTORES 1
 #endif
+#ifndef LOSSES
+#define LOSSES 1
+#endif
 #ifndef RESTARTS
 #define RESTARTS 1
 #endif
@@ -41,6 +47,7 @@
 bool signalled = false;
 bool storeDone = false;
 bool briefWatch = false;
+bool lost = false;    /* nothing will answer the waiting watch */
 bool recentCut = false; /* a watch of this front was just cut; a drop may follow */
 
 mtype phase = listing;
@@ -80,7 +87,7 @@
        stored = newest;
        written++;
        if
-       :: !gap && phase == waiting && written > since && WatchIsValid() -> signalled = true
+       :: !gap && phase == waiting && !lost && written > since && WatchIsValid() -> signalled = true
        :: else -> skip
        fi
      }
@@ -118,7 +125,7 @@
 }
 
 active proctype Front() {
-  byte restarts = 0, offered;
+  byte restarts = 0, losses = 0, offered;
 end:
   do
   :: atomic { phase == listing -> take(stored); since = written; sinceEra = era; phase = starting }
@@ -140,10 +147,18 @@
        :: WatchIsValid() && since >= forgotten && (gap || since >= written) ->
           phase = waiting;
 #ifndef LONG_FIRST_WATCH
-          briefWatch = recentCut
+          briefWatch = recentCut;
 #endif
+          if
+          :: losses < LOSSES -> losses++; lost = true
+          :: lost = false
+          fi
        fi
      }
+  :: atomic { phase == waiting && signalled && losses < LOSSES -> losses++; signalled = false; lost = true }
+#ifndef NO_CHECK
+  :: atomic { phase == waiting && !signalled && since < written && sinceEra == era -> phase = listing }
+#endif
   :: atomic { phase == waiting && signalled -> signalled = false; take(stored); since = written; phase = starting }
   :: atomic { phase == cut ->
        if /* a peer offers its table while the store is unavailable */
@@ -162,6 +177,13 @@
   od
 }
 
+/* The next check lists the kind. */
+#ifdef NO_CHECK
+#define Checked() true
+#else
+#define Checked() !(since < written && sinceEra == era)
+#endif
+
 /* The front still learns of a new era from the answer to another call. */
 #if defined(WAIT_IN_FORMER_ERA) || defined(NO_ERA)
 #define QuietEra() true
@@ -170,5 +192,5 @@
 #endif
 
 active proctype Quiet() {
-  atomic { storeDone && phase == waiting && !signalled && !briefWatch && QuietEra() -> assert(inForce == newest) }
+  atomic { storeDone && phase == waiting && !signalled && !briefWatch && QuietEra() && Checked() -> assert(inForce == newest) }
 }
--- a/Tests/Platform/PlatformRelayTests.cpp
+++ b/Tests/Platform/PlatformRelayTests.cpp
@@ -31,11 +31,15 @@
   ASSERT_TRUE(world.RunUntil([&] { return FrontsWatchingTheStore(world).size() == 2; }, 8s));
   world.RunFor(500ms);
   auto const calls = world.store->calls;
+  auto const checks = world.store->lists["evacuations"];
   world.PutTable(2);
   EXPECT_TRUE(world.RunUntil([&] { return AllHaveVersion(world, 2); }, 500ms));
   world.RunFor(500ms);
+  auto const checksMade = world.store->lists["evacuations"] - checks;
   // Each of the two relays watches again.
-  EXPECT_LE(world.store->calls - calls, 2U);
+  EXPECT_LE(world.store->calls - calls - checksMade, 2U);
+  // Each of them checks at most every 0.6 s.
+  EXPECT_LE(checksMade, 4U);
 }
 
 // A disturbed connection of a relay is no outage of the store: a removed endpoint must not be kept, as one that may
--- a/Tests/Platform/PlatformSilenceTests.cpp
+++ b/Tests/Platform/PlatformSilenceTests.cpp
@@ -1,7 +1,7 @@
 #include "PlatformFixtures.h"
 
-// A store that answers nobody for a while: calls that it does not hear, and answers that get lost. Connections stay open,
-// so that only the time tells.
+// A store that answers nobody for a while: calls that it does not hear, and answers that get lost. Connections stay
+// open, so that only the time tells.
 
 namespace Hornbeam::Testing {
 
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -244,6 +244,7 @@
 void
 StandInStore::HandleList(Exchange& aExchange, std::string const& aKind, std::string const& aAfter)
 {
+  ++this->lists[aKind];
   json items = json::array();
   auto const& all = this->state.objects[aKind];
   auto next = all.upper_bound(aAfter);
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -79,6 +79,8 @@
   /// A kind whose calls the store refuses with 404; empty for none.
   std::string unknownKind;
   std::uint64_t calls{ 0 };
+  /// The number of lists of each kind.
+  std::map<std::string, std::uint64_t> lists;
   /// The number of calls that created an object.
   unsigned creations{ 0 };
   /// The value of the era header; an empty one is not sent.
