--- a/Libraries/LibRelay/StoreProof.cpp
+++ b/Libraries/LibRelay/StoreProof.cpp
@@ -3,14 +3,14 @@
 
 namespace Hornbeam::Gateway {
 
-/// A front must have the newest state 3 s after the end of a disturbance of the store. A lost check takes its time-out of
-/// 1.5 s, and other fronts take up to 0.3 s to learn the result.
+/// A front must have the newest state 3 s after the end of a disturbance of the store. A lost check takes its time-out
+/// of 1.5 s, and other fronts take up to 0.3 s to learn the result.
 static constexpr Duration kCheckInterval = 1s;
-/// Followers poll every 0.6 s and need state that is at most kMaxRelayedAge old. Fronts look every 250 ms whether a check is
-/// due.
+/// Followers poll every 0.6 s and need state that is at most kMaxRelayedAge old. Fronts look every 250 ms whether a
+/// check is due.
 static constexpr Duration kRelayCheckInterval = 600ms;
-/// Without a proof from the checking front for this long, each front checks by itself. In a calm fleet a proof is at most
-/// 1.7 s old: the check interval, the wait of a poll and the lag of watches.
+/// Without a proof from the checking front for this long, each front checks by itself. In a calm fleet a proof is at
+/// most 1.7 s old: the check interval, the wait of a poll and the lag of watches.
 static constexpr Duration kMissingProofTime = 2200ms;
 
 /// More changes than these between two checks are not told apart; the kinds are then listed.
--- a/Libraries/LibRelay/StoreProof.h
+++ b/Libraries/LibRelay/StoreProof.h
@@ -8,9 +8,9 @@
 namespace Hornbeam::Gateway {
 
 /// What proves that the state read from the store is the newest. A watch that waits proves nothing: the store may never
-/// have heard it, or its answer may be lost. A check asks for the store's revision. Each change raises it by one, so that
-/// the state is the newest if each revision since the last proof has been seen at an object. If not, the kinds that are
-/// known up to an earlier revision only are listed.
+/// have heard it, or its answer may be lost. A check asks for the store's revision. Each change raises it by one, so
+/// that the state is the newest if each revision since the last proof has been seen at an object. If not, the kinds
+/// that are known up to an earlier revision only are listed.
 struct StoreProof
 {
   /// Up to which revision the store's answers have told all changes of a kind.
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -56,7 +56,7 @@
   this->seen.back().ran = fault != EndpointFault::Full && fault != EndpointFault::InputsGone;
   aExchange->onCallerDisconnected = [this] { ++this->callersGone; };
   if (fault == EndpointFault::Full) {
-    aExchange->Respond({ 503, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
+    this->Respond(*aExchange, { 503, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
     return;
   }
   if (fault == EndpointFault::MismatchedRefusal) {
@@ -91,6 +91,19 @@
              { "Hornbeamfront-Response-Signature", "signed" } } };
 }
 
+ResponseHead
+StandInEndpoint::WithSignals(ResponseHead aHead) const
+{
+  aHead.fields.insert(aHead.fields.end(), this->signals.begin(), this->signals.end());
+  return aHead;
+}
+
+void
+StandInEndpoint::Respond(Exchange& aExchange, ResponseHead aHead, std::string_view aBody) const
+{
+  aExchange.Respond(this->WithSignals(std::move(aHead)), aBody);
+}
+
 void
 StandInEndpoint::RespondPlain(std::shared_ptr<Exchange> const& aExchange, EndpointFault aFault)
 {
@@ -98,16 +111,16 @@
     case EndpointFault::LostResponse:
       return aExchange->Abort();
     case EndpointFault::BreakOff:
-      aExchange->BeginStream(HeadFor(*aExchange, 200, "text/plain", aFault));
+      aExchange->BeginStream(this->WithSignals(HeadFor(*aExchange, 200, "text/plain", aFault)));
       aExchange->SendChunk("half");
       this->clock.Schedule(5ms, [aExchange] { aExchange->Abort(); });
       return;
     case EndpointFault::Error:
-      return aExchange->Respond(HeadFor(*aExchange, 500, "text/plain", aFault), "error of " + this->id);
+      return this->Respond(*aExchange, HeadFor(*aExchange, 500, "text/plain", aFault), "error of " + this->id);
     default:
-      return aExchange->Respond(HeadFor(*aExchange, 200, "text/plain", aFault),
-                                "answer of " + this->id +
-                                  this->Suffix(FieldOf(*aExchange, "Hornbeamfront-Request-Id")));
+      return this->Respond(*aExchange,
+                           HeadFor(*aExchange, 200, "text/plain", aFault),
+                           "answer of " + this->id + this->Suffix(FieldOf(*aExchange, "Hornbeamfront-Request-Id")));
   }
 }
 
@@ -118,7 +131,7 @@
     return aExchange->Abort();
   if (!this->crashingPart.empty() && !this->exchanges.contains(aExchange))
     return;
-  aExchange->BeginStream(HeadFor(*aExchange, 200, "text/event-stream", aFault));
+  aExchange->BeginStream(this->WithSignals(HeadFor(*aExchange, 200, "text/event-stream", aFault)));
   if (this->HasCrashingPart(*aExchange))
     this->clock.Schedule(10ms, [this, aExchange] {
       if (this->exchanges.contains(aExchange))
@@ -153,6 +166,10 @@
 StandInEndpoint::RunItems(std::shared_ptr<Exchange> const& aExchange)
 {
   auto const body = json::parse(aExchange->Request().body, nullptr, false);
+  auto const number = this->stageCalls.size();
+  this->stageCalls.push_back(this->clock.Now());
+  if (this->faultOf && this->faultOf(number) == EndpointFault::Full)
+    return this->Respond(*aExchange, { 503, { { "Hornbeamfront-Not-Executed", "1" } } }, "");
   this->batchSizes.push_back(body["items"].size());
   this->clock.Schedule(this->workTime, [this, aExchange, body] {
     json items = json::array();
@@ -163,7 +180,7 @@
       items.push_back({ { "handle_id", handle } });
       this->seen.push_back({ item["id"].get<std::string>(), "", "", item.dump(), {}, this->clock.Now() });
     }
-    aExchange->Respond({ 200, { { "Content-Type", "application/json" } } }, json{ { "items", items } }.dump());
+    this->Respond(*aExchange, { 200, { { "Content-Type", "application/json" } } }, json{ { "items", items } }.dump());
   });
 }
 
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -83,6 +83,10 @@
   /// Called when the endpoint is back; it then has another id.
   std::function<void(std::string const& aPreviousId)> onReturn;
   std::vector<MonotonicTime> crashTimes;
+  /// What all answers say of the endpoint, besides what they say of the request.
+  Gateway::HeaderFields signals;
+  /// The number of stage calls, refused ones too.
+  std::vector<MonotonicTime> stageCalls;
   /// Responses, events and results include the id of their request.
   bool includesRequestIds{ false };
   std::vector<SeenRequest> seen;
@@ -92,6 +96,9 @@
 
 private:
   void Handle(std::shared_ptr<Gateway::Exchange> const& aExchange);
+  /// Responds with the signals added to the head.
+  void Respond(Gateway::Exchange& aExchange, Gateway::ResponseHead aHead, std::string_view aBody) const;
+  Gateway::ResponseHead WithSignals(Gateway::ResponseHead aHead) const;
   void RespondPlain(std::shared_ptr<Gateway::Exchange> const& aExchange, EndpointFault aFault);
   void Stream(std::shared_ptr<Gateway::Exchange> const& aExchange, EndpointFault aFault);
   void SendEvent(std::shared_ptr<Gateway::Exchange> const& aExchange, unsigned aEvent, EndpointFault aFault);
