LibServing, LibGateway: Obey what endpoints say of themselves

Callers' requests were sent to endpoints that had named a limit (LIMIT), said that they leave (DRAIN) or refused with Retry-After (BUDGET), as before.

Cause: what an endpoint says and no path reads. No source read the three headers. Ruled out: a limit kept by each front alone, and requests in flight.

The heads of all answers that belong to a request are read, whole or not, and those of stage calls. The state belongs to a process, so that a used address or an older entry changes nothing. What cannot be served in time is refused at once.

--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -91,6 +91,14 @@
     longest = std::max(longest, time);
   target.SetGauge("store_longest_unanswered_seconds", double(Milliseconds(longest)) / 1000);
   target.SetGauge("endpoints", double(endpoints.byId.size()));
+  auto const count = [&](auto const& aHolds) {
+    return double(
+      std::ranges::count_if(endpoints.byId, [&](auto const& aEntry) { return aHolds(aEntry.second.signals); }));
+  };
+  auto const now = this->clock.Now();
+  target.SetGauge("endpoints_limited", count([](auto const& aSignals) { return aSignals.limit.has_value(); }));
+  target.SetGauge("endpoints_paused", count([&](auto const& aSignals) { return aSignals.pausedUntil > now; }));
+  target.SetGauge("endpoints_leaving", count([](auto const& aSignals) { return aSignals.leaving; }));
   target.SetGauge("data_centers_out", double(endpoints.dataCentersOutOfRotation.size()));
   target.SetGauge("fronts", double(this->stateCache.Fronts().byName.size()));
   target.SetGauge("requests_active", double(this->proxy.ActiveRequests()));
@@ -138,6 +146,9 @@
                           { "state", endpoint.entry.state == EndpointState::Ready ? "ready" : "leaving" },
                           { "cold_ms", std::max<std::int64_t>(0, Milliseconds(endpoint.coldUntil - now)) },
                           { "ejected_ms", std::max<std::int64_t>(0, Milliseconds(endpoint.ejectedUntil - now)) },
+                          { "says_leaving", endpoint.signals.leaving },
+                          { "limit", endpoint.signals.limit ? json(*endpoint.signals.limit) : json() },
+                          { "paused_ms", std::max<std::int64_t>(0, Milliseconds(endpoint.signals.pausedUntil - now)) },
                           { "outstanding", endpoint.outstanding } });
   auto& parts = result["quarantined_parts"] = json::array();
   for (auto const& [part, quarantine] : this->crashes.Quarantined())
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -47,6 +47,7 @@
   std::optional<std::string> chosen;
   bool const preferredIsUsable = preferred != view.endpoints.byId.end() && this->triedEndpoints.empty() &&
                                  IsUsable(view.endpoints, preferred->second) && preferred->second.ejectedUntil <= now &&
+                                 EarliestSendTo(view, preferred->second, this->proxy.settings.name) <= now &&
                                  preferred->second.coldUntil <= now;
   if (preferredIsUsable)
     chosen = this->preferredEndpoint;
@@ -63,10 +64,16 @@
     this->Refuse("no-other-endpoint", kRetryAfterNoEndpoint);
     return;
   }
-  if (now - this->waitingSince > (this->deadline - this->exchange->Received()) / kEndpointWaitDivisor) {
+  auto const waitEnd = this->waitingSince + (this->deadline - this->exchange->Received()) / kEndpointWaitDivisor;
+  if (now > waitEnd) {
     this->Refuse("no-endpoint", kRetryAfterNoEndpoint);
     return;
   }
+  if (auto const room = EarliestRoom(view, this->MakeQuery()); room && *room > waitEnd) {
+    // Other fronts may send to the endpoints earlier.
+    this->Refuse("endpoints-limited", std::min<Duration>(*room - now, kRetryAfterNoEndpoint));
+    return;
+  }
   this->proxy.waitingRequests.push_back(this->weak_from_this());
   this->proxy.ScheduleRetryWaiting();
 }
@@ -77,6 +84,7 @@
   auto const now = this->proxy.clock.Now();
   auto const& entry = this->proxy.stateCache.Endpoints().byId.at(aEndpoint).entry;
   this->endpoint = aEndpoint;
+  this->process = ProcessOf(entry);
   this->attempting = true;
   this->headReceived = false;
   this->forwarding = false;
@@ -115,7 +123,7 @@
   };
   this->watchedAttempt = this->proxy.crashes.OnAttemptSent(entry, this->parts);
   OnAttemptSent(this->timeline, now);
-  OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, now);
+  OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, this->proxy.stateCache.Fronts().byName.size(), now);
   this->call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
   this->ArmStallTimer();
 }
@@ -177,6 +185,10 @@
   bool const anonymousRefusal = response.notExecuted && response.requestId.empty();
   bool const mismatched = response.requestId != this->metadata.requestId && !anonymousRefusal;
   bool const success = aHead.status / 100 == 2;
+  // Another request's answer may be an old one, and a misdirected one comes from another process.
+  if (!mismatched && !response.misdirected)
+    this->proxy.stateCache.ApplySignals(
+      this->process, Platform::DecodeAnswerSignals(aHead.status, aHead.fields), this->metadata.requestId);
   if (response.notExecuted || mismatched || (success && (!response.hasSignature || response.hasContentEncoding))) {
     this->call.Abandon();
     if (response.notExecuted && !mismatched) {
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -132,6 +132,8 @@
 
   /// The endpoint of the attempt in flight, or of the last one.
   std::string endpoint;
+  /// The process to which the attempt was sent.
+  EndpointProcess process;
   CallHandle call;
   /// The attempt's number at the crash service.
   std::uint64_t watchedAttempt{ 0 };
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -186,11 +186,32 @@
   }
 }
 
+void
+StageOwnerService::ApplySignals(std::string const& aService, StageCallId aCall, BufferedResponse const& aResponse)
+{
+  auto& pool = this->pools.at(aService);
+  auto const running = pool.running.find(aCall);
+  if (aResponse.end != CallEnd::Complete || aResponse.status == 421 || running == pool.running.end())
+    return;
+  auto const id = running->second.call.endpoint;
+  auto const endpoint = pool.endpoints.find(id);
+  if (endpoint == pool.endpoints.end() || endpoint->second.entry.address != running->second.call.address)
+    return;
+  auto const signals = Platform::DecodeAnswerSignals(aResponse.status, aResponse.fields);
+  this->stateCache.ApplySignals(ProcessOf(endpoint->second.entry), signals, aService);
+  auto const& known = this->stateCache.Endpoints().byId;
+  if (auto const found = known.find(id); found != known.end())
+    SetCallTimes(pool, id, found->second.signals, this->clock.Now());
+  if (signals.leaving)
+    this->UpdatePools();
+}
+
 void
 StageOwnerService::OnCallDone(std::string const& aService, StageCallId aCall, BufferedResponse const& aResponse)
 {
   auto& pool = this->pools.at(aService);
   auto end = CallEndFromStatus(aResponse.status, aResponse.end);
+  this->ApplySignals(aService, aCall, aResponse);
   std::vector<ItemResult> results;
   if (end == StageCallEnd::Responded) {
     auto decoded = Platform::DecodeStageResponse(aResponse.body);
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -43,6 +43,8 @@
   void UpdatePools();
   void ApplyDecisions(std::string const& aService, StageDecisions aDecisions);
   void StartCall(std::string const& aService, StageCall const& aCall);
+  /// Records what the answer to a call says about its endpoint.
+  void ApplySignals(std::string const& aService, StageCallId aCall, BufferedResponse const& aResponse);
   void OnCallDone(std::string const& aService, StageCallId aCall, BufferedResponse const& aResponse);
   void SendReleases();
   void ScheduleTick();
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -54,6 +54,9 @@
   /// How often this front has seen the store restored from a copy.
   unsigned Restores() const { return this->store.Era().restores; }
 
+  /// Records what an answer of an endpoint's process says of it; aSource names the request or service in the log.
+  void ApplySignals(EndpointProcess const& aProcess, AnswerSignals const& aAnswer, std::string const& aSource);
+
   /// Records that a relay confirmed the state to be that of the store at a time. To be called before the relay's
   /// changes are applied.
   void Confirm(MonotonicTime aTime);
--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -47,6 +47,33 @@
          std::ranges::find(aQuery.excluded, aEndpoint.entry.id) == aQuery.excluded.end();
 }
 
+MonotonicTime
+EarliestSendTo(SelectionView const& aView, KnownEndpoint const& aEndpoint, std::string const& aOwnName)
+{
+  auto const& signals = aEndpoint.signals;
+  auto const fronts = aView.fronts.byName.size();
+  bool const isSender =
+    !signals.limit || IsAmongOwners(aView.fronts, aEndpoint.entry.id, aOwnName, LimitSenders(*signals.limit, fronts));
+  return EarliestSend(signals, isSender, fronts);
+}
+
+std::optional<MonotonicTime>
+EarliestRoom(SelectionView const& aView, EndpointQuery const& aQuery)
+{
+  std::optional<MonotonicTime> earliest;
+  auto const pool = aView.endpoints.idsByService.find(aQuery.service);
+  if (pool == aView.endpoints.idsByService.end())
+    return earliest;
+  for (auto const& id : pool->second) {
+    auto const& endpoint = aView.endpoints.byId.at(id);
+    if (!IsEligible(aView, aQuery, endpoint))
+      continue;
+    auto const time = EarliestSendTo(aView, endpoint, aQuery.ownName);
+    earliest = std::min(earliest.value_or(time), time);
+  }
+  return earliest;
+}
+
 static std::vector<KnownEndpoint const*>
 EligibleEndpoints(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow)
 {
@@ -61,6 +88,8 @@
     auto const& endpoint = aView.endpoints.byId.at(id);
     if (!IsEligible(aView, aQuery, endpoint) || endpoint.outstanding >= quota)
       continue;
+    if (EarliestSendTo(aView, endpoint, aQuery.ownName) > aNow)
+      continue;
     if (mayBeCold && endpoint.coldUntil > aNow && !MaySendToColdEndpoint(aView, endpoint, aQuery.ownName, aNow))
       continue;
     (endpoint.ejectedUntil > aNow ? ejected : healthy).push_back(&endpoint);
@@ -94,11 +123,15 @@
              EndpointQuery const& aQuery,
              std::vector<KnownEndpoint const*> const& aCandidates)
 {
+  // An endpoint with a limit is in need: others are preferred until they have a request more.
+  auto const load = [](KnownEndpoint const* aEndpoint) {
+    return aEndpoint->outstanding + (aEndpoint->signals.limit ? 1 : 0);
+  };
   auto const cost = [&](KnownEndpoint const* aEndpoint) {
     bool const connected = aView.hasConnection && aView.hasConnection(aEndpoint->entry.address);
     bool const near = aEndpoint->entry.dataCenter == aQuery.ownDataCenter;
     return std::tuple(
-      aEndpoint->outstanding, connected ? 0 : 1, near ? 0 : 1, ~RendezvousWeight(aQuery.ownName, aEndpoint->entry.id));
+      load(aEndpoint), connected ? 0 : 1, near ? 0 : 1, ~RendezvousWeight(aQuery.ownName, aEndpoint->entry.id));
   };
   return *std::ranges::min_element(aCandidates, {}, cost);
 }
@@ -110,8 +143,12 @@
   if (candidates.empty())
     return std::nullopt;
   KnownEndpoint const* chosen = nullptr;
-  if (!aQuery.affinityKey.empty())
-    chosen = ChooseByAffinity(candidates, aQuery.affinityKey);
+  // Prompts would move to an endpoint with a limit and away again with each of its turns.
+  std::vector<KnownEndpoint const*> unlimited;
+  std::ranges::copy_if(
+    candidates, std::back_inserter(unlimited), [](auto const* aEndpoint) { return !aEndpoint->signals.limit; });
+  if (!aQuery.affinityKey.empty() && !unlimited.empty())
+    chosen = ChooseByAffinity(unlimited, aQuery.affinityKey);
   if (chosen == nullptr)
     chosen = ChooseByLoad(aView, aQuery, candidates);
   return chosen->entry.id;
@@ -128,13 +165,14 @@
 }
 
 void
-OnRequestSent(EndpointSet& aSet, std::string const& aId, MonotonicTime aNow)
+OnRequestSent(EndpointSet& aSet, std::string const& aId, std::size_t aFronts, MonotonicTime aNow)
 {
   auto const found = aSet.byId.find(aId);
   if (found == aSet.byId.end())
     return;
   auto& endpoint = found->second;
   ++endpoint.outstanding;
+  OnSend(endpoint.signals, aFronts, aNow);
   if (endpoint.coldUntil <= aNow)
     return;
   endpoint.coldSendTimes.push_back(aNow);
--- a/Libraries/LibServing/EndpointSelection.h
+++ b/Libraries/LibServing/EndpointSelection.h
@@ -58,9 +58,18 @@
                       std::string const& aOwnName,
                       MonotonicTime aNow);
 
-/// Records that a request is sent. Call immediately before sending.
+/// Returns the earliest time at which an endpoint's own words let this front send to it.
+MonotonicTime
+EarliestSendTo(SelectionView const& aView, KnownEndpoint const& aEndpoint, std::string const& aOwnName);
+
+/// Returns the earliest time at which the words of an endpoint that is not excluded let this front send to it; nothing
+/// if there is no such endpoint.
+std::optional<MonotonicTime>
+EarliestRoom(SelectionView const& aView, EndpointQuery const& aQuery);
+
+/// Records that a request is sent. Call immediately before sending. aFronts is the number of fronts.
 void
-OnRequestSent(EndpointSet& aSet, std::string const& aId, MonotonicTime aNow);
+OnRequestSent(EndpointSet& aSet, std::string const& aId, std::size_t aFronts, MonotonicTime aNow);
 
 /// Records that a request is no longer in flight at the endpoint, whatever its outcome.
 void
--- a/Libraries/LibServing/EndpointSet.cpp
+++ b/Libraries/LibServing/EndpointSet.cpp
@@ -15,6 +15,35 @@
 /// How long an endpoint is skipped after it refused a request for lack of capacity.
 static constexpr Duration kFullEjection = 50ms;
 
+/// Bounds the memory for processes that have said that they leave; most are gone within seconds.
+static constexpr std::size_t kMaxLeavingProcesses = 512;
+
+EndpointProcess
+ProcessOf(EndpointEntry const& aEntry)
+{
+  return { aEntry.id, aEntry.address, aEntry.incarnation };
+}
+
+SignalChange
+OnAnswerSignals(EndpointSet& aSet,
+                EndpointProcess const& aProcess,
+                AnswerSignals const& aAnswer,
+                std::size_t aFronts,
+                MonotonicTime aNow)
+{
+  auto const found = aSet.byId.find(aProcess.id);
+  if (found == aSet.byId.end() || ProcessOf(found->second.entry) != aProcess)
+    return SignalChange::None;
+  auto const senders = aAnswer.limit ? LimitSenders(*aAnswer.limit, aFronts) : 1;
+  auto const change = ApplySignals(found->second.signals, aAnswer, senders, aNow);
+  if (change == SignalChange::LeavingBegan) {
+    aSet.leavingProcesses.push_back(aProcess);
+    if (aSet.leavingProcesses.size() > kMaxLeavingProcesses)
+      aSet.leavingProcesses.pop_front();
+  }
+  return change;
+}
+
 static Duration
 ColdTimeAfterStart(EndpointEntry const& aEntry, Duration aColdTime)
 {
@@ -35,6 +64,11 @@
     aSet.idsByService[endpoint.entry.service].erase(aEntry.id);
   aSet.idsByService[aEntry.service].insert(aEntry.id);
   endpoint.entry = aEntry;
+  if (added || restarted) {
+    endpoint.signals = {};
+    endpoint.signals.leaving =
+      std::ranges::find(aSet.leavingProcesses, ProcessOf(aEntry)) != aSet.leavingProcesses.end();
+  }
   if (restarted) {
     endpoint.consecutiveFailures = 0;
     endpoint.ejectedUntil = {};
@@ -117,7 +151,7 @@
 bool
 IsUsable(EndpointSet const& aSet, KnownEndpoint const& aEndpoint)
 {
-  return aEndpoint.entry.state == EndpointState::Ready &&
+  return aEndpoint.entry.state == EndpointState::Ready && !aEndpoint.signals.leaving &&
          !aSet.dataCentersOutOfRotation.contains(aEndpoint.entry.dataCenter);
 }
 
--- a/Libraries/LibServing/EndpointSet.h
+++ b/Libraries/LibServing/EndpointSet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EndpointSignals.h"
 #include "ServingTable.h"
 #include <deque>
 #include <set>
@@ -43,6 +44,18 @@
   /// When to remove the endpoint. Set if its entry was missing after the store became available again; it may only have
   /// expired.
   std::optional<MonotonicTime> removeAt;
+  /// What the process under this entry has said of itself in its answers.
+  EndpointSignals signals;
+};
+
+/// Names a process of an endpoint: an address that is used again, or a new start of the same id, is another process.
+struct EndpointProcess
+{
+  std::string id;
+  std::string address;
+  std::int64_t incarnation{ 0 };
+
+  auto operator<=>(EndpointProcess const&) const = default;
 };
 
 /// All known endpoints, by id and by service, and the data centres that are out of rotation.
@@ -51,6 +64,8 @@
   std::map<std::string, KnownEndpoint> byId;
   std::unordered_map<std::string, std::set<std::string>> idsByService;
   std::set<std::string> dataCentersOutOfRotation;
+  /// Processes that have said that they leave, oldest first, so that no entry brings them back.
+  std::deque<EndpointProcess> leavingProcesses;
 };
 
 enum class EntryChange
@@ -66,6 +81,18 @@
 EntryChange
 ApplyEntry(EndpointSet& aSet, EndpointEntry const& aEntry, Duration aColdTime, MonotonicTime aNow);
 
+EndpointProcess
+ProcessOf(EndpointEntry const& aEntry);
+
+/// Records what an answer of a process says of it; ignored if another process has its entry by now. aFronts is the
+/// number of fronts.
+SignalChange
+OnAnswerSignals(EndpointSet& aSet,
+                EndpointProcess const& aProcess,
+                AnswerSignals const& aAnswer,
+                std::size_t aFronts,
+                MonotonicTime aNow);
+
 void
 RemoveEndpoint(EndpointSet& aSet, std::string const& aId);
 
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -5,6 +5,7 @@
 #include "CrashSuspicion.h"
 #include "EndpointSelection.h"
 #include "EndpointSet.h"
+#include "EndpointSignals.h"
 #include "FrontSet.h"
 #include "PromptParts.h"
 #include "RequestStages.h"
--- a/Libraries/LibServing/StageCalls.cpp
+++ b/Libraries/LibServing/StageCalls.cpp
@@ -72,6 +72,8 @@
     bytes += pending.job.itemBytes;
   }
   ++aEndpoint.calls;
+  if (aEndpoint.callInterval > Duration::zero())
+    aEndpoint.nextCall = aNow + aEndpoint.callInterval;
   aEndpoint.reservedBytes += bytes;
   aPool.running[call.id] = { call, aNow, expected, bytes };
   return call;
@@ -107,7 +109,8 @@
   }
   std::vector<StageEndpoint*> free;
   for (auto& [id, endpoint] : aPool.endpoints)
-    if (!endpoint.leaving && endpoint.calls < aPool.limits.slots && endpoint.blockedUntil <= aNow)
+    if (!endpoint.leaving && endpoint.calls < aPool.limits.slots && endpoint.blockedUntil <= aNow &&
+        endpoint.nextCall <= aNow)
       free.push_back(&endpoint);
   if (free.empty())
     return calls;
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -111,6 +111,23 @@
   return Schedule(aPool, aNow);
 }
 
+void
+SetCallTimes(StagePool& aPool, std::string const& aEndpoint, EndpointSignals const& aSignals, MonotonicTime aNow)
+{
+  auto const found = aPool.endpoints.find(aEndpoint);
+  if (found == aPool.endpoints.end())
+    return;
+  auto& endpoint = found->second;
+  // One front, the owner of the pool, calls the endpoint.
+  auto const interval = aSignals.limit ? SendInterval(*aSignals.limit, 1) : Duration::zero();
+  if (interval == Duration::zero())
+    endpoint.nextCall = {};
+  else if (interval != endpoint.callInterval)
+    endpoint.nextCall = aNow + interval;
+  endpoint.callInterval = interval;
+  endpoint.nextCall = std::max(endpoint.nextCall, aSignals.pausedUntil);
+}
+
 static void
 EndJob(StagePool& aPool, StageJobId aJob, StageEnd aEnd, Duration aRetryAfter, StageDecisions& aDecisions)
 {
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -128,6 +128,9 @@
   unsigned calls{ 0 };
   std::size_t reservedBytes{ 0 };
   MonotonicTime blockedUntil{};
+  /// The earliest time of the next call, and the time between two calls, as the endpoint's answers say.
+  MonotonicTime nextCall{};
+  Duration callInterval{ 0 };
   unsigned consecutiveFailures{ 0 };
   /// Smoothed ratio of measured to expected call time.
   double slowness{ 1 };
@@ -184,6 +187,10 @@
   MonotonicTime overloadLastSeen{};
 };
 
+/// Sets what an endpoint's answers say about when it may be called.
+void
+SetCallTimes(StagePool& aPool, std::string const& aEndpoint, EndpointSignals const& aSignals, MonotonicTime aNow);
+
 /// Updates the service's limits and its usable endpoints.
 StageDecisions
 UpdatePool(StagePool& aPool,
--- a/Tests/LibServing/ServingTests.cpp
+++ b/Tests/LibServing/ServingTests.cpp
@@ -56,7 +56,7 @@
 {
   Deployment deployment(12, 8);
   for (int index = 0; index < 120; ++index)
-    OnRequestSent(deployment.endpoints, *deployment.Choose("hot"), kStart);
+    OnRequestSent(deployment.endpoints, *deployment.Choose("hot"), 1, kStart);
   for (auto const& [id, endpoint] : deployment.endpoints.byId)
     EXPECT_LE(endpoint.outstanding, 19U) << id;
 }
@@ -78,7 +78,7 @@
   Deployment deployment(1, 8);
   deployment.table.services["model"].maxConnections = 16;
   for (int index = 0; index < 2; ++index)
-    OnRequestSent(deployment.endpoints, *deployment.Choose(""), kStart);
+    OnRequestSent(deployment.endpoints, *deployment.Choose(""), 1, kStart);
   EXPECT_FALSE(deployment.Choose(""));
 }
 
@@ -102,7 +102,7 @@
         };
         if (!MaySendToColdEndpoint(selection, view->second.byId.at("e0"), name, time))
           continue;
-        OnRequestSent(view->second, "e0", time);
+        OnRequestSent(view->second, "e0", 1, time);
         sent.push_back(time);
       }
       while (!sent.empty() && time - sent.front() >= 1s)
