LibGateway: Resume a stream only by an answer of the same content type

Cause: a success that answers a resumption was taken for the rest of the stream, whatever its content; blank lines in the text of an error end events. Answers with another status were dropped already. A resumption is now accepted only with the content type of the response that the caller receives.

ForwardsNothingOfAnErrorThatAnswersAResumption: of 22 answers at 3 positions, the two successes with another content type failed before; all pass. Whether a head that stops in the middle can be taken for an answer: it cannot; DoesNotTakeAHeadThatStopsForAnAnswer cuts the head after each byte, by close and by reset, on plain services, after each ninth byte on streams, and passes without a change.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -206,7 +206,7 @@
   this->ArmStallTimer();
   this->forwarding = true;
   bool const resumed = this->responseBegun;
-  if (resumed && !success) {
+  if (resumed && !this->ContinuesStream(aHead)) {
     this->call.Abandon();
     this->RecordAttemptHealth(AttemptHealth::Failed);
     ++this->endedAttempts;
@@ -221,6 +221,13 @@
     this->bufferedHead = aHead;
 }
 
+bool
+ProxiedRequest::ContinuesStream(ResponseHead const& aHead) const
+{
+  // The text of an error may end with blank lines, too.
+  return aHead.status / 100 == 2 && EqualIgnoringCase(FieldValue(aHead.fields, "Content-Type"), this->contentType);
+}
+
 bool
 ProxiedRequest::RetryOnError()
 {
@@ -350,6 +357,7 @@
 ProxiedRequest::BeginResponse(ResponseHead const& aHead)
 {
   this->responseBegun = true;
+  this->contentType = FieldValue(aHead.fields, "Content-Type");
   this->proxy.metrics.ObserveTimeToFirstByte(this->proxy.clock.Now() - this->exchange->Received());
   auto const self = this->weak_from_this();
   this->exchange->onDrained = [self] {
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -73,6 +73,8 @@
   void OnHead(ResponseHead const& aHead);
   void OnBody(std::string aData);
   void OnAttemptEnd(CallEnd aEnd);
+  /// Whether a response can go on with the stream that the caller receives.
+  bool ContinuesStream(ResponseHead const& aHead) const;
   void OnNotExecuted(Platform::EndpointResponse const& aResponse);
   /// Abandons the attempt in flight, which may have been executed.
   void FailAttempt(std::string_view aCause);
@@ -156,6 +158,8 @@
 
   RequestTimeline timeline;
   std::optional<ResponseHead> bufferedHead;
+  /// The content type of the response that the caller receives.
+  std::string contentType;
   std::string bufferedBody;
   bool responseBegun{ false };
   EventStream eventStream;
--- a/Libraries/LibServing/EndpointSignals.cpp
+++ b/Libraries/LibServing/EndpointSignals.cpp
@@ -15,8 +15,8 @@
 static constexpr Duration kMaxPause = 5min;
 /// A front that was late for its turn by up to this time does not lose it.
 static constexpr Duration kSendTolerance = 50ms;
-/// A front that does not send to an endpoint hears of the end of its limit only if it asks. All fronts together ask once
-/// in this time, each of them not before kMinLimitMemory.
+/// A front that does not send to an endpoint hears of the end of its limit only if it asks. All fronts together ask
+/// once in this time, each of them not before kMinLimitMemory.
 static constexpr Duration kFleetAskInterval = 4s;
 static constexpr Duration kMinLimitMemory = 30s;
 
@@ -29,8 +29,8 @@
 std::size_t
 LimitSenders(double aLimit, std::size_t aFronts)
 {
-  // The rule leaves (6 - 2 * 4 * kUsedPart) * limit + 5 requests in four seconds for the first request of each sender in
-  // two views.
+  // The rule leaves (6 - 2 * 4 * kUsedPart) * limit + 5 requests in four seconds for the first request of each sender
+  // in two views.
   auto const limit = EffectiveLimit(aLimit);
   auto const senders = std::size_t(std::floor((6 - 8 * kUsedPart) * limit / 2 + 2.2));
   return std::clamp<std::size_t>(limit < 0.5 ? 1 : senders, 1, std::max<std::size_t>(1, aFronts));
--- a/Libraries/LibServing/EndpointSignals.h
+++ b/Libraries/LibServing/EndpointSignals.h
@@ -45,8 +45,8 @@
 SignalChange
 ApplySignals(EndpointSignals& aSignals, AnswerSignals const& aAnswer, std::size_t aSenders, MonotonicTime aNow);
 
-/// Number of fronts that send to an endpoint with a limit. Two views of the membership that choose different fronts stay
-/// below what the endpoint bears together: in any four seconds, one and a half times its limit and five requests.
+/// Number of fronts that send to an endpoint with a limit. Two views of the membership that choose different fronts
+/// stay below what the endpoint bears together: in any four seconds, one and a half times its limit and five requests.
 std::size_t
 LimitSenders(double aLimit, std::size_t aFronts);
 
--- a/Tests/LibServing/EndpointSignalsTests.cpp
+++ b/Tests/LibServing/EndpointSignalsTests.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
-#include <random>
 #include <platform/Platform.h>
+#include <random>
 #include <rapidcheck/gtest.h>
 
 namespace Hornbeam::Gateway {
@@ -201,7 +201,19 @@
 // Text that is no amount must not become a limit or a pause, nor undefined behaviour.
 TEST(EndpointSignals, ReadsOnlyAmounts)
 {
-  for (auto const& text : { "", " ", "nan", "-nan", "inf", "infinity", "-1", "1,5", "1 ", " 1", "0x10", "1.5s", "1e999",
+  for (auto const& text : { "",
+                            " ",
+                            "nan",
+                            "-nan",
+                            "inf",
+                            "infinity",
+                            "-1",
+                            "1,5",
+                            "1 ",
+                            " 1",
+                            "0x10",
+                            "1.5s",
+                            "1e999",
                             "Sat, 05 Dec 2026 00:00:00 GMT" }) {
     auto const signals = Decode(503, { { "Server-Limit", text }, { "Retry-After", text } });
     EXPECT_FALSE(signals.limit) << text;
--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -369,4 +369,67 @@
   EXPECT_LT(result.response.duration, kPrompt);
 }
 
+// An endpoint that stopped in the middle of its answer's head: callers got a success with an empty or short body.
+TEST(PlatformAnswers, DoesNotTakeAHeadThatStopsForAnAnswer)
+{
+  for (auto const* const target : { "/plain/x", "/once/x" })
+    for (auto const* const framing : { "", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n" }) {
+      std::size_t length = 0;
+      auto ending = Ending::Close;
+      std::size_t wholeLength = 1;
+      auto const answer = [&](RequestMessage const& aRequest) {
+        auto const head = RawHead(aRequest, framing);
+        wholeLength = head.size();
+        return RawAnswer{ head.substr(0, length), ending };
+      };
+      RawWorld raw(answer, answer);
+      // Endpoints of streams are cold after failures and take ten requests a second.
+      std::size_t const step = std::string_view(target) == "/once/x" ? 9 : 1;
+      for (; length < wholeLength; length += step)
+        for (auto const end : { Ending::Close, Ending::Reset }) {
+          ending = end;
+          auto const response = raw.Call(target);
+          EXPECT_NE(response.status / 100, 2U) << target << ' ' << framing << ' ' << length;
+        }
+    }
+}
+
+/// Endpoints that answer a resumption with something else than the rest of the stream.
+static std::vector<std::pair<std::string, RawWorld::AnswerOf>>
+ErrorsOfResumptions()
+{
+  std::vector<std::pair<std::string, RawWorld::AnswerOf>> answers;
+  auto const add = [&](std::string const& aStatus, std::string const& aFields, std::string const& aBody) {
+    answers.emplace_back(aStatus + aFields, [=](RequestMessage const& aRequest) {
+      auto head = RawHead(aRequest, aFields);
+      head.replace(0, std::string("HTTP/1.1 200 OK").size(), "HTTP/1.1 " + aStatus);
+      return RawAnswer{ head + aBody, Ending::Close, 20ms };
+    });
+  };
+  for (auto const* const status : { "400 Bad", "404 Missing", "409 Conflict", "429 Many", "500 Error", "503 Full" })
+    for (auto const* const fields : { "", "Retry-After: 1\r\n", "Hornbeamfront-Not-Executed: 1\r\n" })
+      add(status, fields, "out of memory\n\n");
+  add("200 OK", "Content-Type: application/json\r\n", "{\"error\":\"out of memory\"}\n\n");
+  add("200 OK", "Content-Type: text/plain\r\n", "id: 3\n\nout of memory\n\n");
+  add("200 OK", "", "");
+  add("204 None", "", "");
+  return answers;
+}
+
+// The text of an error, or its whole head, was forwarded in the middle of a stream, or the stream ended as complete.
+TEST(PlatformAnswers, ForwardsNothingOfAnErrorThatAnswersAResumption)
+{
+  for (auto const& [name, error] : ErrorsOfResumptions())
+    for (unsigned const events : { 0U, 1U, 2U }) {
+      auto const first = [events](auto const& aRequest) {
+        return RawAnswer{ RawHead(aRequest, "Content-Type: text/event-stream\r\n") + Events(1, events) + "id: 3\nda",
+                          Ending::Reset,
+                          20ms };
+      };
+      auto const result = CallOnce(first, error, "/model/x");
+      EXPECT_EQ(result.response.end, CallEnd::Broken) << name << events;
+      EXPECT_EQ(result.response.body, Events(1, events)) << name << events;
+    }
+}
+
 }
