LibExchange, LibGateway: Take no refusal without an id on a kept connection

Callers could be told 'not run, try again' for a request that an endpoint had run or was running (REFUSED), or it was sent to a second one (TWICE), when a faulty endpoint wrote an earlier refusal once more.

Cause: a refusal without a request's id was taken for one of the request that waited. On a kept connection it may belong to an earlier one; endpoints echo the id, so that it says nothing there, and the request counts as one that may have run. On a new connection there is no earlier request.

DoesNotTakeAnEarlierRefusalForOneOfThisRequest: without an id, alone or in one segment with the right answer, callers got 503 after a second endpoint had been tried; now 502 and one endpoint. Stage calls carry no id: there an earlier refusal makes a piece again, which is allowed.

--- a/Libraries/LibExchange/ClientCall.h
+++ b/Libraries/LibExchange/ClientCall.h
@@ -56,6 +56,9 @@
 
   void Abandon() const;
 
+  /// Whether the call's connection carried calls before it.
+  bool UsesKeptConnection() const { return this->call > 1; }
+
   /// Pauses or resumes reading the response, to propagate back-pressure from a slow caller.
   void PauseReading() const;
   void ResumeReading() const;
@@ -64,7 +67,7 @@
   std::shared_ptr<ClientConnection> Find() const;
 
   std::weak_ptr<ClientConnection> connection;
-  /// Distinguishes this call from later ones on the same connection.
+  /// The number of the call on its connection, from 1.
   std::uint64_t call{ 0 };
 };
 
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -181,8 +181,9 @@
   this->headReceived = true;
   this->framed = HasBodyFraming(aHead);
   auto const response = Platform::DecodeEndpointResponse(aHead);
-  // A response that names another request, or none, does not belong to this request. Only a refusal may name none.
-  bool const anonymousRefusal = response.notExecuted && response.requestId.empty();
+  // A response that names another request, or none, does not belong to this request. Only a refusal may name none, and
+  // only on a new connection: on a kept one, it may be that of an earlier request once more.
+  bool const anonymousRefusal = response.notExecuted && response.requestId.empty() && !this->call.UsesKeptConnection();
   bool const mismatched = response.requestId != this->metadata.requestId && !anonymousRefusal;
   bool const success = aHead.status / 100 == 2;
   // Another request's answer may be an old one, and a misdirected one comes from another process.
--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -432,4 +432,55 @@
     }
 }
 
+static RawAnswer
+Refusal(std::string const& aId)
+{
+  auto const id = aId.empty() ? "" : "Hornbeamfront-Request-Id: " + aId + "\r\n";
+  return { "HTTP/1.1 503 Full\r\nHornbeamfront-Not-Executed: 1\r\nContent-Length: 0\r\n" + id + "\r\n" };
+}
+
+// An earlier refusal came once more on a kept connection: callers were told that a request had not run that had.
+TEST(PlatformAnswers, DoesNotTakeAnEarlierRefusalForOneOfThisRequest)
+{
+  for (auto const* const id : { "", "r0" })
+    for (bool const inOneSegment : { false, true }) {
+      auto const earlier = [&](RequestMessage const& aRequest) {
+        auto answer = Refusal(id);
+        if (inOneSegment)
+          answer.bytes += WholeAnswer(aRequest).bytes;
+        return answer;
+      };
+      RawWorld raw(WholeAnswer, earlier);
+      EXPECT_EQ(raw.Call("/plain/x").status, 200U);
+      auto const response = raw.Call("/plain/x");
+      EXPECT_EQ(response.status, 502U) << id << inOneSegment;
+      EXPECT_EQ(raw.requests, 2U);
+    }
+}
+
+// As above, while no request is in flight: the connection must not be used again.
+TEST(PlatformAnswers, DoesNotUseAConnectionOnWhichAnUnaskedAnswerCame)
+{
+  auto const twice = [](RequestMessage const& aRequest) {
+    auto answer = WholeAnswer(aRequest);
+    answer.repeated = Refusal("r1").bytes;
+    answer.repeatEvery = 20ms;
+    return answer;
+  };
+  RawWorld raw(twice, WholeAnswer);
+  EXPECT_EQ(raw.Call("/plain/x").status, 200U);
+  raw.world.RunFor(60ms);
+  EXPECT_EQ(raw.Call("/plain/x").status, 200U);
+  EXPECT_EQ(raw.requests, 2U);
+}
+
+// A refusal without an id on a new connection can only be of the request on it.
+TEST(PlatformAnswers, TakesARefusalWithoutIdOnANewConnection)
+{
+  auto const refuse = [](RequestMessage const&) { return Refusal(""); };
+  auto const result = CallOnce(refuse, WholeAnswer, "/plain/x");
+  EXPECT_EQ(result.response.body, "whole");
+  EXPECT_EQ(result.requests, 2U);
+}
+
 }
