Tests, deploy: Silence the store under changes, and let endpoints speak in the soak

The soak cut all watches when a silent store returned, which tells fronts what the real one does not; it no longer does. Endpoints name limits, pauses and their leaving in answers, beside all other faults.

What endpoints see is not checked against the three rules there: the soak cannot tell which front sent a request.

--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -12,7 +12,8 @@
   "store-loses-answers",  "table-changes",          "store-link-slow",      "store-link-reset",
   "store-link-cut-to",    "store-link-cut-from",    "endpoint-link-slow",   "endpoint-link-reset",
   "endpoint-link-cut-to", "endpoint-link-cut-from", "endpoint-link-silent", "endpoint-faulty",
-  "endpoint-leaves",      "endpoint-starts-anew",   "data-center-out",      "store-restored",
+  "endpoint-leaves",      "endpoint-starts-anew",   "endpoint-signals",     "data-center-out",
+  "store-restored",
 };
 
 static constexpr unsigned kKinds = std::size(kNames);
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -30,6 +30,8 @@
   EndpointFaulty,
   EndpointDrains,
   EndpointRestarts,
+  /// The endpoint says in its answers that it leaves, what it takes, or how long it wants nothing.
+  EndpointSignals,
   DataCenterOut,
   /// The store is away, and comes back from an older copy; its other writers write again a little later.
   StoreRestored,
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -245,9 +245,11 @@
 {
   auto const setBehavior = [&](StoreBehavior aBehavior) {
     this->store->behavior = aBehavior;
-    this->RunAfter(aFault.length, [this] {
+    this->RunAfter(aFault.length, [this, aBehavior] {
       this->store->behavior = StoreBehavior::Healthy;
-      this->store->CutWatches();
+      // Nothing tells fronts of the end of a silence.
+      if (aBehavior != StoreBehavior::Silent)
+        this->store->CutWatches();
     });
   };
   switch (aFault.kind) {
@@ -334,6 +336,27 @@
       this->RunAfter(aFault.length, [&endpoint] { endpoint.standIn->faultOf = nullptr; });
       return;
     }
+    case SoakFaultKind::EndpointSignals: {
+      static Gateway::HeaderFields const kSignals[] = { { { "Server-Limit", "1" } },
+                                                        { { "Server-Limit", "0" } },
+                                                        { { "Server-Limit", "20" }, { "Retry-After", "0.5" } },
+                                                        { { "Retry-After", "2" } },
+                                                        { { "Server-Leaving", "1" } } };
+      auto const& signals = kSignals[aFault.randomValue % std::size(kSignals)];
+      endpoint.standIn->signals = signals;
+      endpoint.standIn->faultOf = [](std::size_t aNumber) {
+        return aNumber % 3 == 0 ? EndpointFault::Full : EndpointFault::None;
+      };
+      bool const leaves = Gateway::FindField(signals, "Server-Leaving") != nullptr;
+      this->RunAfter(aFault.length, [this, &endpoint, leaves] {
+        endpoint.standIn->signals.clear();
+        endpoint.standIn->faultOf = nullptr;
+        // Another process comes at the same address.
+        endpoint.incarnation += leaves ? 1 : 0;
+        this->PutEndpoint(endpoint, "ready");
+      });
+      return;
+    }
     case SoakFaultKind::EndpointDrains:
       this->PutEndpoint(endpoint, "draining");
       // It comes back as another process.
@@ -385,6 +408,8 @@
   for (auto& endpoint : this->endpoints) {
     endpoint.proxy->ClearFaults();
     endpoint.standIn->faultOf = nullptr;
+    endpoint.incarnation += endpoint.standIn->signals.empty() ? 0 : 1;
+    endpoint.standIn->signals.clear();
     this->PutEndpoint(endpoint, "ready");
   }
   this->store->behavior = StoreBehavior::Healthy;
