--- a/Tests/Platform/PlatformRestoreTests.cpp
+++ b/Tests/Platform/PlatformRestoreTests.cpp
@@ -350,4 +350,18 @@
   EXPECT_EQ(direct.Remove("first", replaced.object.value().revision).outcome, Platform::StoreOutcome::Done);
 }
 
+// One answer with a wrong, larger era makes all right answers unusable until a restart. Listed in KNOWN-RED.txt.
+TEST(PlatformRestore, DISABLED_RecoversFromOneAnswerWithAWrongEra)
+{
+  PlainWorld plain;
+  auto& world = plain.world;
+  world.store->era = "9";
+  world.PutTable(2);
+  world.RunFor(50ms);
+  world.store->era = "1";
+  world.PutTable(3);
+  EXPECT_TRUE(HappensWithin(
+    world, [&] { return VersionAt(world, 0) == 3; }, 3s + kTolerance));
+}
+
 }
