LibServing, docs: Name the terms of the bound on an endpoint with a limit

The number of senders came from unnamed numbers (6, 8, 2.2, 0.5). It is the same: 0.2 x limit + 2.2, one below 0.5.

--- a/Libraries/LibServing/EndpointSignals.cpp
+++ b/Libraries/LibServing/EndpointSignals.cpp
@@ -1,11 +1,20 @@
 #include "EndpointSignals.h"
 #include <algorithm>
-#include <cmath>
 
 namespace Hornbeam::Gateway {
 
+/// In any window of this length, an endpoint may get its limit times kOvershoot, and kSlack requests more.
+static constexpr double kWindowSeconds = 4;
+static constexpr double kOvershoot = 1.5;
+static constexpr double kSlack = 5;
+/// Fronts that do not agree on the membership choose different senders.
+static constexpr double kViews = 2;
 /// The part of a limit that fronts use in each view of the membership.
 static constexpr double kUsedPart = 0.7;
+/// Kept free of the slack, for requests that are delayed on their way.
+static constexpr double kSlackMargin = 0.6;
+/// Below this limit, in requests a second, the slack leaves room for one sender in each view.
+static constexpr double kOneSenderLimit = 0.5;
 /// An endpoint that takes less is still asked this often, in requests a second: only an answer tells that its limit has
 /// risen.
 static constexpr double kMinLimit = 0.25;
@@ -29,11 +38,12 @@
 std::size_t
 LimitSenders(double aLimit, std::size_t aFronts)
 {
-  // The rule leaves (6 - 2 * 4 * kUsedPart) * limit + 5 requests in four seconds for the first request of each sender
-  // in two views.
   auto const limit = EffectiveLimit(aLimit);
-  auto const senders = std::size_t(std::floor((6 - 8 * kUsedPart) * limit / 2 + 2.2));
-  return std::clamp<std::size_t>(limit < 0.5 ? 1 : senders, 1, std::max<std::size_t>(1, aFronts));
+  if (limit < kOneSenderLimit)
+    return 1;
+  // What the senders do not use at an even rate is left for the one request that each may send early in a window.
+  auto const left = (kOvershoot - kViews * kUsedPart) * limit * kWindowSeconds + kSlack - kSlackMargin;
+  return std::clamp<std::size_t>(std::size_t(left / kViews), 1, std::max<std::size_t>(1, aFronts));
 }
 
 Duration
