Tests, docs: Show a request that crashes one endpoint after the other

Callers of a small service saw all of its endpoints down at once, again and again, while one request came back at any front.

--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -70,9 +70,13 @@
   }
   if (fault == EndpointFault::Silent)
     return;
-  if (!this->crashingPart.empty())
+  if (this->MayCrash())
     this->exchanges.insert(aExchange);
   this->clock.Schedule(this->workTime, [this, aExchange, fault] {
+    if (this->MayCrash() && !this->exchanges.contains(aExchange))
+      return;
+    if (this->HasCrashingBody(*aExchange))
+      return this->Crash();
     if (this->kind == EndpointKind::Model)
       this->Stream(aExchange, fault);
     else
@@ -118,6 +122,7 @@
     case EndpointFault::Error:
       return this->Respond(*aExchange, HeadFor(*aExchange, 500, "text/plain", aFault), "error of " + this->id);
     default:
+      this->exchanges.erase(aExchange);
       return this->Respond(*aExchange,
                            HeadFor(*aExchange, 200, "text/plain", aFault),
                            "answer of " + this->id + this->Suffix(FieldOf(*aExchange, "Hornbeamfront-Request-Id")));
@@ -129,8 +134,6 @@
 {
   if (aFault == EndpointFault::LostResponse)
     return aExchange->Abort();
-  if (!this->crashingPart.empty() && !this->exchanges.contains(aExchange))
-    return;
   aExchange->BeginStream(this->WithSignals(HeadFor(*aExchange, 200, "text/event-stream", aFault)));
   if (this->HasCrashingPart(*aExchange))
     this->clock.Schedule(10ms, [this, aExchange] {
@@ -149,7 +152,7 @@
     this->clock.Schedule(5ms, [aExchange] { aExchange->Abort(); });
     return;
   }
-  if (!this->crashingPart.empty() && !this->exchanges.contains(aExchange))
+  if (this->MayCrash() && !this->exchanges.contains(aExchange))
     return;
   if (aEvent > this->events) {
     this->exchanges.erase(aExchange);
@@ -191,6 +194,12 @@
   return !this->crashingPart.empty() && parts.find("," + this->crashingPart + ":") != std::string::npos;
 }
 
+bool
+StandInEndpoint::HasCrashingBody(Exchange const& aExchange) const
+{
+  return !this->crashingBody.empty() && aExchange.Request().body == this->crashingBody;
+}
+
 void
 StandInEndpoint::Crash()
 {
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -78,6 +78,8 @@
   Duration pauseTime{ 1500ms };
   /// The endpoint crashes when it begins to answer a request whose prompt has this part; empty for none.
   std::string crashingPart;
+  /// The endpoint crashes when it has worked for workTime on a request with this body; empty for none.
+  std::string crashingBody;
   /// When a crashed endpoint listens again.
   Duration downTime{ 1s };
   /// Called when the endpoint is back; it then has another id.
@@ -104,6 +106,8 @@
   void SendEvent(std::shared_ptr<Gateway::Exchange> const& aExchange, unsigned aEvent, EndpointFault aFault);
   void RunItems(std::shared_ptr<Gateway::Exchange> const& aExchange);
   bool HasCrashingPart(Gateway::Exchange const& aExchange) const;
+  bool HasCrashingBody(Gateway::Exchange const& aExchange) const;
+  bool MayCrash() const { return !this->crashingPart.empty() || !this->crashingBody.empty(); }
   void Crash();
   void Return();
   std::string Suffix(std::string const& aRequestId) const;
