--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -2,12 +2,12 @@
 
 /// LibServing: decisions about proxied requests, without I/O, clock access or logging.
 
+#include "CrashCandidates.h"
 #include "CrashSuspicion.h"
 #include "EndpointSelection.h"
 #include "EndpointSet.h"
 #include "EndpointSignals.h"
 #include "FrontSet.h"
-#include "CrashCandidates.h"
 #include "RequestStages.h"
 #include "RequestTimeline.h"
 #include "RestoredCopy.h"
