LibServing, LibGateway: Keep a stream at the software version that began it

Callers got streams that held events of two software versions: an endpoint broke off, and the front resumed the stream, within the same answer, at an endpoint of another version. The rest did not fit the beginning, and nothing in the answer showed it.

Cause: no path read an endpoint's version. EndpointEntry holds it now, the first event that goes out binds the answer to it, and every choice of an endpoint after that keeps to it: retries, stalls, the preferred endpoint of requests with stages. Without another endpoint of the version the answer is broken off at once; stages are not run again in vain. An unknown version equals no other.

The other way in, callers that take a stream up with another request, is not mended by this.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -48,6 +48,7 @@
   auto const preferred = view.endpoints.byId.find(this->preferredEndpoint);
   std::optional<std::string> chosen;
   bool const preferredIsUsable = preferred != view.endpoints.byId.end() && this->triedEndpoints.empty() &&
+                                 HasQueriedVersion(this->MakeQuery(), preferred->second.entry) &&
                                  IsUsable(view.endpoints, preferred->second) && preferred->second.ejectedUntil <= now &&
                                  EarliestSendTo(view, preferred->second, this->proxy.settings.name) <= now &&
                                  preferred->second.coldUntil <= now;
@@ -87,6 +88,7 @@
   auto const& entry = this->proxy.stateCache.Endpoints().byId.at(aEndpoint).entry;
   this->endpoint = aEndpoint;
   this->process = ProcessOf(entry);
+  this->attemptVersion = entry.softwareVersion;
   this->attempting = true;
   this->headReceived = false;
   this->forwarding = false;
@@ -260,10 +262,12 @@
   this->triedEndpoints.push_back(this->endpoint);
   // A stream resumes after its last complete event, so a partial event is sent again in full.
   PrepareResumption(this->eventStream);
-  if (this->stages && this->resultsReleased)
+  if (!this->stages || !this->resultsReleased)
+    this->TryEndpoint();
+  else if (HasUntriedEndpoint(this->proxy.stateCache.MakeSelectionView(), this->MakeQuery()))
     this->RestartStages(aCause);
   else
-    this->TryEndpoint();
+    this->Refuse("no-other-endpoint", kRetryAfterNoEndpoint);
 }
 
 void
@@ -302,7 +306,7 @@
   auto const age = this->proxy.clock.Now() - begun;
   return "head_received=" + std::to_string(this->headReceived) + " framed=" + std::to_string(this->framed) +
          " answer_age_ms=" + (begun == MonotonicTime() ? "-" : std::to_string(Milliseconds(age))) +
-         " answer_bytes=" + std::to_string(this->attemptBytes) +
+         " answer_bytes=" + std::to_string(this->attemptBytes) + " software=" + this->attemptVersion +
          " last_event=" + this->eventStream.lastId.value_or("-").substr(0, kMaxLoggedEventId) +
          " suspected=" + std::to_string(this->suspected) + " candidates=" + ToLogField(this->crashCandidates);
 }
@@ -391,6 +395,8 @@
     this->End(RequestOutcome::Interrupted, 0, "events-out-of-order");
     return;
   }
+  if (this->eventStream.hasEvent && !this->streamVersion)
+    this->streamVersion = this->attemptVersion;
   this->exchange->SendChunk(whole);
   // Bytes of an incomplete event do not reach the caller, so they are no progress.
   if (!whole.empty())
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -77,7 +77,8 @@
            this->AffinityKey(),
            this->triedEndpoints,
            this->proxy.settings.name,
-           this->proxy.settings.dataCenter };
+           this->proxy.settings.dataCenter,
+           this->streamVersion };
 }
 
 void
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -134,8 +134,11 @@
 
   /// The endpoint of the attempt in flight, or of the last one.
   std::string endpoint;
-  /// The process to which the attempt was sent.
+  /// The process to which the attempt was sent, and the version of its software.
   EndpointProcess process;
+  std::string attemptVersion;
+  /// The software version of the endpoint that began the stream, once an event of it has been forwarded.
+  std::optional<std::string> streamVersion;
   CallHandle call;
   /// The attempt's number at the crash service.
   std::uint64_t watchedAttempt{ 0 };
--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -39,11 +39,18 @@
   return std::max(1U, unsigned(RuleOf(aView.table, aService).maxConnections / fronts));
 }
 
+bool
+HasQueriedVersion(EndpointQuery const& aQuery, EndpointEntry const& aEntry)
+{
+  return !aQuery.softwareVersion ||
+         (!aEntry.softwareVersion.empty() && aEntry.softwareVersion == *aQuery.softwareVersion);
+}
+
 /// Returns whether the endpoint is in service and not excluded by the query.
 static bool
 IsEligible(SelectionView const& aView, EndpointQuery const& aQuery, KnownEndpoint const& aEndpoint)
 {
-  return IsUsable(aView.endpoints, aEndpoint) &&
+  return IsUsable(aView.endpoints, aEndpoint) && HasQueriedVersion(aQuery, aEndpoint.entry) &&
          std::ranges::find(aQuery.excluded, aEndpoint.entry.id) == aQuery.excluded.end();
 }
 
--- a/Libraries/LibServing/EndpointSelection.h
+++ b/Libraries/LibServing/EndpointSelection.h
@@ -23,6 +23,8 @@
   std::vector<std::string> excluded;
   std::string ownName;
   std::string ownDataCenter;
+  /// The software version that the endpoint must have; any if not set.
+  std::optional<std::string> softwareVersion{};
 };
 
 /// The known state that a selection is based on.
@@ -47,6 +49,10 @@
 std::optional<std::string>
 ChooseEndpoint(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow);
 
+/// Returns whether the endpoint has the software version that the query asks for. An unknown version is no version.
+bool
+HasQueriedVersion(EndpointQuery const& aQuery, EndpointEntry const& aEntry);
+
 /// Returns whether an endpoint that is not excluded may serve the query now or soon.
 bool
 HasUntriedEndpoint(SelectionView const& aView, EndpointQuery const& aQuery);
--- a/Libraries/LibServing/EndpointSet.h
+++ b/Libraries/LibServing/EndpointSet.h
@@ -24,6 +24,9 @@
   Duration coldFor{ 0 };
   /// Distinguishes processes that run under the same id.
   std::int64_t incarnation{ 0 };
+  /// The version of the endpoint's software; empty if it is not known. Versions have no order, and a stream that one of
+  /// them began cannot go on at another.
+  std::string softwareVersion{};
 
   bool operator==(EndpointEntry const&) const = default;
 };
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -48,7 +48,10 @@
                         std::string const& aState,
                         std::string const& aDataCenter)
 {
-  this->store->Put("servers", aEndpoint.Id(), StandInEntry(aService, aEndpoint.PublicAddress(), aState, aDataCenter));
+  this->store->Put(
+    "servers",
+    aEndpoint.Id(),
+    StandInEntry(aService, aEndpoint.PublicAddress(), aState, aDataCenter, 1, aEndpoint.softwareVersion));
 }
 
 void
--- a/Tests/Platform/StandInEndpoint.cpp
+++ b/Tests/Platform/StandInEndpoint.cpp
@@ -160,7 +160,8 @@
     return;
   }
   aExchange->SendChunk("id: " + std::to_string(aEvent) + "\ndata: t" + std::to_string(aEvent) +
-                       this->Suffix(FieldOf(*aExchange, "Hornbeamfront-Request-Id")) + "\n\n");
+                       this->Suffix(FieldOf(*aExchange, "Hornbeamfront-Request-Id")) +
+                       (this->includesVersion ? "@" + this->softwareVersion : "") + "\n\n");
   auto const gap = aFault == EndpointFault::Pause && aEvent % 2 == 0 ? this->pauseTime : this->eventTime;
   this->clock.Schedule(gap, [this, aExchange, aEvent, aFault] { this->SendEvent(aExchange, aEvent + 1, aFault); });
 }
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -80,6 +80,10 @@
   std::string crashingPart;
   /// The endpoint crashes when it has worked for workTime on a request with this body; empty for none.
   std::string crashingBody;
+  /// The version of its software, in the entry that PlatformWorld::Register() writes and in its events if
+  /// includesVersion is set.
+  std::string softwareVersion{ "v1" };
+  bool includesVersion{ false };
   /// When a crashed endpoint listens again.
   Duration downTime{ 1s };
   /// Called when the endpoint is back; it then has another id.
--- a/Tests/Platform/StandInTable.cpp
+++ b/Tests/Platform/StandInTable.cpp
@@ -59,11 +59,12 @@
              std::string const& aAddress,
              std::string const& aState,
              std::string const& aDataCenter,
-             std::int64_t aIncarnation)
+             std::int64_t aIncarnation,
+             std::string const& aSoftwareVersion)
 {
-  return { { "service", aService },    { "address", aAddress },  { "zone", aDataCenter },
-           { "version", "v1" },        { "slots", 8 },           { "state", aState },
-           { "cold_remaining_ms", 0 }, { "born", aIncarnation }, { "sequence", 4 } };
+  return { { "service", aService },         { "address", aAddress },  { "zone", aDataCenter },
+           { "version", aSoftwareVersion }, { "slots", 8 },           { "state", aState },
+           { "cold_remaining_ms", 0 },      { "born", aIncarnation }, { "sequence", 4 } };
 }
 
 }
--- a/Tests/Platform/StandInTable.h
+++ b/Tests/Platform/StandInTable.h
@@ -16,6 +16,7 @@
              std::string const& aAddress,
              std::string const& aState,
              std::string const& aDataCenter,
-             std::int64_t aIncarnation = 1);
+             std::int64_t aIncarnation = 1,
+             std::string const& aSoftwareVersion = "v1");
 
 }
