--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -159,6 +159,22 @@
   return result;
 }
 
+void
+WriteRecord(StreamRecord const& aRecord, Wire::StreamRecord::Builder aWire)
+{
+  aWire.setRequestId(aRecord.requestId);
+  aWire.setService(aRecord.origin.service);
+  aWire.setSoftwareVersion(aRecord.origin.softwareVersion);
+  aWire.setRequester(aRecord.origin.requester);
+}
+
+StreamRecord
+ReadRecord(Wire::StreamRecord::Reader aWire)
+{
+  return { aWire.getRequestId().cStr(),
+           { aWire.getService().cStr(), aWire.getSoftwareVersion().cStr(), aWire.getRequester() } };
+}
+
 class PeerServer final : public Wire::GatewayPeer::Server
 {
 public:
@@ -244,6 +260,30 @@
       .attach(result.CancelUnlessEnded(std::move(cancel), this->front));
   }
 
+  kj::Promise<void> recordStreams(RecordStreamsContext aContext) override
+  {
+    std::vector<StreamRecord> records;
+    for (auto const record : aContext.getParams().getRecords())
+      records.push_back(ReadRecord(record));
+    this->Handlers().recordStreams(records);
+    this->loop.Wake();
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> findStream(FindStreamContext aContext) override
+  {
+    std::string const requestId = aContext.getParams().getRequestId().cStr();
+    aContext.releaseParams();
+    CallResult<std::optional<StreamOrigin>> result;
+    this->Handlers().findStream(requestId, result.Callback());
+    this->loop.Wake();
+    return result.promise.then([aContext, requestId](std::optional<StreamOrigin> aOrigin) mutable {
+      aContext.getResults().setKnown(aOrigin.has_value());
+      if (aOrigin)
+        WriteRecord({ requestId, *aOrigin }, aContext.getResults().initRecord());
+    });
+  }
+
 private:
   /// Throws if the front has been destroyed, which fails the call.
   FrontPeerHandlers const& Handlers() const
@@ -468,4 +508,41 @@
     aAddress, aRequest.wait + kProbeTimeout, kj::mv(call), std::move(aDone));
 }
 
+void
+FrontPeers::RecordStreams(std::string const& aAddress,
+                          std::vector<StreamRecord> const& aRecords,
+                          std::function<void(bool)> aDone)
+{
+  ++this->calls;
+  auto call = [aRecords](Wire::GatewayPeer::Client& aClient) {
+    auto request = aClient.recordStreamsRequest();
+    auto wire = request.initRecords(unsigned(aRecords.size()));
+    for (unsigned index = 0; index < aRecords.size(); ++index)
+      WriteRecord(aRecords[index], wire[index]);
+    return request.send().then([](auto&&) { return true; });
+  };
+  this->implementation->connections.Run<bool>(
+    aAddress, kProbeTimeout, kj::mv(call), [aDone = std::move(aDone)](std::optional<bool> aRecorded) {
+      aDone(aRecorded.has_value());
+    });
+}
+
+void
+FrontPeers::FindStream(std::string const& aAddress, std::string const& aRequestId, OriginCallback aDone)
+{
+  ++this->calls;
+  using Found = std::optional<StreamOrigin>;
+  auto call = [aRequestId](Wire::GatewayPeer::Client& aClient) {
+    auto request = aClient.findStreamRequest();
+    request.setRequestId(aRequestId);
+    return request.send().then([](auto&& aResponse) {
+      return aResponse.getKnown() ? Found(ReadRecord(aResponse.getRecord()).origin) : Found();
+    });
+  };
+  this->implementation->connections.Run<Found>(
+    aAddress, kProbeTimeout, kj::mv(call), [aDone = std::move(aDone)](std::optional<Found> aFound) {
+      aDone(aFound.value_or(std::nullopt));
+    });
+}
+
 }
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -57,6 +57,8 @@
   bool watchesStore{ false };
 };
 
+/// Receives the origin of a stream; nothing if it is not known.
+using OriginCallback = std::function<void(std::optional<StreamOrigin>)>;
 using FollowCallback = std::function<void(FollowResponse)>;
 using StageCallback = std::function<void(StageResult)>;
 using CancelAction = std::function<void()>;
@@ -71,6 +73,9 @@
   std::function<std::vector<CachedObject>()> cachedObjects;
   /// Calls back exactly once unless cancelled; the returned action cancels the poll.
   std::function<CancelAction(FollowRequest, FollowCallback)> follow;
+  std::function<void(std::vector<StreamRecord> const&)> recordStreams;
+  /// Calls back exactly once.
+  std::function<void(std::string const& aRequestId, OriginCallback)> findStream;
 };
 
 /// Cap'n Proto RPC between fronts, on the event loop. Connections with jobs in flight are probed. A connection that
@@ -112,6 +117,15 @@
               FollowRequest const& aRequest,
               std::function<void(std::optional<FollowResponse>)> aDone);
 
+  /// Passes the origins of streams to their keeper. aDone receives whether it has them.
+  void RecordStreams(std::string const& aAddress,
+                     std::vector<StreamRecord> const& aRecords,
+                     std::function<void(bool)> aDone);
+
+  /// Asks the keeper of a request's record. aDone receives nothing if it is not known or the peer does not respond in
+  /// time.
+  void FindStream(std::string const& aAddress, std::string const& aRequestId, OriginCallback aDone);
+
   std::uint64_t Calls() const { return this->calls; }
 
 private:
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -59,6 +59,14 @@
   readerLimit @5 :UInt64;
 }
 
+# The origin of a stream, by the request that brought its first event.
+struct StreamRecord {
+  requestId @0 :Text;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+  requester @3 :UInt64;
+}
+
 interface GatewayPeer {
   # Returns when all items are completed or the job is abandoned. Dropping the call cancels the job.
   makeStage @0 (order :StageOrder) -> (result :StageResult);
@@ -76,4 +84,8 @@
   # relay's.
   followStore @5 (revisions :List(UInt64), waitUs :Int64, noticeOnly :Bool)
       -> (updates :List(RelayedUpdate), ageUs :Int64, watching :Bool, revisions :List(UInt64));
+  # To the keeper of the requests' records.
+  recordStreams @6 (records :List(StreamRecord)) -> ();
+  # The record is meaningful only if it is known.
+  findStream @7 (requestId :Text) -> (known :Bool, record :StreamRecord);
 }
--- a/Libraries/LibGateway/Gateway.capnp.c++
+++ b/Libraries/LibGateway/Gateway.capnp.c++
@@ -666,7 +666,99 @@
   1, 6, i_fd49de7df2b14d99, nullptr, nullptr, { &s_fd49de7df2b14d99, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<83> b_fcf92d53b3c3d6a5 = {
+static const ::capnp::_::AlignedData<81> b_d5c9eaa6b0417d17 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     23, 125,  65, 176, 166, 234, 201, 213,
+     14,   0,   0,   0,   1,   0,   1,   0,
+     72, 144,  94, 124, 178, 246, 161, 211,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 218,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  83, 116,
+    114, 101,  97, 109,  82, 101,  99, 111,
+    114, 100,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0, 130,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116,   0,   0,   0,   3,   0,   1,   0,
+    128,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 113, 117, 101, 115, 116,  73,
+    100,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 111, 102, 116, 119,  97, 114, 101,
+     86, 101, 114, 115, 105, 111, 110,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 113, 117, 101, 115, 116, 101,
+    114,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d5c9eaa6b0417d17 = b_d5c9eaa6b0417d17.words;
+#if !CAPNP_LITE
+static const uint16_t m_d5c9eaa6b0417d17[] = {0, 3, 1, 2};
+static const uint16_t i_d5c9eaa6b0417d17[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_d5c9eaa6b0417d17 = {
+  0xd5c9eaa6b0417d17, b_d5c9eaa6b0417d17.words, 81, nullptr, m_d5c9eaa6b0417d17,
+  0, 4, i_d5c9eaa6b0417d17, nullptr, nullptr, { &s_d5c9eaa6b0417d17, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<105> b_fcf92d53b3c3d6a5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     165, 214, 195, 179,  83,  45, 249, 252,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -676,63 +768,79 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 135,   1,   0,   0,
-     29,   1,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0,   7,   2,   0,   0,
+    117,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      71,  97, 116, 101, 119,  97, 121,  46,
      99,  97, 112, 110, 112,  58,  71,  97,
     116, 101, 119,  97, 121,  80, 101, 101,
     114,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     32,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     189, 251, 240, 213, 209, 155,   1, 234,
      88, 124,  82,  58,  45, 235,  69, 131,
-    177,   0,   0,   0,  82,   0,   0,   0,
+    241,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    233,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     244,  77, 139, 237, 159, 115, 117, 139,
     130,  26,  98,  69,  10, 225, 114, 245,
-    157,   0,   0,   0, 122,   0,   0,   0,
+    221,   0,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    149,   0,   0,   0,   7,   0,   0,   0,
+    213,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     158,  91, 252, 188, 194, 250, 243, 221,
     228, 173,  41, 233,  54, 204, 223, 246,
-    137,   0,   0,   0,  42,   0,   0,   0,
+    201,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
+    189,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     192, 220,  74,  37,  44, 179, 224, 250,
      63, 234, 225, 169, 214, 190, 101, 140,
-    113,   0,   0,   0, 106,   0,   0,   0,
+    177,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
       6,  79, 217, 229,  18, 239,  25, 176,
      30,   5, 187,  39,  46, 173, 245, 236,
-     93,   0,   0,   0,  58,   0,   0,   0,
+    157,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      94, 150,  97,  91, 182, 148, 218, 157,
      88, 228, 134,  84, 245, 251,  67, 210,
-     69,   0,   0,   0,  98,   0,   0,   0,
+    133,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+    145, 184,  44, 111, 189, 145, 236, 196,
+     81, 209, 239, 241,  66,   8, 180, 219,
+    113,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+     95,  26, 238,  61, 237,  73, 217, 158,
+     51, 112, 119, 185,   4, 218, 244, 217,
+     93,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
     109,  97, 107, 101,  83, 116,  97, 103,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -749,6 +857,12 @@
     102, 111, 108, 108, 111, 119,  83, 116,
     111, 114, 101,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101,  99, 111, 114, 100,  83, 116,
+    114, 101,  97, 109, 115,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    102, 105, 110, 100,  83, 116, 114, 101,
+     97, 109,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_fcf92d53b3c3d6a5 = b_fcf92d53b3c3d6a5.words;
@@ -758,8 +872,12 @@
   &s_8b75739fed8b4df4,
   &s_8c65bed6a9e1ea3f,
   &s_9dda94b65b61965e,
+  &s_9ed949ed3dee1a5f,
   &s_b019ef12e5d94f06,
+  &s_c4ec91bd6f2cb891,
   &s_d243fbf55486e458,
+  &s_d9f4da04b9777033,
+  &s_dbb40842f1efd151,
   &s_ddf3fac2bcfc5b9e,
   &s_ea019bd1d5f0fbbd,
   &s_ecf5ad2e27bb051e,
@@ -767,10 +885,10 @@
   &s_f6dfcc36e929ade4,
   &s_fae0b32c254adcc0,
 };
-static const uint16_t m_fcf92d53b3c3d6a5[] = {4, 5, 3, 0, 2, 1};
+static const uint16_t m_fcf92d53b3c3d6a5[] = {7, 4, 5, 3, 0, 2, 6, 1};
 const ::capnp::_::RawSchema s_fcf92d53b3c3d6a5 = {
-  0xfcf92d53b3c3d6a5, b_fcf92d53b3c3d6a5.words, 83, d_fcf92d53b3c3d6a5, m_fcf92d53b3c3d6a5,
-  12, 6, nullptr, nullptr, nullptr, { &s_fcf92d53b3c3d6a5, nullptr, nullptr, 0, 0, nullptr }
+  0xfcf92d53b3c3d6a5, b_fcf92d53b3c3d6a5.words, 105, d_fcf92d53b3c3d6a5, m_fcf92d53b3c3d6a5,
+  16, 8, nullptr, nullptr, nullptr, { &s_fcf92d53b3c3d6a5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_ea019bd1d5f0fbbd = {
@@ -1510,6 +1628,194 @@
   1, 4, i_d243fbf55486e458, nullptr, nullptr, { &s_d243fbf55486e458, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<38> b_c4ec91bd6f2cb891 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    145, 184,  44, 111, 189, 145, 236, 196,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 122,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  71,  97,
+    116, 101, 119,  97, 121,  80, 101, 101,
+    114,  46, 114, 101,  99, 111, 114, 100,
+     83, 116, 114, 101,  97, 109, 115,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    114, 101,  99, 111, 114, 100, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     23, 125,  65, 176, 166, 234, 201, 213,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c4ec91bd6f2cb891 = b_c4ec91bd6f2cb891.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_c4ec91bd6f2cb891[] = {
+  &s_d5c9eaa6b0417d17,
+};
+static const uint16_t m_c4ec91bd6f2cb891[] = {0};
+static const uint16_t i_c4ec91bd6f2cb891[] = {0};
+const ::capnp::_::RawSchema s_c4ec91bd6f2cb891 = {
+  0xc4ec91bd6f2cb891, b_c4ec91bd6f2cb891.words, 38, d_c4ec91bd6f2cb891, m_c4ec91bd6f2cb891,
+  1, 1, i_c4ec91bd6f2cb891, nullptr, nullptr, { &s_c4ec91bd6f2cb891, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<18> b_dbb40842f1efd151 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     81, 209, 239, 241,  66,   8, 180, 219,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 130,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  71,  97,
+    116, 101, 119,  97, 121,  80, 101, 101,
+    114,  46, 114, 101,  99, 111, 114, 100,
+     83, 116, 114, 101,  97, 109, 115,  36,
+     82, 101, 115, 117, 108, 116, 115,   0, }
+};
+::capnp::word const* const bp_dbb40842f1efd151 = b_dbb40842f1efd151.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_dbb40842f1efd151 = {
+  0xdbb40842f1efd151, b_dbb40842f1efd151.words, 18, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_dbb40842f1efd151, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<35> b_9ed949ed3dee1a5f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     95,  26, 238,  61, 237,  73, 217, 158,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  98,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  71,  97,
+    116, 101, 119,  97, 121,  80, 101, 101,
+    114,  46, 102, 105, 110, 100,  83, 116,
+    114, 101,  97, 109,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 113, 117, 101, 115, 116,  73,
+    100,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9ed949ed3dee1a5f = b_9ed949ed3dee1a5f.words;
+#if !CAPNP_LITE
+static const uint16_t m_9ed949ed3dee1a5f[] = {0};
+static const uint16_t i_9ed949ed3dee1a5f[] = {0};
+const ::capnp::_::RawSchema s_9ed949ed3dee1a5f = {
+  0x9ed949ed3dee1a5f, b_9ed949ed3dee1a5f.words, 35, nullptr, m_9ed949ed3dee1a5f,
+  0, 1, i_9ed949ed3dee1a5f, nullptr, nullptr, { &s_9ed949ed3dee1a5f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_d9f4da04b9777033 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     51, 112, 119, 185,   4, 218, 244, 217,
+     26,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 106,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  71,  97,
+    116, 101, 119,  97, 121,  80, 101, 101,
+    114,  46, 102, 105, 110, 100,  83, 116,
+    114, 101,  97, 109,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    107, 110, 111, 119, 110,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     23, 125,  65, 176, 166, 234, 201, 213,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d9f4da04b9777033 = b_d9f4da04b9777033.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d9f4da04b9777033[] = {
+  &s_d5c9eaa6b0417d17,
+};
+static const uint16_t m_d9f4da04b9777033[] = {0, 1};
+static const uint16_t i_d9f4da04b9777033[] = {0, 1};
+const ::capnp::_::RawSchema s_d9f4da04b9777033 = {
+  0xd9f4da04b9777033, b_d9f4da04b9777033.words, 49, d_d9f4da04b9777033, m_d9f4da04b9777033,
+  1, 2, i_d9f4da04b9777033, nullptr, nullptr, { &s_d9f4da04b9777033, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1558,6 +1864,14 @@
 constexpr ::capnp::_::RawSchema const* RelayedUpdate::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// StreamRecord
+constexpr uint16_t StreamRecord::_capnpPrivate::dataWordSize;
+constexpr uint16_t StreamRecord::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StreamRecord::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StreamRecord::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::MakeStageParams,  ::Hornbeam::Wire::GatewayPeer::MakeStageResults>
 GatewayPeer::Client::makeStageRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1619,6 +1933,26 @@
       "Gateway.capnp:GatewayPeer", "followStore",
       0xfcf92d53b3c3d6a5ull, 5);
 }
+::capnp::Request< ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams,  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults>
+GatewayPeer::Client::recordStreamsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams,  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults>(
+      0xfcf92d53b3c3d6a5ull, 6, sizeHint);
+}
+::kj::Promise<void> GatewayPeer::Server::recordStreams(RecordStreamsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Gateway.capnp:GatewayPeer", "recordStreams",
+      0xfcf92d53b3c3d6a5ull, 6);
+}
+::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FindStreamParams,  ::Hornbeam::Wire::GatewayPeer::FindStreamResults>
+GatewayPeer::Client::findStreamRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Hornbeam::Wire::GatewayPeer::FindStreamParams,  ::Hornbeam::Wire::GatewayPeer::FindStreamResults>(
+      0xfcf92d53b3c3d6a5ull, 7, sizeHint);
+}
+::kj::Promise<void> GatewayPeer::Server::findStream(FindStreamContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Gateway.capnp:GatewayPeer", "findStream",
+      0xfcf92d53b3c3d6a5ull, 7);
+}
 ::capnp::Capability::Server::DispatchCallResult GatewayPeer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1669,6 +2003,18 @@
              ::Hornbeam::Wire::GatewayPeer::FollowStoreParams,  ::Hornbeam::Wire::GatewayPeer::FollowStoreResults>(context)),
         false
       };
+    case 6:
+      return {
+        recordStreams(::capnp::Capability::Server::internalGetTypedContext<
+             ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams,  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults>(context)),
+        false
+      };
+    case 7:
+      return {
+        findStream(::capnp::Capability::Server::internalGetTypedContext<
+             ::Hornbeam::Wire::GatewayPeer::FindStreamParams,  ::Hornbeam::Wire::GatewayPeer::FindStreamResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1780,6 +2126,38 @@
 constexpr ::capnp::_::RawSchema const* GatewayPeer::FollowStoreResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// GatewayPeer::RecordStreamsParams
+constexpr uint16_t GatewayPeer::RecordStreamsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t GatewayPeer::RecordStreamsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GatewayPeer::RecordStreamsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GatewayPeer::RecordStreamsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// GatewayPeer::RecordStreamsResults
+constexpr uint16_t GatewayPeer::RecordStreamsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t GatewayPeer::RecordStreamsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GatewayPeer::RecordStreamsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GatewayPeer::RecordStreamsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// GatewayPeer::FindStreamParams
+constexpr uint16_t GatewayPeer::FindStreamParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t GatewayPeer::FindStreamParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GatewayPeer::FindStreamParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GatewayPeer::FindStreamParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// GatewayPeer::FindStreamResults
+constexpr uint16_t GatewayPeer::FindStreamResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t GatewayPeer::FindStreamResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GatewayPeer::FindStreamResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GatewayPeer::FindStreamResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -33,6 +33,7 @@
 CAPNP_DECLARE_SCHEMA(eb7f429b426794df);
 CAPNP_DECLARE_SCHEMA(f19ea63c42488bab);
 CAPNP_DECLARE_SCHEMA(fd49de7df2b14d99);
+CAPNP_DECLARE_SCHEMA(d5c9eaa6b0417d17);
 CAPNP_DECLARE_SCHEMA(fcf92d53b3c3d6a5);
 CAPNP_DECLARE_SCHEMA(ea019bd1d5f0fbbd);
 CAPNP_DECLARE_SCHEMA(8345eb2d3a527c58);
@@ -46,6 +47,10 @@
 CAPNP_DECLARE_SCHEMA(ecf5ad2e27bb051e);
 CAPNP_DECLARE_SCHEMA(9dda94b65b61965e);
 CAPNP_DECLARE_SCHEMA(d243fbf55486e458);
+CAPNP_DECLARE_SCHEMA(c4ec91bd6f2cb891);
+CAPNP_DECLARE_SCHEMA(dbb40842f1efd151);
+CAPNP_DECLARE_SCHEMA(9ed949ed3dee1a5f);
+CAPNP_DECLARE_SCHEMA(d9f4da04b9777033);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -130,6 +135,21 @@
   };
 };
 
+struct StreamRecord {
+  StreamRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5c9eaa6b0417d17, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GatewayPeer {
   GatewayPeer() = delete;
 
@@ -150,6 +170,10 @@
   struct FollowResults;
   struct FollowStoreParams;
   struct FollowStoreResults;
+  struct RecordStreamsParams;
+  struct RecordStreamsResults;
+  struct FindStreamParams;
+  struct FindStreamResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -339,6 +363,66 @@
   };
 };
 
+struct GatewayPeer::RecordStreamsParams {
+  RecordStreamsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c4ec91bd6f2cb891, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GatewayPeer::RecordStreamsResults {
+  RecordStreamsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dbb40842f1efd151, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GatewayPeer::FindStreamParams {
+  FindStreamParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9ed949ed3dee1a5f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GatewayPeer::FindStreamResults {
+  FindStreamResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9f4da04b9777033, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class StageOrder::Reader {
@@ -893,6 +977,112 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamRecord::Reader {
+public:
+  typedef StreamRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
+
+  inline  ::uint64_t getRequester() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamRecord::Builder {
+public:
+  typedef StreamRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
+
+  inline  ::uint64_t getRequester();
+  inline void setRequester( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamRecord::Pipeline {
+public:
+  typedef StreamRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class GatewayPeer::Client
     : public virtual ::capnp::Capability::Client {
@@ -924,6 +1114,10 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FollowStoreParams,  ::Hornbeam::Wire::GatewayPeer::FollowStoreResults> followStoreRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams,  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults> recordStreamsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FindStreamParams,  ::Hornbeam::Wire::GatewayPeer::FindStreamResults> findStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -964,6 +1158,14 @@
   typedef  ::Hornbeam::Wire::GatewayPeer::FollowStoreResults FollowStoreResults;
   typedef ::capnp::CallContext<FollowStoreParams, FollowStoreResults> FollowStoreContext;
   virtual ::kj::Promise<void> followStore(FollowStoreContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams RecordStreamsParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults RecordStreamsResults;
+  typedef ::capnp::CallContext<RecordStreamsParams, RecordStreamsResults> RecordStreamsContext;
+  virtual ::kj::Promise<void> recordStreams(RecordStreamsContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::FindStreamParams FindStreamParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::FindStreamResults FindStreamResults;
+  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
+  virtual ::kj::Promise<void> findStream(FindStreamContext context);
 
   inline  ::Hornbeam::Wire::GatewayPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2000,94 +2202,414 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class GatewayPeer::RecordStreamsParams::Reader {
+public:
+  typedef RecordStreamsParams Reads;
 
-inline bool StageOrder::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StageOrder::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StageOrder::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StageOrder::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void StageOrder::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool StageOrder::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool StageOrder::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StageOrder::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StageOrder::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void StageOrder::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint16_t StageOrder::Reader::getStage() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint16_t StageOrder::Builder::getStage() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StageOrder::Builder::setStage( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
-inline  ::uint32_t StageOrder::Reader::getPieces() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::RecordStreamsParams::Builder {
+public:
+  typedef RecordStreamsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::RecordStreamsParams::Pipeline {
+public:
+  typedef RecordStreamsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::RecordStreamsResults::Reader {
+public:
+  typedef RecordStreamsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::RecordStreamsResults::Builder {
+public:
+  typedef RecordStreamsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::RecordStreamsResults::Pipeline {
+public:
+  typedef RecordStreamsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::FindStreamParams::Reader {
+public:
+  typedef FindStreamParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::FindStreamParams::Builder {
+public:
+  typedef FindStreamParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::FindStreamParams::Pipeline {
+public:
+  typedef FindStreamParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::FindStreamResults::Reader {
+public:
+  typedef FindStreamResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown() const;
+
+  inline bool hasRecord() const;
+  inline  ::Hornbeam::Wire::StreamRecord::Reader getRecord() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::FindStreamResults::Builder {
+public:
+  typedef FindStreamResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline bool hasRecord();
+  inline  ::Hornbeam::Wire::StreamRecord::Builder getRecord();
+  inline void setRecord( ::Hornbeam::Wire::StreamRecord::Reader value);
+  inline  ::Hornbeam::Wire::StreamRecord::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::Hornbeam::Wire::StreamRecord>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::StreamRecord> disownRecord();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::FindStreamResults::Pipeline {
+public:
+  typedef FindStreamResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hornbeam::Wire::StreamRecord::Pipeline getRecord();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool StageOrder::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StageOrder::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StageOrder::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StageOrder::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StageOrder::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StageOrder::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StageOrder::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StageOrder::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t StageOrder::Reader::getStage() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t StageOrder::Builder::getStage() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setStage( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StageOrder::Reader::getPieces() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
 inline  ::uint32_t StageOrder::Builder::getPieces() {
   return _builder.getDataField< ::uint32_t>(
@@ -2616,6 +3138,122 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StreamRecord::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamRecord::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamRecord::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecord::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamRecord::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamRecord::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamRecord::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecord::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamRecord::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamRecord::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamRecord::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecord::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StreamRecord::Reader::getRequester() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamRecord::Builder::getRequester() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setRequester( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline GatewayPeer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3198,6 +3836,127 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayPeer::RecordStreamsParams::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::RecordStreamsParams::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader GatewayPeer::RecordStreamsParams::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder GatewayPeer::RecordStreamsParams::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::RecordStreamsParams::Builder::setRecords( ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder GatewayPeer::RecordStreamsParams::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GatewayPeer::RecordStreamsParams::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>> GatewayPeer::RecordStreamsParams::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayPeer::FindStreamParams::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::FindStreamParams::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GatewayPeer::FindStreamParams::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GatewayPeer::FindStreamParams::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::FindStreamParams::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GatewayPeer::FindStreamParams::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GatewayPeer::FindStreamParams::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GatewayPeer::FindStreamParams::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayPeer::FindStreamResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool GatewayPeer::FindStreamResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::FindStreamResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GatewayPeer::FindStreamResults::Reader::hasRecord() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::FindStreamResults::Builder::hasRecord() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hornbeam::Wire::StreamRecord::Reader GatewayPeer::FindStreamResults::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::StreamRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Hornbeam::Wire::StreamRecord::Builder GatewayPeer::FindStreamResults::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::StreamRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hornbeam::Wire::StreamRecord::Pipeline GatewayPeer::FindStreamResults::Pipeline::getRecord() {
+  return  ::Hornbeam::Wire::StreamRecord::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GatewayPeer::FindStreamResults::Builder::setRecord( ::Hornbeam::Wire::StreamRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::StreamRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Hornbeam::Wire::StreamRecord::Builder GatewayPeer::FindStreamResults::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::StreamRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::FindStreamResults::Builder::adoptRecord(
+    ::capnp::Orphan< ::Hornbeam::Wire::StreamRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::StreamRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hornbeam::Wire::StreamRecord> GatewayPeer::FindStreamResults::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::StreamRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -31,6 +31,8 @@
   this->kernel.Provide(GatewayName::kRelay, *this->relay);
   this->crashes = std::make_unique<CrashService>(this->kernel);
   this->kernel.Provide(GatewayName::kCrashes, *this->crashes);
+  this->streamOrigins = std::make_unique<StreamOriginService>(this->kernel);
+  this->kernel.Provide(GatewayName::kStreamOrigins, *this->streamOrigins);
   this->proxy = std::make_unique<ProxyService>(this->kernel);
   this->kernel.Provide(GatewayName::kProxy, *this->proxy);
   this->directory = std::make_unique<DirectoryService>(this->kernel);
@@ -65,6 +67,12 @@
   handlers.follow = [this](FollowRequest aRequest, FollowCallback aDone) {
     return this->relay->Serve(std::move(aRequest), std::move(aDone));
   };
+  handlers.recordStreams = [this](std::vector<StreamRecord> const& aRecords) {
+    this->streamOrigins->OnRecords(aRecords);
+  };
+  handlers.findStream = [this](std::string const& aRequestId, OriginCallback aDone) {
+    this->streamOrigins->FindAsKeeper(aRequestId, std::move(aDone));
+  };
   return handlers;
 }
 
@@ -111,6 +119,7 @@
   this->relay->Start();
   this->presence->Start();
   this->crashes->Start();
+  this->streamOrigins->Start();
 }
 
 void
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -51,6 +51,7 @@
   std::unique_ptr<PresenceService> presence;
   std::unique_ptr<RelayService> relay;
   std::unique_ptr<CrashService> crashes;
+  std::unique_ptr<StreamOriginService> streamOrigins;
   std::unique_ptr<ProxyService> proxy;
   std::unique_ptr<DirectoryService> directory;
   std::vector<std::unique_ptr<HttpListener>> entries;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -24,6 +24,10 @@
                     .Name("hornbeamfront_proxied_ended_total")
                     .Help("Requests that ended, by outcome and status.")
                     .Register(this->registry))
+  , takeUps(prometheus::BuildCounter()
+              .Name("hornbeamfront_stream_take_ups_total")
+              .Help("Streams that callers took up again, by how their origin was found.")
+              .Register(this->registry))
   , gauges(prometheus::BuildGauge()
              .Name("hornbeamfront_gateway")
              .Help("Figures of the parts of a front, by name.")
@@ -53,6 +57,12 @@
     .Increment();
 }
 
+void
+GatewayMetrics::CountTakeUp(std::string_view aSource)
+{
+  this->takeUps.Add({ { "source", std::string(aSource) } }).Increment();
+}
+
 void
 GatewayMetrics::ObserveTimeToFirstByte(Duration aTime)
 {
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -20,6 +20,8 @@
   GatewayMetrics& operator=(GatewayMetrics const&) = delete;
 
   void CountEndedRequest(RequestOutcome aOutcome, unsigned aStatus);
+  /// Counts a stream that a caller takes up, by how its origin was found.
+  void CountTakeUp(std::string_view aSource);
   void ObserveTimeToFirstByte(Duration aTime);
   void ObserveRequestTime(Duration aTime);
 
@@ -34,6 +36,7 @@
 private:
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& endedRequests;
+  prometheus::Family<prometheus::Counter>& takeUps;
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Family<prometheus::Histogram>& parts;
   prometheus::Histogram& timeToFirstByte;
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -52,6 +52,16 @@
     return FromSeconds(this->Number(aPath, aMinimum, aMaximum));
   }
 
+  /// False if it is missing.
+  bool Flag(std::string const& aPath)
+  {
+    auto const node = this->Find(aPath);
+    bool value = false;
+    if (node && !YAML::convert<bool>::decode(node, value))
+      this->errors.push_back(aPath + ": must be true or false");
+    return value;
+  }
+
   std::vector<std::string> Addresses(std::string const& aPath)
   {
     std::vector<std::string> result;
@@ -113,6 +123,7 @@
   settings.metricsAddress = reader.Address("addresses.metrics");
   settings.storeAddress = reader.Address("store.address");
   settings.seeds = reader.Addresses("seeds");
+  settings.firstStart = reader.Flag("first_start");
   settings.graceTime = reader.Seconds("shutdown.grace_s", 0.5, 600);
   settings.directoryLifetime = std::min(kDirectoryLifetime, reader.Seconds("directory.longest_lifetime_s", 0.1, 600));
   settings.retries.ratio = reader.Number("retries.ratio", 0, 10);
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -24,6 +24,8 @@
   std::string storeAddress;
   /// Peer addresses of some fronts to contact at startup; they may be stale.
   std::vector<std::string> seeds;
+  /// Whether all fronts are started for the first time, so that no version of an endpoint has left before.
+  bool firstStart{ false };
   /// The time between SIGTERM and SIGKILL.
   Duration graceTime{ 8s };
   /// The time for which callers may cache a directory response.
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -396,7 +396,7 @@
     return;
   }
   if (this->eventStream.hasEvent && !this->streamVersion)
-    this->streamVersion = this->attemptVersion;
+    this->OnFirstEvent();
   this->exchange->SendChunk(whole);
   // Bytes of an incomplete event do not reach the caller, so they are no progress.
   if (!whole.empty())
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -101,6 +101,15 @@
     if (auto const request = self.lock())
       request->OnDeadline();
   });
+  if (this->TakesStreamUp())
+    this->FindStreamOrigin();
+  else
+    this->StartWork();
+}
+
+void
+ProxiedRequest::StartWork()
+{
   if (this->route.stages.empty()) {
     this->TryEndpoint();
     return;
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -57,6 +57,12 @@
   std::string AffinityKey() const;
   EndpointQuery MakeQuery() const;
 
+  /// Whether the request goes on with a stream of which the caller has events already.
+  bool TakesStreamUp() const;
+  void FindStreamOrigin();
+  void OnStreamOrigin(FoundOrigin const& aFound);
+  /// Runs the stages, if there are any, and sends the request.
+  void StartWork();
   void StartStages();
   void StartStage(unsigned aStage);
   std::string PreferredDataCenter(unsigned aStage, std::vector<std::string> const& aInputs) const;
@@ -96,6 +102,8 @@
   bool ForwardsEvents() const { return this->responseBegun && !this->bufferedHead; }
   void ForwardBody(std::string aData);
   void ForwardEvents(std::string_view aBytes);
+  /// Binds the stream to the software version of the endpoint that began it.
+  void OnFirstEvent();
   /// Whether the stream of events that is being forwarded was broken off, although its response ended regularly.
   bool EndsPrematurely() const;
   void FinishResponse();
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -16,6 +16,7 @@
   , stages(aKernel.Find<StageService>(GatewayName::kStages))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
   , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
+  , streamOrigins(aKernel.Find<StreamOriginService>(GatewayName::kStreamOrigins))
   , random(std::random_device{}())
 {
   this->stateCache.AddChangeListener([this] { this->RetryWaiting(); });
--- a/Libraries/LibGateway/ProxyService.h
+++ b/Libraries/LibGateway/ProxyService.h
@@ -4,6 +4,7 @@
 #include "EventStream.h"
 #include "GatewayMetrics.h"
 #include "StageService.h"
+#include "StreamOriginService.h"
 #include <random>
 #include <set>
 
@@ -50,6 +51,7 @@
   StageService& stages;
   GatewayMetrics& metrics;
   CrashService& crashes;
+  StreamOriginService& streamOrigins;
   std::set<std::shared_ptr<ProxiedRequest>> activeRequests;
   std::vector<std::weak_ptr<ProxiedRequest>> waitingRequests;
   std::map<std::string, RetryQuota> retryBudgets;
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -16,4 +16,5 @@
 #include "StagePool.h"
 #include "StopPlan.h"
 #include "StoreEra.h"
+#include "StreamOrigins.h"
 #include "StorePosition.h"
--- a/Tests/Platform/PlatformVersionTests.cpp
+++ b/Tests/Platform/PlatformVersionTests.cpp
@@ -6,11 +6,13 @@
 struct VersionWorld
 {
   explicit VersionWorld(std::vector<std::string> const& aVersions, unsigned aFronts = 1)
-    : world(aFronts)
+    : world(2 * aFronts)
   {
     for (auto const& version : aVersions)
       this->AddEndpoint(version);
-    this->world.Start();
+    this->world.PutTable(1);
+    for (unsigned front = 0; front < aFronts; ++front)
+      this->world.StartFront(front);
     for (unsigned front = 0; front < aFronts; ++front)
       EXPECT_TRUE(
         this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-" + std::to_string(front)); }));
@@ -26,6 +28,22 @@
     return endpoint;
   }
 
+  /// Takes the first fronts away, which answer nobody any more, and starts as many others that know nothing.
+  void ReplaceFronts()
+  {
+    this->world.firstStart = false;
+    auto const count = unsigned(this->world.fronts.size());
+    for (auto const& front : this->world.fronts) {
+      front->StopPeers();
+      front->BeginDraining();
+    }
+    for (unsigned front = count; front < 2 * count; ++front)
+      this->world.StartFront(front);
+    for (unsigned front = count; front < 2 * count; ++front)
+      EXPECT_TRUE(this->world.RunUntil([&] { return VersionAt(this->world, front) == 1; }));
+    this->world.RunFor(1s);
+  }
+
   PlatformWorld world;
 };
 
@@ -52,4 +70,162 @@
   }
 }
 
+/// Sends a stream that breaks off at the caller after some events, and returns the id of the last one.
+static std::string
+BeginStream(VersionWorld& aWorld, unsigned aFront, std::string const& aId)
+{
+  auto request = ModelRequest();
+  request.id = aId;
+  request.body = aId;
+  auto const response = aWorld.world.Call(aFront, request);
+  EXPECT_NE(response.end, CallEnd::Complete);
+  auto const last = response.body.rfind("id: ");
+  EXPECT_NE(last, std::string::npos) << aId;
+  return last == std::string::npos ? "0" : response.body.substr(last + 4, response.body.find('\n', last) - last - 4);
+}
+
+static CallerResponse
+TakeUp(VersionWorld& aWorld, unsigned aFront, std::string const& aResumed, std::string const& aLastEvent)
+{
+  auto request = ModelRequest();
+  request.id = "again-" + aResumed;
+  request.body = aResumed;
+  request.extraFields.emplace_back("Last-Event-Id", aLastEvent);
+  if (!aResumed.empty())
+    request.extraFields.emplace_back("Resumes", aResumed);
+  return aWorld.world.Call(aFront, request);
+}
+
+/// Lets the endpoints break off each stream after two events, until Recover().
+static void
+BreakStreams(VersionWorld& aWorld)
+{
+  for (auto const& endpoint : aWorld.world.endpoints)
+    endpoint->faultOf = [](std::size_t) { return EndpointFault::BreakOff; };
+}
+
+static void
+Recover(VersionWorld& aWorld)
+{
+  for (auto const& endpoint : aWorld.world.endpoints)
+    endpoint->faultOf = nullptr;
+}
+
+/// Returns the version of the endpoint that ran a request; empty if none did.
+static std::string
+VersionThatRan(VersionWorld const& aWorld, std::string const& aRequestId)
+{
+  for (auto const& endpoint : aWorld.world.endpoints)
+    for (auto const& seen : endpoint->seen)
+      if (seen.id == aRequestId && seen.ran)
+        return endpoint->softwareVersion;
+  return "";
+}
+
+// A caller that took its stream up at another front got the rest from another software version.
+TEST(PlatformVersion, GoesOnAtTheVersionThatBeganTheStreamAtAnyFront)
+{
+  VersionWorld versionWorld({ "v1", "v2", "v1", "v2", "v1", "v2" }, 3);
+  versionWorld.world.RunFor(500ms);
+  unsigned goneOn = 0;
+  for (unsigned number = 0; number < 12; ++number) {
+    auto const id = "s" + std::to_string(number);
+    BreakStreams(versionWorld);
+    auto const last = BeginStream(versionWorld, number % 3, id);
+    Recover(versionWorld);
+    versionWorld.world.RunFor(60ms);
+    auto const response = TakeUp(versionWorld, (number + 1) % 3, id, last);
+    if (response.status != 200)
+      continue;
+    ++goneOn;
+    EXPECT_EQ(VersionThatRan(versionWorld, "again-" + id), VersionThatRan(versionWorld, id)) << id;
+  }
+  EXPECT_EQ(goneOn, 12U);
+}
+
+// All fronts were killed at once and came back; the streams of the version that had left went on at the other one.
+TEST(PlatformVersion, JoinsNoVersionsAfterAllFrontsWereReplaced)
+{
+  VersionWorld versionWorld({ "v1", "v1" }, 3);
+  auto& world = versionWorld.world;
+  BreakStreams(versionWorld);
+  auto const last = BeginStream(versionWorld, 0, "old");
+  versionWorld.AddEndpoint("v2");
+  versionWorld.AddEndpoint("v2");
+  EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("stream-origins", "software-versions"); }));
+  world.RunFor(1s);
+  world.store->Remove("servers", world.endpoints[0]->Id());
+  world.store->Remove("servers", world.endpoints[1]->Id());
+  Recover(versionWorld);
+  versionWorld.ReplaceFronts();
+  for (unsigned front = 3; front < 6; ++front) {
+    auto const response = TakeUp(versionWorld, front, "old", last);
+    EXPECT_EQ(response.status, 503U) << response.body;
+    EXPECT_NE(FindField(response.fields, "Retry-After"), nullptr);
+    EXPECT_LT(response.duration, 1s);
+  }
+  EXPECT_EQ(VersionThatRan(versionWorld, "again-old"), "");
+}
+
+// Known streams go on after all fronts were killed while two versions serve.
+TEST(PlatformVersion, GoesOnAfterAllFrontsWereReplaced)
+{
+  VersionWorld versionWorld({ "v1", "v2", "v1", "v2" }, 3);
+  auto& world = versionWorld.world;
+  EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("stream-origins", "software-versions"); }));
+  std::map<std::string, std::string> lastEvents;
+  BreakStreams(versionWorld);
+  for (unsigned number = 0; number < 8; ++number) {
+    auto const id = "s" + std::to_string(number);
+    lastEvents[id] = BeginStream(versionWorld, number % 3, id);
+  }
+  world.RunFor(1s);
+  Recover(versionWorld);
+  versionWorld.ReplaceFronts();
+  unsigned front = 0;
+  for (auto const& [id, last] : lastEvents) {
+    auto const response = TakeUp(versionWorld, 3 + front++ % 3, id, last);
+    EXPECT_EQ(response.status, 200U) << id;
+    EXPECT_EQ(VersionThatRan(versionWorld, "again-" + id), VersionThatRan(versionWorld, id)) << id;
+  }
+}
+
+TEST(PlatformVersion, RefusesTakeUpsWhoseOriginIsUnknownWhileSeveralVersionsServe)
+{
+  VersionWorld versionWorld({ "v1", "v2" }, 2);
+  auto& world = versionWorld.world;
+  world.RunFor(500ms);
+  BreakStreams(versionWorld);
+  auto const last = BeginStream(versionWorld, 0, "known");
+  Recover(versionWorld);
+  world.RunFor(100ms);
+  for (auto const* resumed : { "never-sent", "again-never-sent", "" }) {
+    auto const response = TakeUp(versionWorld, 1, resumed, last);
+    EXPECT_EQ(response.status, 503U) << resumed;
+    EXPECT_LT(response.duration, 1s);
+  }
+  // Another request must not take the stream up.
+  auto other = ModelRequest();
+  other.id = "other";
+  other.target = "/model/other";
+  other.extraFields = { { "Last-Event-Id", last }, { "Resumes", "known" } };
+  EXPECT_EQ(world.Call(1, other).status, 503U);
+  EXPECT_EQ(VersionThatRan(versionWorld, "other"), "");
+  EXPECT_EQ(TakeUp(versionWorld, 1, "known", last).status, 200U);
+}
+
+// With one version, streams go on as before, and nothing is written for them.
+TEST(PlatformVersion, RecordsNothingWhileThereIsOneVersion)
+{
+  VersionWorld versionWorld({ "v1", "v1" }, 2);
+  auto& world = versionWorld.world;
+  EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("stream-origins", "software-versions"); }));
+  BreakStreams(versionWorld);
+  auto const last = BeginStream(versionWorld, 0, "s");
+  Recover(versionWorld);
+  EXPECT_EQ(TakeUp(versionWorld, 1, "s", last).status, 200U);
+  world.RunFor(1s);
+  EXPECT_EQ(world.store->Count("stream-origins"), 1U);
+}
+
 }
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -86,6 +86,7 @@
   settings.retries.slack = 50;
   settings.cold = { 1.5, 5 };
   settings.graceTime = this->graceTime;
+  settings.firstStart = this->firstStart;
   this->fronts.push_back(std::make_unique<GatewayFront>(settings, this->loop, [this, aFront] {
     this->stopped[aFront] = true;
     if (this->onStopped)
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -67,6 +67,8 @@
   std::function<void(unsigned aFront)> onStopped;
   /// The grace time of fronts that are started from now on.
   Duration graceTime{ 8s };
+  /// Whether fronts that are started from now on belong to the first start of the fleet.
+  bool firstStart{ true };
   Gateway::ConnectionPool callers{ this->loop.UvLoop(), this->clock };
 
 private:
