Platform: Let one odd entry decide over no other

Operators of similar systems saw fronts end again and again, or stop following the list of endpoints, when another writer left one odd entry. It could happen here: a number beyond a double (1e999), or bytes that are no UTF-8, made the parser reject the whole list or all events of a watch; a value nested 100,000 deep ended the process (SIGSEGV), as copying and printing it recurse.

Documents of the store and of endpoints are parsed by yajl, which passes numbers on as text and keeps its own stack. What cannot be represented becomes a text in its place, so that only the decoder of that entry finds a wrong type.

A new package: libyajl-dev.

--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -168,7 +168,7 @@
     fronts.push_back({ { "name", name },
                        { "address", front.entry.callerAddress },
                        { "suspect_ms", std::max<std::int64_t>(0, Milliseconds(front.suspectUntil - now)) } });
-  return result.dump();
+  return Platform::ToText(result);
 }
 
 void
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -55,7 +55,7 @@
   events.onList = [this, aKind](std::vector<StoredObject> const& aObjects, StorePosition aRevision) {
     ObjectUpdate update{ true, 0, aRevision, {} };
     for (auto const& object : aObjects)
-      update.objects.push_back({ object.name, object.revision, object.document.dump() });
+      update.objects.push_back({ object.name, object.revision, Platform::ToText(object.document) });
     this->Apply(aKind, update);
     this->OnListed(aKind, aObjects, aRevision);
   };
@@ -268,7 +268,7 @@
   for (auto const& [object, removed] : aEvents)
     latest[object.name] = { object.name,
                             object.revision,
-                            removed ? std::nullopt : std::optional(object.document.dump()) };
+                            removed ? std::nullopt : std::optional(Platform::ToText(object.document)) };
   ObjectUpdate update{ false, aFrom, aTo, {} };
   for (auto& [name, object] : latest)
     update.objects.push_back(std::move(object));
@@ -380,7 +380,7 @@
                     << " previous=" << (this->table ? this->table->version : 0)
                     << " services=" << decoded->services.size();
   this->table = std::make_shared<ServingTable const>(std::move(*decoded));
-  this->tableDocument = aObject.document.dump();
+  this->tableDocument = Platform::ToText(aObject.document);
 }
 
 void
--- a/Libraries/LibGateway/StateCacheProof.cpp
+++ b/Libraries/LibGateway/StateCacheProof.cpp
@@ -85,7 +85,7 @@
   for (auto const& object : aResponse.objects) {
     auto const known = log.entries.find(object.name);
     same = same && known != log.entries.end() && exists(*known) && known->second.object.revision == object.revision;
-    update.objects.push_back({ object.name, object.revision, object.document.dump() });
+    update.objects.push_back({ object.name, object.revision, Platform::ToText(object.document) });
   }
   // An update without changes would only raise the log's revision, and be relayed to all followers.
   if (!same)
--- a/Meta/hornbeamfront.sh
+++ b/Meta/hornbeamfront.sh
@@ -5,7 +5,7 @@
 
 packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy curl
   libwebsockets-dev libwebsockets-evlib-uv libuv1-dev libcapnp-dev capnproto libgoogle-glog-dev libcli11-dev
-  libyaml-cpp-dev prometheus-cpp-dev nlohmann-json3-dev librapidcheck-dev libgtest-dev libssl-dev
+  libyaml-cpp-dev prometheus-cpp-dev nlohmann-json3-dev libyajl-dev librapidcheck-dev libgtest-dev libssl-dev
   libboost1.81-dev spin gnuplot-nox)
 
 install_packages() {
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -20,7 +20,11 @@
   HeaderFields fields{ { "Content-Type", "application/json" } };
   if (!this->era.empty())
     fields.emplace_back("Store-Era", this->era);
-  aExchange.Respond({ aStatus, fields }, aBody.dump());
+  static constexpr std::string_view kRaw = "\"@raw@\"";
+  auto text = aBody.dump();
+  for (auto found = text.find(kRaw); found != std::string::npos; found = text.find(kRaw, found))
+    text.replace(found, kRaw.size(), this->rawValue);
+  aExchange.Respond({ aStatus, fields }, text);
 }
 
 json
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -78,6 +78,8 @@
   std::size_t pageSize{ 50 };
   /// A kind whose calls the store refuses with 404; empty for none.
   std::string unknownKind;
+  /// Replaces the text "@raw@" in answers, for values that other writers may store and this stand-in cannot hold.
+  std::string rawValue;
   std::uint64_t calls{ 0 };
   /// The number of lists of each kind.
   std::map<std::string, std::uint64_t> lists;
