--- a/Libraries/LibServing/CrashSuspicion.h
+++ b/Libraries/LibServing/CrashSuspicion.h
@@ -37,7 +37,7 @@
   std::set<std::string> reporters;
 };
 
-/// What a front knows about crashes in the whole fleet and about parts that do no harm.
+/// What a front knows about crashes in the whole fleet and about candidates that do no harm.
 struct CrashLedger
 {
   struct Entry
@@ -46,9 +46,9 @@
     MonotonicTime learnedAt{};
   };
   std::map<std::string, Entry> crashes;
-  /// When the latest answer at this front began that showed a part to do no harm.
+  /// When the latest answer at this front began that showed a candidate to do no harm.
   std::map<std::string, MonotonicTime> harmless;
-  /// When other fronts reported that a part does no harm.
+  /// When other fronts reported that a candidate does no harm.
   std::map<std::string, MonotonicTime> cleared;
   std::map<std::string, Quarantine> quarantined;
 };
@@ -61,7 +61,8 @@
                MonotonicTime aBegun,
                MonotonicTime aNow);
 
-/// Returns the parts that may have caused a crash now: those without an answer lately that showed that they do no harm.
+/// Returns the candidates that may have caused a crash now: those without an answer lately that showed that they do no
+/// harm.
 std::vector<CrashCandidate>
 PossibleCauses(CrashLedger const& aLedger, std::vector<CrashCandidate> const& aCandidates, MonotonicTime aNow);
 
@@ -92,7 +93,7 @@
 std::optional<QuarantinedCandidate>
 FindQuarantined(CrashLedger const& aLedger, std::vector<CrashCandidate> const& aCandidates, MonotonicTime aNow);
 
-/// Whether one of the parts may have crashed another process than aProcess.
+/// Whether one of the candidates may have crashed another process than aProcess.
 bool
 IsSuspected(CrashLedger const& aLedger,
             std::vector<CrashCandidate> const& aCandidates,
@@ -129,7 +130,7 @@
   std::vector<Broken> broken;
 };
 
-/// Whether bytes of an answer that arrive now show that its parts do no harm.
+/// Whether bytes of an answer that arrive now show that its candidates do no harm.
 bool
 ShowsNoHarm(WatchedAttempt const& aAttempt, MonotonicTime aNow);
 
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -16,5 +16,5 @@
 #include "StagePool.h"
 #include "StopPlan.h"
 #include "StoreEra.h"
-#include "StreamOrigins.h"
 #include "StorePosition.h"
+#include "StreamOrigins.h"
--- a/Tests/LibServing/StopPlanTests.cpp
+++ b/Tests/LibServing/StopPlanTests.cpp
@@ -1,6 +1,7 @@
 #include <LibServing/LibServing.h>
 #include <gtest/gtest.h>
 #include <random>
+#include <rapidcheck/gtest.h>
 
 namespace Hornbeam::Gateway {
 
@@ -48,6 +49,24 @@
   EXPECT_FALSE(accepts(4s, 2s, 20s, OtherFronts::None));
 }
 
+// Requests that came late in the grace time were passed on and cut with no answer at its end: with other fronts there,
+// nothing is accepted on an estimate then, and what is accepted ends before the process even at its deadline.
+RC_GTEST_PROP(StopPlan, AcceptsNothingLateThatMayOutliveTheProcess, ())
+{
+  auto const draw = [](int aFrom, int aTo) { return std::chrono::milliseconds(*rc::gen::inRange(aFrom, aTo)); };
+  Duration const grace = draw(100, 30000);
+  auto const plan = PlanStop(grace, draw(0, 6000), kStart);
+  Duration const at = draw(3000, 31000);
+  auto const deadline = kStart + at + draw(1, 30000);
+  // Whatever the estimate is, and however wrong.
+  Duration const needed = draw(0, 10000);
+  auto const others = *rc::gen::element(OtherFronts::Few, OtherFronts::Most);
+  if (AcceptsDuringStop(plan, WorkUntil(deadline), needed, others, kStart + at)) {
+    RC_ASSERT(deadline <= plan.requestsEnd);
+    RC_ASSERT(deadline < kStart + grace);
+  }
+}
+
 // An estimate from too few requests, or from the typical one, accepted streams that were cut.
 TEST(StopPlan, EstimatesByTheLongestRecentRequest)
 {
