Tests: Take streams up where the prefix of the prompt does not lead back to their endpoint

One endpoint that ran the stream now has no room. Streams of the tests share no parts any more: those that break off again and again are quarantined, as they should be.

--- a/Tests/Platform/PlatformVersionTests.cpp
+++ b/Tests/Platform/PlatformVersionTests.cpp
@@ -70,13 +70,23 @@
   }
 }
 
+/// A request whose prompt shares nothing with others, as streams that break off again and again put their parts under
+/// suspicion.
+static CallerRequest
+StreamRequest(std::string const& aStream)
+{
+  auto request = ModelRequest();
+  request.body = aStream;
+  request.extraFields[0].second = aStream + "-first:10," + aStream + "-second:20,own:5";
+  return request;
+}
+
 /// Sends a stream that breaks off at the caller after some events, and returns the id of the last one.
 static std::string
 BeginStream(VersionWorld& aWorld, unsigned aFront, std::string const& aId)
 {
-  auto request = ModelRequest();
+  auto request = StreamRequest(aId);
   request.id = aId;
-  request.body = aId;
   auto const response = aWorld.world.Call(aFront, request);
   EXPECT_NE(response.end, CallEnd::Complete);
   auto const last = response.body.rfind("id: ");
@@ -87,9 +97,8 @@
 static CallerResponse
 TakeUp(VersionWorld& aWorld, unsigned aFront, std::string const& aResumed, std::string const& aLastEvent)
 {
-  auto request = ModelRequest();
+  auto request = StreamRequest(aResumed);
   request.id = "again-" + aResumed;
-  request.body = aResumed;
   request.extraFields.emplace_back("Last-Event-Id", aLastEvent);
   if (!aResumed.empty())
     request.extraFields.emplace_back("Resumes", aResumed);
@@ -133,12 +142,19 @@
     BreakStreams(versionWorld);
     auto const last = BeginStream(versionWorld, number % 3, id);
     Recover(versionWorld);
+    auto const begunAt = VersionThatRan(versionWorld, id);
+    // One of the endpoints that ran it has no room, so that the prompt's prefix does not decide alone.
+    auto const ran = [&](auto const& aEndpoint) {
+      return std::ranges::any_of(aEndpoint->seen, [&](auto const& aSeen) { return aSeen.id == id; });
+    };
+    auto const full = std::ranges::find_if(versionWorld.world.endpoints, ran);
+    (*full)->faultOf = [](std::size_t) { return EndpointFault::Full; };
     versionWorld.world.RunFor(60ms);
     auto const response = TakeUp(versionWorld, (number + 1) % 3, id, last);
     if (response.status != 200)
       continue;
     ++goneOn;
-    EXPECT_EQ(VersionThatRan(versionWorld, "again-" + id), VersionThatRan(versionWorld, id)) << id;
+    EXPECT_EQ(VersionThatRan(versionWorld, "again-" + id), begunAt) << id;
   }
   EXPECT_EQ(goneOn, 12U);
 }
