Tests: Let no take-up after a restart of all fronts depend on the prompt's prefix

PlatformVersion.GoesOnAfterAllFrontsWereReplaced passed without the code for take-ups, too, once streams shared no prefix.

--- a/Tests/Platform/PlatformVersionTests.cpp
+++ b/Tests/Platform/PlatformVersionTests.cpp
@@ -120,6 +120,18 @@
     endpoint->faultOf = nullptr;
 }
 
+/// Lets one of the endpoints that ran a request refuse others, so that the prompt's prefix does not lead back to it.
+static void
+LeaveNoRoomWhereItRan(VersionWorld& aWorld, std::string const& aRequestId)
+{
+  auto const ran = [&](auto const& aEndpoint) {
+    return std::ranges::any_of(aEndpoint->seen, [&](auto const& aSeen) { return aSeen.id == aRequestId; });
+  };
+  auto const found = std::ranges::find_if(aWorld.world.endpoints, ran);
+  ASSERT_NE(found, aWorld.world.endpoints.end());
+  (*found)->faultOf = [](std::size_t) { return EndpointFault::Full; };
+}
+
 /// Returns the version of the endpoint that ran a request; empty if none did.
 static std::string
 VersionThatRan(VersionWorld const& aWorld, std::string const& aRequestId)
@@ -143,12 +155,7 @@
     auto const last = BeginStream(versionWorld, number % 3, id);
     Recover(versionWorld);
     auto const begunAt = VersionThatRan(versionWorld, id);
-    // One of the endpoints that ran it has no room, so that the prompt's prefix does not decide alone.
-    auto const ran = [&](auto const& aEndpoint) {
-      return std::ranges::any_of(aEndpoint->seen, [&](auto const& aSeen) { return aSeen.id == id; });
-    };
-    auto const full = std::ranges::find_if(versionWorld.world.endpoints, ran);
-    (*full)->faultOf = [](std::size_t) { return EndpointFault::Full; };
+    LeaveNoRoomWhereItRan(versionWorld, id);
     versionWorld.world.RunFor(60ms);
     auto const response = TakeUp(versionWorld, (number + 1) % 3, id, last);
     if (response.status != 200)
@@ -200,9 +207,12 @@
   versionWorld.ReplaceFronts();
   unsigned front = 0;
   for (auto const& [id, last] : lastEvents) {
+    auto const begunAt = VersionThatRan(versionWorld, id);
+    LeaveNoRoomWhereItRan(versionWorld, id);
     auto const response = TakeUp(versionWorld, 3 + front++ % 3, id, last);
     EXPECT_EQ(response.status, 200U) << id;
-    EXPECT_EQ(VersionThatRan(versionWorld, "again-" + id), VersionThatRan(versionWorld, id)) << id;
+    EXPECT_EQ(VersionThatRan(versionWorld, "again-" + id), begunAt) << id;
+    Recover(versionWorld);
   }
 }
 
