LibServing, LibGateway: Refuse requests that explain the same crashes, and let one front try them

Now both are refused, and 8 s after the last crash one front, by rendezvous hashing, lets them through: the sound one is cleared by its completion, the harmful one ends one endpoint and is told apart. The test that expected no quarantine at a tie is replaced by one that expects both, the trial at one front only, and the end of trials at five crashes.

--- a/Libraries/LibGateway/CrashService.cpp
+++ b/Libraries/LibGateway/CrashService.cpp
@@ -89,7 +89,10 @@
 std::optional<QuarantinedCandidate>
 CrashService::FindQuarantined(std::vector<CrashCandidate> const& aCandidates) const
 {
-  return Gateway::FindQuarantined(this->ledger, aCandidates, this->clock.Now());
+  // One front tries, so that a harmful request crashes no more than one endpoint.
+  return Gateway::FindQuarantined(this->ledger, aCandidates, this->clock.Now(), [this](std::string const& aCandidate) {
+    return IsAmongOwners(this->stateCache.Fronts(), aCandidate, this->settings.name, 1);
+  });
 }
 
 void
@@ -192,7 +195,8 @@
     for (auto const& reporter : quarantine.reporters)
       reporters += (reporters.empty() ? "" : ",") + reporter;
     PART_WARNING("crashes") << "event=quarantined candidate=" << name << " crashes=" << quarantine.crashes
-                            << " processes=" << ProcessesNaming(this->ledger, name) << " reporters=" << reporters
+                            << " tied=" << quarantine.tied << " processes=" << ProcessesNaming(this->ledger, name)
+                            << " reporters=" << reporters
                             << " for_ms=" << Milliseconds(quarantine.until - this->clock.Now());
   }
   for (auto const& [name, quarantine] : aBefore)
--- a/Libraries/LibServing/CrashSuspicion.cpp
+++ b/Libraries/LibServing/CrashSuspicion.cpp
@@ -15,9 +15,10 @@
 static constexpr std::size_t kCrashesToQuarantine = 3;
 /// First parts are shared by many sound requests.
 static constexpr std::size_t kCrashesToQuarantineFirstPart = 5;
-/// Requests that were in flight in the same crashes are all quarantined after these; until then, a sound one is
-/// expected to be completed elsewhere.
+/// Requests that were in flight in the same crashes may be tried until there are these.
 static constexpr std::size_t kCrashesToQuarantineTied = 5;
+/// By then, the endpoints are back, and what speaks for or against a request has reached all fronts.
+static constexpr Duration kTrialDelay = 8s;
 /// A part is blamed if it occurs in so many crashes more than any one request with it: a front may have learnt of a
 /// crash from a neighbour of that request only.
 static constexpr std::size_t kCrashesBeyondOneRequest = 2;
@@ -243,12 +244,12 @@
     auto const worst = WorstSuspects(suspects);
     if (worst.empty())
       return;
-    bool const undecided = worst.size() > 1 && suspects.at(worst.front()).crashes < kCrashesToQuarantineTied;
+    bool const tied = worst.size() > 1 && suspects.at(worst.front()).crashes < kCrashesToQuarantineTied;
     for (auto const& name : worst) {
       auto const& suspect = suspects.at(name);
       auto const until = suspect.lastCrash + kQuarantineTime;
-      if (aNow < until && !undecided)
-        aLedger.quarantined[name] = { until, suspect.crashes, suspect.reporters };
+      if (aNow < until)
+        aLedger.quarantined[name] = { until, suspect.crashes, suspect.reporters, tied, suspect.lastCrash };
       for (auto const& [process, crash] : aLedger.crashes)
         if (crash.report.candidates.contains(name))
           explained.insert(process);
@@ -257,14 +258,20 @@
 }
 
 std::optional<QuarantinedCandidate>
-FindQuarantined(CrashLedger const& aLedger, std::vector<CrashCandidate> const& aCandidates, MonotonicTime aNow)
+FindQuarantined(CrashLedger const& aLedger,
+                std::vector<CrashCandidate> const& aCandidates,
+                MonotonicTime aNow,
+                std::function<bool(std::string const&)> const& aMayTry)
 {
   std::optional<QuarantinedCandidate> longest;
   for (auto const& candidate : aCandidates) {
     auto const found = aLedger.quarantined.find(candidate.name);
     if (found == aLedger.quarantined.end() || aNow >= found->second.until)
       continue;
-    Duration const left = found->second.until - aNow;
+    auto const& quarantine = found->second;
+    if (quarantine.tied && aNow - quarantine.lastCrash >= kTrialDelay && aMayTry(candidate.name))
+      continue;
+    Duration const left = quarantine.until - aNow;
     if (!longest || left > longest->timeLeft)
       longest = { candidate.name, left };
   }
--- a/Libraries/LibServing/CrashSuspicion.h
+++ b/Libraries/LibServing/CrashSuspicion.h
@@ -2,6 +2,7 @@
 
 #include "CrashCandidates.h"
 #include <LibCore/Clock.h>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,6 +36,9 @@
   MonotonicTime until{};
   std::size_t crashes{ 0 };
   std::set<std::string> reporters;
+  /// Another request explains the same crashes; at most one of them is harmful.
+  bool tied{ false };
+  MonotonicTime lastCrash{};
 };
 
 /// What a front knows about crashes in the whole fleet and about candidates that do no harm.
@@ -89,9 +93,15 @@
   Duration timeLeft{ 0 };
 };
 
-/// Returns the candidate that is quarantined for the longest time; a request with it is to be refused for so long.
+/// Returns the candidate that is quarantined for the longest time; a request with it is to be refused for so long. Of
+/// requests that explain the same crashes, those that this front may try are let through some time after the last one:
+/// one that completes is cleared, and one that crashes its endpoint again is told apart by that.
 std::optional<QuarantinedCandidate>
-FindQuarantined(CrashLedger const& aLedger, std::vector<CrashCandidate> const& aCandidates, MonotonicTime aNow);
+FindQuarantined(
+  CrashLedger const& aLedger,
+  std::vector<CrashCandidate> const& aCandidates,
+  MonotonicTime aNow,
+  std::function<bool(std::string const&)> const& aMayTry = [](std::string const&) { return false; });
 
 /// Whether one of the candidates may have crashed another process than aProcess.
 bool
--- a/Tests/LibServing/CrashSuspicionTests.cpp
+++ b/Tests/LibServing/CrashSuspicionTests.cpp
@@ -91,13 +91,19 @@
   EXPECT_EQ(QuarantinedAt(ledger, kStart), Parts{ "shared" });
 }
 
-TEST(CrashSuspicion, WaitsWhileTwoRequestsExplainTheSameCrashes)
+// While two requests explained the same crashes, both were sent on, and the harmful one ended four endpoints more.
+TEST(CrashSuspicion, LetsOneFrontTryRequestsThatExplainTheSameCrashes)
 {
   CrashLedger ledger;
   std::map<std::string, unsigned> const both{ { "request-1", kWholeRequest }, { "request-2", kWholeRequest } };
   for (unsigned process = 1; process <= 3; ++process)
     RecordCrash(ledger, ReportOf(process, both), kStart);
-  EXPECT_EQ(QuarantinedAt(ledger, kStart), Parts{});
+  EXPECT_EQ(QuarantinedAt(ledger, kStart), (Parts{ "request-1", "request-2" }));
+  std::vector<CrashCandidate> const request{ { "request-1", kWholeRequest } };
+  auto const tries = [](std::string const&) { return true; };
+  EXPECT_TRUE(FindQuarantined(ledger, request, kStart + 1s, tries));
+  EXPECT_FALSE(FindQuarantined(ledger, request, kStart + 10s, tries));
+  EXPECT_TRUE(FindQuarantined(ledger, request, kStart + 10s));
   auto decided = ledger;
   RecordCrash(decided, ReportOf(4, { { "request-1", kWholeRequest } }), kStart);
   EXPECT_EQ(QuarantinedAt(decided, kStart), Parts{ "request-1" });
@@ -107,6 +113,7 @@
   RecordCrash(ledger, ReportOf(4, both), kStart);
   RecordCrash(ledger, ReportOf(5, both), kStart);
   EXPECT_EQ(QuarantinedAt(ledger, kStart), (Parts{ "request-1", "request-2" }));
+  EXPECT_TRUE(FindQuarantined(ledger, request, kStart + 10s, tries));
 }
 
 // One entry for each sound request would push out what speaks for the parts of prompts.
