LibServing: Report each process that the same request crashes at one moment

A network that fails does not choose the connections of one request: a process counts as crashed, too, if the same fingerprint was in flight, and may be the cause, at another process of that moment. Others that broke off with them stay unreported. AttemptWatch.ReportsEachProcessThatTheSameRequestCrashesAtOneMoment fails without it and passes.

--- a/Libraries/LibServing/CrashSuspicion.cpp
+++ b/Libraries/LibServing/CrashSuspicion.cpp
@@ -361,6 +361,21 @@
   }
 }
 
+/// Whether the same request was in flight at another process whose connections broke off at the same moment.
+static bool
+BrokeElsewhereToo(std::vector<AttemptWatch::Broken> const& aBroken, AttemptWatch::Broken const& aEntry)
+{
+  auto const isSame = [&](AttemptWatch::Broken const& aOther) {
+    return aOther.possibleCause && aOther.attempt.process != aEntry.attempt.process &&
+           std::ranges::any_of(aEntry.attempt.candidates, [&](auto const& aCandidate) {
+             return IsFingerprint(aCandidate) &&
+                    std::ranges::find(aOther.attempt.candidates, aCandidate.name, &CrashCandidate::name) !=
+                      aOther.attempt.candidates.end();
+           });
+  };
+  return aEntry.possibleCause && std::ranges::any_of(aBroken, isSame);
+}
+
 std::vector<CrashReport>
 TakeCrashes(AttemptWatch& aWatch, CrashLedger const& aLedger, std::string const& aReporter, MonotonicTime aNow)
 {
@@ -375,8 +390,9 @@
       continue;
     if (crashed.empty())
       firstBreak = entry.at;
-    // A connection that was made after the first break did not break off together with it.
-    if (crashed.empty() || entry.attempt.sent >= firstBreak)
+    // A connection that was made after the first break did not break off together with it, and a network that fails
+    // does not choose the connections of one request.
+    if (crashed.empty() || entry.attempt.sent >= firstBreak || BrokeElsewhereToo(broken, entry))
       crashed.insert(process);
     AddCandidates(reports[process], entry, aLedger, aNow);
   }
--- a/Tests/LibServing/CrashSuspicionTests.cpp
+++ b/Tests/LibServing/CrashSuspicionTests.cpp
@@ -235,6 +235,24 @@
   EXPECT_EQ(TakeCrashes(watch, {}, "f0", kStart + 200ms).size(), 1U);
 }
 
+// A front that had the same request in flight at two endpoints, which ended within 100 ms, reported one of them only.
+TEST(AttemptWatch, ReportsEachProcessThatTheSameRequestCrashesAtOneMoment)
+{
+  AttemptWatch watch;
+  for (std::uint64_t id = 1; id <= 2; ++id)
+    watch.running[id] = {
+      "e" + std::to_string(id) + ".1", { { "request-dead", kWholeRequest } }, kStart, std::nullopt, {}, false
+    };
+  watch.running[3] = { "e3.1", { { "request-sound", kWholeRequest } }, kStart, std::nullopt, {}, false };
+  RecordBroken(watch, 1, kStart + 60ms, kStart + 60ms);
+  RecordBroken(watch, 2, kStart + 70ms, kStart + 70ms);
+  RecordBroken(watch, 3, kStart + 70ms, kStart + 70ms);
+  std::vector<std::string> processes;
+  for (auto const& report : TakeCrashes(watch, {}, "f0", kStart + 160ms))
+    processes.push_back(report.process);
+  EXPECT_EQ(processes, (std::vector<std::string>{ "e1.1", "e2.1" }));
+}
+
 TEST(AttemptWatch, TakesConnectionsThatBreakOffTogetherForOneCrash)
 {
   auto watch = TwoProcesses();
