--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -326,6 +326,9 @@
     case ObjectKind::EndpointCrash:
       this->ApplyCrash(aObject);
       break;
+    case ObjectKind::StreamOrigin:
+      // Not watched.
+      break;
   }
 }
 
@@ -360,6 +363,9 @@
     case ObjectKind::EndpointCrash:
       this->crashes.erase(aName);
       break;
+    case ObjectKind::StreamOrigin:
+      // Not watched.
+      break;
   }
 }
 
--- a/Libraries/LibGateway/StateCacheRestore.cpp
+++ b/Libraries/LibGateway/StateCacheRestore.cpp
@@ -86,6 +86,9 @@
     case ObjectKind::EndpointCrash:
       this->restore.reports.insert(aObject.name);
       return false;
+    case ObjectKind::StreamOrigin:
+      // Not watched.
+      return false;
   }
   VerifyNotReached();
 }
