--- a/review/3/Case.cpp
+++ b/review/3/Case.cpp
@@ -157,7 +157,7 @@
 }
 
 static int
-Run(Record& aRecord, bool aTrouble)
+Run(Record& aRecord, std::string const& aTrouble)
 {
   Deployment deployment;
   auto& results = *new Results;
@@ -185,7 +185,8 @@
   for (unsigned index = 0; index < 18; ++index)
     clients.emplace_back([&, index] { plain.Run(deployment.fronts[index % 3]->callers, aRecord); });
   Pause(3000ms);
-  auto const served = SendPipelineRequest(deployment, aRecord, aTrouble ? "2600" : "200");
+  auto const* const chunks = aTrouble == "0" ? "200" : aTrouble == "malformed" ? "4294967295" : "2600";
+  auto const served = SendPipelineRequest(deployment, aRecord, chunks);
   Pause(2000ms);
   plain.stop = true;
   for (auto& client : clients)
@@ -212,5 +213,5 @@
 {
   auto const* const trouble = std::getenv("TROUBLE");
   Record record(aCount > 1 ? aArguments[1] : "record.txt");
-  Finish(Run(record, trouble == nullptr || std::string(trouble) != "0"));
+  Finish(Run(record, trouble == nullptr ? "1" : trouble));
 }
--- a/review/common/StandIns.h
+++ b/review/common/StandIns.h
@@ -22,6 +22,7 @@
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <poll.h>
 #include <set>
 #include <string>
 #include <sys/prctl.h>
@@ -214,6 +215,13 @@
     return bytes;
   }
 
+  /// Whether the peer has closed or reset the connection.
+  bool IsClosed() const
+  {
+    pollfd entry{ this->descriptor, POLLRDHUP, 0 };
+    return poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
   /// Drops what was received and not read yet, and adds its size to aTotal.
   void Discard(std::size_t& aTotal)
   {
