LibGateway: Read the software versions from the store when a stream is taken up

Cause: StreamOriginService::Find answered "only-version" from what the front itself had seen. Not having heard of a second version was taken for its absence. Ruled out: a bound on the age of the state. A front that continues after SIGSTOP has fresh timers and an old state.

A front that knows one version now reads the endpoints and the versions seen lately from the store after the take-up has come; take-ups that come during a read share the next one. If the store does not answer, or was restored a moment ago, the front asks the record's keeper, which reads for itself. Otherwise the take-up is refused. Related path: a keeper that did not answer was taken for one that does not know; the front now reads the records from the store itself.

Before: JoinsNoVersionsAtAFrontThatMissedASecondOne got 200 from v1 instead of 503; RefusesTakeUpsAtTheOnlyKnownVersionWhileTheStoreIsAway got 200 while the store refused, reset or ignored all calls.

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -10,6 +10,8 @@
 static constexpr Duration kProbeTimeout = 700ms;
 static constexpr Duration kProbeInterval = 300ms;
 static constexpr Duration kFetchTimeout = 2s;
+/// Includes a read of the store by the keeper.
+static constexpr Duration kFindTimeout = 1s;
 
 namespace {
 
@@ -272,15 +274,16 @@
 
   kj::Promise<void> findStream(FindStreamContext aContext) override
   {
-    std::string const requestId = aContext.getParams().getRequestId().cStr();
+    auto const wire = aContext.getParams();
+    StreamQuestion const question{ wire.getRequestId().cStr(), wire.getService().cStr(), wire.getRequester() };
     aContext.releaseParams();
     CallResult<std::optional<StreamOrigin>> result;
-    this->Handlers().findStream(requestId, result.Callback());
+    this->Handlers().findStream(question, result.Callback());
     this->loop.Wake();
-    return result.promise.then([aContext, requestId](std::optional<StreamOrigin> aOrigin) mutable {
+    return result.promise.then([aContext, question](std::optional<StreamOrigin> aOrigin) mutable {
       aContext.getResults().setKnown(aOrigin.has_value());
       if (aOrigin)
-        WriteRecord({ requestId, *aOrigin }, aContext.getResults().initRecord());
+        WriteRecord({ question.requestId, *aOrigin }, aContext.getResults().initRecord());
     });
   }
 
@@ -528,19 +531,21 @@
 }
 
 void
-FrontPeers::FindStream(std::string const& aAddress, std::string const& aRequestId, OriginCallback aDone)
+FrontPeers::FindStream(std::string const& aAddress, StreamQuestion const& aQuestion, OriginCallback aDone)
 {
   ++this->calls;
   using Found = std::optional<StreamOrigin>;
-  auto call = [aRequestId](Wire::GatewayPeer::Client& aClient) {
+  auto call = [aQuestion](Wire::GatewayPeer::Client& aClient) {
     auto request = aClient.findStreamRequest();
-    request.setRequestId(aRequestId);
+    request.setRequestId(aQuestion.requestId);
+    request.setService(aQuestion.service);
+    request.setRequester(aQuestion.requester);
     return request.send().then([](auto&& aResponse) {
       return aResponse.getKnown() ? Found(ReadRecord(aResponse.getRecord()).origin) : Found();
     });
   };
   this->implementation->connections.Run<Found>(
-    aAddress, kProbeTimeout, kj::mv(call), [aDone = std::move(aDone)](std::optional<Found> aFound) {
+    aAddress, kFindTimeout, kj::mv(call), [aDone = std::move(aDone)](std::optional<Found> aFound) {
       aDone(aFound.value_or(std::nullopt));
     });
 }
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -57,6 +57,15 @@
   bool watchesStore{ false };
 };
 
+/// Asks for the origin of a stream that a caller takes up.
+struct StreamQuestion
+{
+  /// The request that brought the stream's first event; empty if the caller did not name it.
+  std::string requestId;
+  std::string service;
+  std::uint64_t requester{ 0 };
+};
+
 /// Receives the origin of a stream; nothing if it is not known.
 using OriginCallback = std::function<void(std::optional<StreamOrigin>)>;
 using FollowCallback = std::function<void(FollowResponse)>;
@@ -75,7 +84,7 @@
   std::function<CancelAction(FollowRequest, FollowCallback)> follow;
   std::function<void(std::vector<StreamRecord> const&)> recordStreams;
   /// Calls back exactly once.
-  std::function<void(std::string const& aRequestId, OriginCallback)> findStream;
+  std::function<void(StreamQuestion const&, OriginCallback)> findStream;
 };
 
 /// Cap'n Proto RPC between fronts, on the event loop. Connections with jobs in flight are probed. A connection that
@@ -122,9 +131,9 @@
                      std::vector<StreamRecord> const& aRecords,
                      std::function<void(bool)> aDone);
 
-  /// Asks the keeper of a request's record. aDone receives nothing if it is not known or the peer does not respond in
+  /// Asks a keeper of a request's record. aDone receives nothing if it is not known or the peer does not respond in
   /// time.
-  void FindStream(std::string const& aAddress, std::string const& aRequestId, OriginCallback aDone);
+  void FindStream(std::string const& aAddress, StreamQuestion const& aQuestion, OriginCallback aDone);
 
   std::uint64_t Calls() const { return this->calls; }
 
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -86,6 +86,7 @@
       -> (updates :List(RelayedUpdate), ageUs :Int64, watching :Bool, revisions :List(UInt64));
   # To the keeper of the requests' records.
   recordStreams @6 (records :List(StreamRecord)) -> ();
-  # The record is meaningful only if it is known.
-  findStream @7 (requestId :Text) -> (known :Bool, record :StreamRecord);
+  # The record is meaningful only if it is known. If the service has only one version, as the store tells after the call
+  # came, the record names it, with the requester of the call.
+  findStream @7 (requestId :Text, service :Text, requester :UInt64) -> (known :Bool, record :StreamRecord);
 }
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -401,7 +401,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ed949ed3dee1a5f, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9ed949ed3dee1a5f, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2374,6 +2374,11 @@
   inline bool hasRequestId() const;
   inline  ::capnp::Text::Reader getRequestId() const;
 
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getRequester() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2409,6 +2414,16 @@
   inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getRequester();
+  inline void setRequester( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3904,6 +3919,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayPeer::FindStreamParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::FindStreamParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GatewayPeer::FindStreamParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GatewayPeer::FindStreamParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::FindStreamParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GatewayPeer::FindStreamParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GatewayPeer::FindStreamParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GatewayPeer::FindStreamParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t GatewayPeer::FindStreamParams::Reader::getRequester() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GatewayPeer::FindStreamParams::Builder::getRequester() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::FindStreamParams::Builder::setRequester( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GatewayPeer::FindStreamResults::Reader::getKnown() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -70,8 +70,8 @@
   handlers.recordStreams = [this](std::vector<StreamRecord> const& aRecords) {
     this->streamOrigins->OnRecords(aRecords);
   };
-  handlers.findStream = [this](std::string const& aRequestId, OriginCallback aDone) {
-    this->streamOrigins->FindAsKeeper(aRequestId, std::move(aDone));
+  handlers.findStream = [this](StreamQuestion const& aQuestion, OriginCallback aDone) {
+    this->streamOrigins->FindAsKeeper(aQuestion, std::move(aDone));
   };
   return handlers;
 }
--- a/Libraries/LibGateway/ProxiedTakeUp.cpp
+++ b/Libraries/LibGateway/ProxiedTakeUp.cpp
@@ -21,9 +21,8 @@
 ProxiedRequest::FindStreamOrigin()
 {
   auto const self = this->weak_from_this();
-  this->proxy.streamOrigins.Find(this->metadata.resumedRequest,
-                                 this->serviceName,
-                                 RequesterOf(this->account.name, this->exchange->Request().target),
+  auto const requester = RequesterOf(this->account.name, this->exchange->Request().target);
+  this->proxy.streamOrigins.Find({ this->metadata.resumedRequest, this->serviceName, requester },
                                  [self](FoundOrigin const& aFound) {
                                    if (auto const request = self.lock())
                                      request->OnStreamOrigin(aFound);
--- a/Libraries/LibGateway/StreamOriginService.cpp
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -1,5 +1,5 @@
-#include "StreamOriginService.h"
 #include "GatewayNames.h"
+#include "StreamOriginService.h"
 
 namespace Hornbeam::Gateway {
 
@@ -10,6 +10,8 @@
 static constexpr Duration kSendDelay = 10ms;
 static constexpr Duration kResendDelay = 100ms;
 static constexpr unsigned kMaxSends = 3;
+/// The fronts that know the record of a stream besides the one that began it.
+static constexpr std::size_t kKeepersPerRecord = 1;
 /// What a keeper has not written when all fronts are killed is lost: shorter delays save more, and cost more writes.
 static constexpr Duration kWriteDelay = 250ms;
 /// The objects of a keeper are written again in turn; by then, the streams in the oldest one have ended.
@@ -27,6 +29,7 @@
   , clock(aKernel.Find<Clock>(GatewayName::kClock))
   , peers(aKernel.Find<FrontPeers>(GatewayName::kPeers))
   , store(aKernel.Find<StoreClient>(GatewayName::kStore))
+  , versionReader(aKernel)
 {
   this->stateCache.AddChangeListener([this] { this->OnStateChanged(); });
 }
@@ -92,11 +95,18 @@
     this->QueueForKeeper(aRecord);
 }
 
-std::optional<FrontEntry>
-StreamOriginService::KeeperOf(std::string const& aRequestId) const
+std::vector<FrontEntry>
+StreamOriginService::KeepersOf(std::string const& aRequestId) const
 {
   auto const& fronts = this->stateCache.Fronts();
-  return OwnerOf(fronts, KeeperKeyOf(aRequestId, fronts.byName.size()), this->clock.Now());
+  return OwnersOf(fronts, KeeperKeyOf(aRequestId, fronts.byName.size()), kKeepersPerRecord, this->clock.Now());
+}
+
+bool
+StreamOriginService::Writes(std::string const& aRequestId) const
+{
+  auto const keepers = this->KeepersOf(aRequestId);
+  return keepers.empty() || keepers.front().name == this->settings.name;
 }
 
 void
@@ -117,14 +127,15 @@
 {
   std::map<std::string, std::pair<FrontEntry, std::vector<StreamRecord>>> batches;
   for (auto const& record : std::exchange(this->unsent, {})) {
-    auto const keeper = this->KeeperOf(record.requestId);
-    if (!keeper || keeper->name == this->settings.name) {
+    if (this->Writes(record.requestId))
       this->QueueForStore(record);
-      continue;
+    for (auto const& keeper : this->KeepersOf(record.requestId)) {
+      if (keeper.name == this->settings.name)
+        continue;
+      auto& [entry, records] = batches[keeper.name];
+      entry = keeper;
+      records.push_back(record);
     }
-    auto& [entry, records] = batches[keeper->name];
-    entry = *keeper;
-    records.push_back(record);
   }
   for (auto const& [name, batch] : batches)
     this->SendBatch(batch.first, batch.second, 1);
@@ -152,7 +163,7 @@
 StreamOriginService::OnRecords(std::vector<StreamRecord> const& aRecords)
 {
   for (auto const& record : aRecords)
-    if (RecordOrigin(this->origins, record, this->clock.Now()))
+    if (RecordOrigin(this->origins, record, this->clock.Now()) && this->Writes(record.requestId))
       this->QueueForStore(record);
 }
 
@@ -291,57 +302,126 @@
         RecordOrigin(this->origins, record, now);
       continue;
     }
-    this->storedVersionsRevision = object.revision;
     auto const stored = Platform::DecodeSoftwareVersions(object);
-    if (!stored) {
+    if (!stored)
       PART_WARNING("streams") << "event=versions-refused reason=unreadable";
-      continue;
-    }
-    for (auto const& [service, versions] : *stored)
-      for (auto const& version : versions)
-        if (NoteVersion(this->versions, service, version, now))
-          this->OnBecameSeveral(service);
-    this->storedVersions = stored;
+    this->NoteStoredVersions(stored, object.revision);
   }
 }
 
 void
-StreamOriginService::Find(std::string const& aRequestId,
-                          std::string const& aService,
-                          std::uint64_t aRequester,
-                          std::function<void(FoundOrigin)> aDone)
+StreamOriginService::NoteStoredVersions(std::optional<Platform::VersionsByService> const& aVersions,
+                                        StorePosition aRevision)
+{
+  this->storedVersionsRevision = aRevision;
+  if (!aVersions)
+    return;
+  for (auto const& [service, versions] : *aVersions)
+    for (auto const& version : versions)
+      // What is read back must not keep alive what is written.
+      if (!IsKnownVersion(this->versions, service, version) &&
+          NoteVersion(this->versions, service, version, this->clock.Now()))
+        this->OnBecameSeveral(service);
+  this->storedVersions = aVersions;
+}
+
+void
+StreamOriginService::OnVersionsRead(ReadVersions const& aVersions)
+{
+  // An object that is missing is created by its owner.
+  if (aVersions.seenLately)
+    this->NoteStoredVersions(aVersions.seenLately, aVersions.seenLatelyRevision);
+  for (auto const& [service, versions] : aVersions.present)
+    for (auto const& version : versions)
+      if (NoteVersion(this->versions, service, version, this->clock.Now()))
+        this->OnBecameSeveral(service);
+}
+
+void
+StreamOriginService::ConfirmOnlyVersion(std::string const& aService,
+                                        std::function<void(std::optional<std::string>)> aDone)
 {
-  auto const check = [aRequester, aDone](std::optional<StreamOrigin> const& aOrigin, std::string_view aSource) {
+  if (HasSeveralVersions(this->versions, aService))
+    return aDone(std::nullopt);
+  this->versionReader.Read([this, aService, aDone](std::optional<ReadVersions> const& aVersions) {
+    if (!aVersions)
+      return aDone(std::nullopt);
+    this->OnVersionsRead(*aVersions);
+    aDone(this->KnowsFormerVersions() ? OnlyVersion(this->versions, aService) : std::nullopt);
+  });
+}
+
+void
+StreamOriginService::Find(StreamQuestion const& aQuestion, std::function<void(FoundOrigin)> aDone)
+{
+  auto const check = [aQuestion, aDone](std::optional<StreamOrigin> const& aOrigin, std::string_view aSource) {
     if (!aOrigin)
-      aDone({ std::nullopt, "unknown" });
-    else if (aOrigin->requester != aRequester)
+      aDone({ std::nullopt, aQuestion.requestId.empty() ? "not-named" : "unknown" });
+    else if (aOrigin->requester != aQuestion.requester)
       aDone({ std::nullopt, "of-another-request" });
     else
       aDone({ aOrigin, aSource });
   };
-  if (auto const* const known = FindOrigin(this->origins, aRequestId))
+  if (auto const* const known = FindOrigin(this->origins, aQuestion.requestId))
     return check(*known, "own");
-  auto const only = OnlyVersion(this->versions, aService);
-  if (only && this->KnowsFormerVersions())
-    return aDone({ StreamOrigin{ aService, *only, aRequester }, "only-version" });
-  if (aRequestId.empty())
-    return aDone({ std::nullopt, "not-named" });
-  auto const keeper = this->KeeperOf(aRequestId);
-  if (!keeper || keeper->name == this->settings.name)
-    return this->FindAsKeeper(aRequestId, [check](auto const& aOrigin) { check(aOrigin, "store"); });
-  this->peers.FindStream(keeper->peerAddress, aRequestId, [check](auto const& aOrigin) { check(aOrigin, "keeper"); });
+  this->ConfirmOnlyVersion(aQuestion.service, [this, aQuestion, check](std::optional<std::string> const& aOnly) {
+    if (aOnly)
+      return check(StreamOrigin{ aQuestion.service, *aOnly, aQuestion.requester }, "only-version");
+    this->AskKeepers(aQuestion, [this, aQuestion, check](std::optional<StreamOrigin> const& aOrigin) {
+      if (aOrigin)
+        return check(aOrigin, "keeper");
+      this->FindRecord(aQuestion, [check](auto const& aStored) { check(aStored, "store"); });
+    });
+  });
+}
+
+void
+StreamOriginService::AskKeepers(StreamQuestion const& aQuestion, OriginCallback aDone)
+{
+  struct Inquiry
+  {
+    OriginCallback done;
+    std::size_t unanswered{ 0 };
+  };
+  auto const inquiry = std::make_shared<Inquiry>(Inquiry{ std::move(aDone), 0 });
+  auto const answer = [inquiry](std::optional<StreamOrigin> const& aOrigin) {
+    --inquiry->unanswered;
+    if (!inquiry->done || (!aOrigin && inquiry->unanswered > 0))
+      return;
+    std::exchange(inquiry->done, nullptr)(aOrigin);
+  };
+  auto keepers = this->KeepersOf(aQuestion.requestId);
+  std::erase_if(keepers, [&](auto const& aKeeper) { return aKeeper.name == this->settings.name; });
+  inquiry->unanswered = keepers.size();
+  if (keepers.empty())
+    return inquiry->done(std::nullopt);
+  for (auto const& keeper : keepers)
+    this->peers.FindStream(keeper.peerAddress, aQuestion, answer);
+}
+
+void
+StreamOriginService::FindAsKeeper(StreamQuestion const& aQuestion, OriginCallback aDone)
+{
+  if (auto const* const known = FindOrigin(this->origins, aQuestion.requestId))
+    return aDone(*known);
+  this->ConfirmOnlyVersion(aQuestion.service, [this, aQuestion, aDone](std::optional<std::string> const& aOnly) {
+    if (aOnly)
+      return aDone(StreamOrigin{ aQuestion.service, *aOnly, aQuestion.requester });
+    this->FindRecord(aQuestion, aDone);
+  });
 }
 
 void
-StreamOriginService::FindAsKeeper(std::string const& aRequestId, OriginCallback aDone)
+StreamOriginService::FindRecord(StreamQuestion const& aQuestion, OriginCallback aDone)
 {
-  auto const find = [this, aRequestId, aDone] {
-    auto const* const known = FindOrigin(this->origins, aRequestId);
+  auto const find = [this, requestId = aQuestion.requestId, aDone] {
+    auto const* const known = FindOrigin(this->origins, requestId);
     aDone(known == nullptr ? std::nullopt : std::optional(*known));
   };
-  // Another front may have kept the record until now.
+  // Without several versions, the store has no records or did not answer just now.
+  bool const mayBeStored = !aQuestion.requestId.empty() && HasSeveralVersions(this->versions, aQuestion.service);
   bool const loadedLately = this->loaded && this->clock.Now() - *this->loaded < kMinLoadInterval;
-  if (FindOrigin(this->origins, aRequestId) != nullptr || loadedLately)
+  if (!mayBeStored || loadedLately || FindOrigin(this->origins, aQuestion.requestId) != nullptr)
     return find();
   this->Load(find);
 }
--- a/Libraries/LibGateway/StreamOriginService.h
+++ b/Libraries/LibGateway/StreamOriginService.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "FrontPeers.h"
-#include "StateCache.h"
+#include "SoftwareVersionReader.h"
 
 namespace Hornbeam::Gateway {
 
@@ -15,9 +15,10 @@
 };
 
 /// Finds the software version at which a stream began that a caller takes up, at any front and also after all fronts
-/// were restarted. While a service has one version only, nothing is recorded. Otherwise each front tells the origins of
-/// the streams that it begins to a keeper, which writes them to the store in batches. A stream whose origin was not
-/// recorded in time is unknown and cannot be taken up.
+/// were restarted. While a service has one version only, nothing is recorded; that there is no other is read from the
+/// store when a stream is taken up, as a front that has not heard of one proves nothing. Otherwise each front tells the
+/// origins of the streams that it begins to two keepers, the first of which writes them to the store in batches. A
+/// stream whose origin was not recorded in time is unknown and cannot be taken up.
 class StreamOriginService
 {
 public:
@@ -28,18 +29,14 @@
   /// Records that the first event of a stream is forwarded.
   void OnStreamBegun(StreamRecord const& aRecord);
 
-  /// Finds the origin of a stream of a service that a request of aRequester takes up. aRequestId is the request that
-  /// brought the stream's first event; empty if the caller did not name it. Calls back exactly once, possibly at once.
-  void Find(std::string const& aRequestId,
-            std::string const& aService,
-            std::uint64_t aRequester,
-            std::function<void(FoundOrigin)> aDone);
+  /// Finds the origin of a stream that a caller takes up. Calls back exactly once, possibly at once.
+  void Find(StreamQuestion const& aQuestion, std::function<void(FoundOrigin)> aDone);
 
   /// Takes the records that another front passes to their keeper.
   void OnRecords(std::vector<StreamRecord> const& aRecords);
 
   /// Finds an origin for another front, as its keeper.
-  void FindAsKeeper(std::string const& aRequestId, OriginCallback aDone);
+  void FindAsKeeper(StreamQuestion const& aQuestion, OriginCallback aDone);
 
 private:
   void OnStateChanged();
@@ -51,7 +48,18 @@
   void QueueForKeeper(StreamRecord const& aRecord);
   void SendToKeepers();
   void SendBatch(FrontEntry const& aKeeper, std::vector<StreamRecord> const& aRecords, unsigned aAttempt);
-  std::optional<FrontEntry> KeeperOf(std::string const& aRequestId) const;
+  std::vector<FrontEntry> KeepersOf(std::string const& aRequestId) const;
+  /// Whether this front writes the record of a request to the store.
+  bool Writes(std::string const& aRequestId) const;
+
+  /// Reads from the store whether a service has one software version only, and which.
+  void ConfirmOnlyVersion(std::string const& aService, std::function<void(std::optional<std::string>)> aDone);
+  void OnVersionsRead(ReadVersions const& aVersions);
+  void NoteStoredVersions(std::optional<Platform::VersionsByService> const& aVersions, StorePosition aRevision);
+  /// Asks the keepers of a request all at once; aDone receives the first origin that one knows.
+  void AskKeepers(StreamQuestion const& aQuestion, OriginCallback aDone);
+  /// Finds the record of a request here or in the store.
+  void FindRecord(StreamQuestion const& aQuestion, OriginCallback aDone);
 
   void QueueForStore(StreamRecord const& aRecord);
   void ScheduleWrite();
@@ -71,6 +79,7 @@
   Clock& clock;
   FrontPeers& peers;
   StoreClient& store;
+  SoftwareVersionReader versionReader;
   StreamOrigins origins;
   SoftwareVersions versions;
   MonotonicTime started{};
--- a/Libraries/LibServing/FrontSet.cpp
+++ b/Libraries/LibServing/FrontSet.cpp
@@ -48,23 +48,29 @@
 
 std::optional<FrontEntry>
 OwnerOf(FrontSet const& aSet, std::string const& aKey, MonotonicTime aNow)
+{
+  auto const owners = OwnersOf(aSet, aKey, 1, aNow);
+  return owners.empty() ? std::nullopt : std::optional(owners.front());
+}
+
+std::vector<FrontEntry>
+OwnersOf(FrontSet const& aSet, std::string const& aKey, std::size_t aCount, MonotonicTime aNow)
 {
   double strongest = 0;
   for (auto const& [name, front] : aSet.byName)
     if (front.suspectUntil <= aNow)
       strongest = std::max(strongest, front.entry.cores);
-  KnownFront const* best = nullptr;
-  std::uint64_t bestWeight = 0;
-  for (auto const& [name, front] : aSet.byName) {
-    if (front.suspectUntil > aNow || front.entry.cores < kMinOwnerCoreRatio * strongest)
-      continue;
-    auto const weight = RendezvousWeight(aKey, name);
-    if (best != nullptr && weight <= bestWeight)
-      continue;
-    best = &front;
-    bestWeight = weight;
-  }
-  return best == nullptr ? std::nullopt : std::optional(best->entry);
+  std::vector<std::pair<std::uint64_t, KnownFront const*>> byWeight;
+  for (auto const& [name, front] : aSet.byName)
+    if (front.suspectUntil <= aNow && front.entry.cores >= kMinOwnerCoreRatio * strongest)
+      byWeight.emplace_back(RendezvousWeight(aKey, name), &front);
+  auto const count = std::min(aCount, byWeight.size());
+  auto const heavier = [](auto const& aFirst, auto const& aSecond) { return aFirst.first > aSecond.first; };
+  std::ranges::partial_sort(byWeight, byWeight.begin() + std::ptrdiff_t(count), heavier);
+  std::vector<FrontEntry> owners;
+  for (std::size_t index = 0; index < count; ++index)
+    owners.push_back(byWeight[index].second->entry);
+  return owners;
 }
 
 OtherFronts
--- a/Libraries/LibServing/FrontSet.h
+++ b/Libraries/LibServing/FrontSet.h
@@ -60,6 +60,10 @@
 std::optional<FrontEntry>
 OwnerOf(FrontSet const& aSet, std::string const& aKey, MonotonicTime aNow);
 
+/// Returns the owner of a key and those that follow it if it leaves, at most aCount in all.
+std::vector<FrontEntry>
+OwnersOf(FrontSet const& aSet, std::string const& aKey, std::size_t aCount, MonotonicTime aNow);
+
 /// What a front knows of the other ones.
 enum class OtherFronts
 {
--- a/Libraries/LibServing/StreamOrigins.cpp
+++ b/Libraries/LibServing/StreamOrigins.cpp
@@ -73,6 +73,13 @@
   return becameSeveral;
 }
 
+bool
+IsKnownVersion(SoftwareVersions const& aVersions, std::string const& aService, std::string const& aVersion)
+{
+  auto const found = aVersions.lastSeen.find(aService);
+  return found != aVersions.lastSeen.end() && found->second.contains(aVersion);
+}
+
 bool
 HasSeveralVersions(SoftwareVersions const& aVersions, std::string const& aService)
 {
--- a/Libraries/LibServing/StreamOrigins.h
+++ b/Libraries/LibServing/StreamOrigins.h
@@ -73,6 +73,9 @@
 bool
 NoteVersion(SoftwareVersions& aVersions, std::string const& aService, std::string const& aVersion, MonotonicTime aNow);
 
+bool
+IsKnownVersion(SoftwareVersions const& aVersions, std::string const& aService, std::string const& aVersion);
+
 /// Whether streams of a service may have begun at different versions, so that their origins have to be recorded.
 bool
 HasSeveralVersions(SoftwareVersions const& aVersions, std::string const& aService);
--- a/Tests/Platform/PlatformVersionTests.cpp
+++ b/Tests/Platform/PlatformVersionTests.cpp
@@ -254,4 +254,39 @@
   EXPECT_EQ(world.store->Count("stream-origins"), 1U);
 }
 
+// A front whose watch had missed that a second version joined took its knowledge for the whole and sent streams of that
+// version on to the other one.
+TEST(PlatformVersion, JoinsNoVersionsAtAFrontThatMissedASecondOne)
+{
+  VersionWorld versionWorld({ "v1", "v1" }, 2);
+  auto& world = versionWorld.world;
+  EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("stream-origins", "software-versions"); }));
+  world.store->lostAnswer = LostAnswer::Whole;
+  versionWorld.AddEndpoint("v2");
+  world.RunFor(20ms);
+  // The front at which the stream began is gone.
+  auto const response = TakeUp(versionWorld, 0, "begun-elsewhere", "2");
+  EXPECT_EQ(response.status, 503U);
+  EXPECT_NE(FindField(response.fields, "Retry-After"), nullptr);
+  EXPECT_EQ(VersionThatRan(versionWorld, "again-begun-elsewhere"), "");
+}
+
+// A front that the store turned away took streams up at the only version that it had heard of.
+TEST(PlatformVersion, RefusesTakeUpsAtTheOnlyKnownVersionWhileTheStoreIsAway)
+{
+  for (auto const behavior : { StoreBehavior::Refusing, StoreBehavior::Resetting, StoreBehavior::Silent }) {
+    VersionWorld versionWorld({ "v1", "v1" }, 2);
+    auto& world = versionWorld.world;
+    EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("stream-origins", "software-versions"); }));
+    world.store->behavior = behavior;
+    auto const response = TakeUp(versionWorld, 0, "s", "2");
+    EXPECT_EQ(response.status, 503U);
+    EXPECT_LT(response.duration, 2s);
+    EXPECT_EQ(VersionThatRan(versionWorld, "again-s"), "");
+    world.store->behavior = StoreBehavior::Healthy;
+    EXPECT_TRUE(HappensWithin(
+      world, [&] { return TakeUp(versionWorld, 0, "s", "2").status == 200; }, 5s));
+  }
+}
+
 }
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -242,9 +242,21 @@
   if (query.contains("watch"))
     return this->HandleWatch(
       aExchange, kind, std::stoull(query["watch"]), std::chrono::milliseconds(std::stoull(query["wait_ms"])));
+  if (!name.empty())
+    return this->HandleGet(*aExchange, kind, name);
   this->HandleList(*aExchange, kind, query["after"]);
 }
 
+void
+StandInStore::HandleGet(Exchange& aExchange, std::string const& aKind, std::string const& aName)
+{
+  auto const& objects = this->state.objects[aKind];
+  auto const found = objects.find(aName);
+  if (found == objects.end())
+    return this->Respond(aExchange, 404, json::object());
+  this->Respond(aExchange, 200, ToDocument(aName, found->second));
+}
+
 void
 StandInStore::HandleList(Exchange& aExchange, std::string const& aKind, std::string const& aAfter)
 {
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -122,6 +122,7 @@
   void Handle(std::shared_ptr<Gateway::Exchange> const& aExchange);
   /// Responds to a watch, as far as the answer does not get lost.
   void RespondToWatch(std::shared_ptr<Gateway::Exchange> const& aExchange, nlohmann::json const& aBody);
+  void HandleGet(Gateway::Exchange& aExchange, std::string const& aKind, std::string const& aName);
   void HandleList(Gateway::Exchange& aExchange, std::string const& aKind, std::string const& aAfter);
   void HandleWatch(std::shared_ptr<Gateway::Exchange> const& aExchange,
                    std::string const& aKind,
