LibGateway: Keep the record of a stream at two fronts

Cause: a record had one keeper, often the front that was killed itself. Until the keeper had written it, up to 250 ms later, it was lost with the keeper, and until the others knew that the keeper had gone, they asked nobody else. Writing each record at once was ruled out: writes to the store are priced and limited.

Each record goes to two keepers on different fronts, the first of which writes it.

Before: GoesOnAtOnceAfterTheFrontThatBeganTheStreamWasKilled got 503 (source=unknown) for streams whose keeper was the killed front.

--- a/Libraries/LibGateway/StreamOriginService.cpp
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -10,8 +10,8 @@
 static constexpr Duration kSendDelay = 10ms;
 static constexpr Duration kResendDelay = 100ms;
 static constexpr unsigned kMaxSends = 3;
-/// The fronts that know the record of a stream besides the one that began it.
-static constexpr std::size_t kKeepersPerRecord = 1;
+/// With two, a record outlives the front that began the stream, even if that front is one of the keepers.
+static constexpr std::size_t kKeepersPerRecord = 2;
 /// What a keeper has not written when all fronts are killed is lost: shorter delays save more, and cost more writes.
 static constexpr Duration kWriteDelay = 250ms;
 /// The objects of a keeper are written again in turn; by then, the streams in the oldest one have ended.
--- a/Tests/Platform/PlatformVersionTests.cpp
+++ b/Tests/Platform/PlatformVersionTests.cpp
@@ -289,4 +289,33 @@
   }
 }
 
+// The front at which streams began was the keeper of their records, too; both were lost when it was killed.
+TEST(PlatformVersion, GoesOnAtOnceAfterTheFrontThatBeganTheStreamWasKilled)
+{
+  // Each front is killed in one round, as the names decide which ones are keepers.
+  for (unsigned killed = 0; killed < 3; ++killed) {
+    VersionWorld versionWorld({ "v1", "v2", "v1", "v2" }, 3);
+    auto& world = versionWorld.world;
+    world.RunFor(500ms);
+    std::map<std::string, std::string> lastEvents;
+    BreakStreams(versionWorld);
+    for (unsigned number = 0; number < 4; ++number) {
+      auto const id = "s" + std::to_string(number);
+      lastEvents[id] = BeginStream(versionWorld, killed, id);
+    }
+    world.RunFor(30ms);
+    Recover(versionWorld);
+    // Records that have not been written are lost with their keepers.
+    world.store->behavior = StoreBehavior::Resetting;
+    world.fronts[killed]->StopPeers();
+    unsigned goneOn = 0;
+    for (auto const& [id, last] : lastEvents) {
+      auto const response = TakeUp(versionWorld, (killed + 1 + goneOn % 2) % 3, id, last);
+      EXPECT_EQ(response.status, 200U) << id << " begun at front " << killed;
+      EXPECT_EQ(VersionThatRan(versionWorld, "again-" + id), VersionThatRan(versionWorld, id)) << id;
+      ++goneOn;
+    }
+  }
+}
+
 }
