LibGateway: Bound the pieces of a request, and keep exceptions to what they concern

Cause: nothing bounded the number. Beast throws std::length_error for a field of over 65,533 bytes, and the pool std::bad_alloc; callbacks of libuv and of the clock caught neither, and the RPC library swallowed them. Ruled out: passing the handles in several fields, as the platform's pages name one list.

At most 2,000 pieces are taken, which fit the field with the usual handles (28 bytes); more get 413 before any stage runs, and so does what does not fit a head. An exception ends its request, connection or timer action, with a log line and a gauge; periodic actions schedule the next one first.

--- a/Libraries/LibCore/Clock.cpp
+++ b/Libraries/LibCore/Clock.cpp
@@ -1,4 +1,5 @@
 #include "Clock.h"
+#include "Guard.h"
 #include "Verify.h"
 #include <ctime>
 
@@ -129,7 +130,7 @@
     this->dueTimes.erase(timer);
     if (this->mode == ClockMode::Paused && due > this->pausedAt)
       this->pausedAt = due;
-    action();
+    RunGuarded("timer", action);
   }
 }
 
--- a/Libraries/LibCore/LibCore.h
+++ b/Libraries/LibCore/LibCore.h
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "EventLoop.h"
+#include "Guard.h"
 #include "Hash.h"
 #include "Kernel.h"
 #include "LastReason.h"
--- a/Libraries/LibExchange/HttpMessage.cpp
+++ b/Libraries/LibExchange/HttpMessage.cpp
@@ -50,6 +50,15 @@
   });
 }
 
+bool
+CanSerialize(HeaderFields const& aFields)
+{
+  // Beast stores the length of a field in 16 bits.
+  static constexpr std::size_t kMaxFieldBytes = 65000;
+  return std::ranges::all_of(
+    aFields, [](auto const& aField) { return aField.first.size() + aField.second.size() <= kMaxFieldBytes; });
+}
+
 static void
 CopyFields(HeaderFields const& aFrom, http::fields& aTo)
 {
--- a/Libraries/LibExchange/HttpMessage.h
+++ b/Libraries/LibExchange/HttpMessage.h
@@ -47,7 +47,12 @@
 bool
 HasBodyFraming(ResponseHead const& aHead);
 
-/// Serializes a request, with a Content-Length unless it is a GET or HEAD without a body.
+/// Whether a message can have these fields: each one's name and value are bounded.
+bool
+CanSerialize(HeaderFields const& aFields);
+
+/// Serializes a request, with a Content-Length unless it is a GET or HEAD without a body. Its fields must pass
+/// CanSerialize().
 std::string
 SerializeRequest(RequestMessage const& aRequest);
 
--- a/Libraries/LibExchange/TcpStream.cpp
+++ b/Libraries/LibExchange/TcpStream.cpp
@@ -81,7 +81,7 @@
       return;
     if (aStatus == 0)
       stream->StartReading();
-    done(aStatus == 0);
+    RunGuarded("connect", [&] { done(aStatus == 0); });
   };
   int const failure =
     uv_tcp_connect(&stream->connectRequest, &stream->handle, reinterpret_cast<sockaddr const*>(&*address), connected);
@@ -137,14 +137,25 @@
   if (aCount == 0 || this->closing || !callbacks)
     return;
   if (aCount > 0) {
-    if (callbacks->onData)
-      callbacks->onData(std::string_view(aBuffer->base, std::size_t(aCount)));
+    std::string_view const bytes(aBuffer->base, std::size_t(aCount));
+    // What follows bytes that could not be handled cannot be handled either.
+    if (callbacks->onData && !RunGuarded("read", [&] { callbacks->onData(bytes); }))
+      this->ReportEnd(StreamEnd::Reset);
     return;
   }
+  this->ReportEnd(aCount == UV_EOF && !this->WasReset() ? StreamEnd::Closed : StreamEnd::Reset);
+}
+
+void
+TcpStream::ReportEnd(StreamEnd aEnd)
+{
+  auto const callbacks = this->events;
+  if (this->closing || !callbacks)
+    return;
   uv_read_stop(AsStream(&this->handle));
   this->reading = false;
-  if (callbacks->onEnd)
-    callbacks->onEnd(aCount == UV_EOF && !this->WasReset() ? StreamEnd::Closed : StreamEnd::Reset);
+  if (callbacks->onEnd && !RunGuarded("end", [&] { callbacks->onEnd(aEnd); }))
+    this->Reset();
 }
 
 bool
@@ -221,8 +232,8 @@
   }
   // NOTE: A failed write is reported through the read callback.
   auto const callbacks = this->events;
-  if (aStatus == 0 && callbacks && callbacks->onDrained)
-    callbacks->onDrained();
+  if (aStatus == 0 && callbacks && callbacks->onDrained && !RunGuarded("drained", [&] { callbacks->onDrained(); }))
+    this->ReportEnd(StreamEnd::Reset);
 }
 
 std::size_t
@@ -313,7 +324,7 @@
       return;
     auto& self = *static_cast<TcpListener*>(aListener->data);
     if (auto stream = TcpStream::Accept(*aListener, self.timeouts))
-      self.accept(std::move(stream));
+      RunGuarded("accept", [&] { self.accept(std::move(stream)); });
   };
   return uv_listen(AsStream(this->handle), kListenBacklog, onConnection) == 0;
 }
--- a/Libraries/LibExchange/TcpStream.h
+++ b/Libraries/LibExchange/TcpStream.h
@@ -77,6 +77,8 @@
   void OnWritten(int aStatus);
   void NoteWriteFailure(int aStatus);
   void OnRead(ssize_t aCount, uv_buf_t const* aBuffer);
+  /// Stops reading and tells the owner that nothing follows.
+  void ReportEnd(StreamEnd aEnd);
   bool WasReset() const;
 
   uv_tcp_t handle{};
--- a/Libraries/LibGateway/CrashService.cpp
+++ b/Libraries/LibGateway/CrashService.cpp
@@ -239,6 +239,7 @@
 void
 CrashService::RemoveObsolete()
 {
+  this->clock.Schedule(kObsoleteInterval, [this] { this->RemoveObsolete(); });
   auto const now = this->clock.Now();
   for (auto const& process : ObsoleteCrashes(this->ledger, now)) {
     auto const stored = this->stateCache.Crashes().find(process);
@@ -258,7 +259,6 @@
     }
   }
   this->Update();
-  this->clock.Schedule(kObsoleteInterval, [this] { this->RemoveObsolete(); });
 }
 
 void
--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -90,6 +90,7 @@
   for (auto const& [kind, time] : this->stateCache.TimesSinceAnswer())
     longest = std::max(longest, time);
   target.SetGauge("store_longest_unanswered_seconds", double(Milliseconds(longest)) / 1000);
+  target.SetGauge("caught_exceptions", double(CaughtExceptions()));
   target.SetGauge("endpoints", double(endpoints.byId.size()));
   auto const count = [&](auto const& aHolds) {
     return double(
--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -150,10 +150,10 @@
 void
 PresenceService::Probe()
 {
+  this->clock.Schedule(kProbeInterval, [this] { this->Probe(); });
   auto const now = this->clock.Now();
   for (auto const& front : FrontsToWatch(this->stateCache.Fronts(), this->settings.name, kProbedFronts, now))
     this->ProbeFront(front.entry);
-  this->clock.Schedule(kProbeInterval, [this] { this->Probe(); });
 }
 
 void
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -81,11 +81,38 @@
   this->proxy.ScheduleRetryWaiting();
 }
 
+OutgoingCall
+ProxiedRequest::MakeCall(EndpointEntry const& aEntry) const
+{
+  auto const remaining = this->deadline - this->proxy.clock.Now();
+  Platform::EndpointRequestFields fields;
+  fields.endpointId = aEntry.id;
+  fields.remainingTime = remaining;
+  fields.account = this->account.name;
+  if (this->route.kind == RequestKind::Streaming)
+    fields.priority = this->priority;
+  if (this->stages)
+    fields.inputs = FinalInputs(*this->stages);
+  if (this->eventStream.lastId)
+    fields.lastEventId = this->eventStream.lastId;
+  OutgoingCall outgoing;
+  outgoing.address = aEntry.address;
+  outgoing.request = Platform::EncodeEndpointRequest(this->exchange->Request(), fields);
+  outgoing.timeout = remaining + 2 * kResponseMargin;
+  outgoing.connectTimeout = std::min<Duration>(kConnectTimeout, remaining);
+  return outgoing;
+}
+
 void
 ProxiedRequest::SendAttempt(std::string const& aEndpoint)
 {
   auto const now = this->proxy.clock.Now();
   auto const& entry = this->proxy.stateCache.Endpoints().byId.at(aEndpoint).entry;
+  auto outgoing = this->MakeCall(entry);
+  if (!CanSerialize(outgoing.request.fields)) {
+    this->Fail(this->mayHaveExecuted ? 502 : 413, "head-too-long");
+    return;
+  }
   this->endpoint = aEndpoint;
   this->process = ProcessOf(entry);
   this->attemptVersion = entry.softwareVersion;
@@ -96,35 +123,12 @@
   this->attemptBytes = 0;
   this->bufferedHead.reset();
   this->bufferedBody.clear();
-  Platform::EndpointRequestFields fields;
-  fields.endpointId = aEndpoint;
-  fields.remainingTime = this->deadline - now;
-  fields.account = this->account.name;
-  if (this->route.kind == RequestKind::Streaming)
-    fields.priority = this->priority;
-  if (this->stages)
-    fields.inputs = FinalInputs(*this->stages);
-  if (this->eventStream.lastId)
-    fields.lastEventId = this->eventStream.lastId;
-  OutgoingCall outgoing;
-  outgoing.address = entry.address;
-  outgoing.request = Platform::EncodeEndpointRequest(this->exchange->Request(), fields);
-  outgoing.timeout = this->deadline - now + 2 * kResponseMargin;
-  outgoing.connectTimeout = std::min<Duration>(kConnectTimeout, this->deadline - now);
-  auto const self = this->weak_from_this();
   CallEvents callEvents;
-  callEvents.onHead = [self](ResponseHead const& aHead) {
-    if (auto const request = self.lock())
-      request->OnHead(aHead);
-  };
-  callEvents.onBody = [self](std::string aData) {
-    if (auto const request = self.lock())
-      request->OnBody(std::move(aData));
-  };
-  callEvents.onEnd = [self](CallEnd aEnd) {
-    if (auto const request = self.lock())
-      request->OnAttemptEnd(aEnd);
-  };
+  callEvents.onHead =
+    this->Callback([](ProxiedRequest& aRequest, ResponseHead const& aHead) { aRequest.OnHead(aHead); });
+  callEvents.onBody =
+    this->Callback([](ProxiedRequest& aRequest, std::string aData) { aRequest.OnBody(std::move(aData)); });
+  callEvents.onEnd = this->Callback([](ProxiedRequest& aRequest, CallEnd aEnd) { aRequest.OnAttemptEnd(aEnd); });
   this->watchedAttempt = this->proxy.crashes.OnAttemptSent(entry, this->crashCandidates);
   OnAttemptSent(this->timeline, now);
   OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, this->proxy.stateCache.Fronts().byName.size(), now);
@@ -141,11 +145,8 @@
   auto const timeout = this->headReceived
                          ? kStallTimeout
                          : std::max<Duration>(kStallTimeout, this->route.targetLatency * kFirstByteTimeoutFactor);
-  auto const self = this->weak_from_this();
-  this->stallTimer = this->proxy.clock.Schedule(timeout, [self] {
-    if (auto const request = self.lock())
-      request->OnStall();
-  });
+  this->stallTimer =
+    this->proxy.clock.Schedule(timeout, this->Callback([](ProxiedRequest& aRequest) { aRequest.OnStall(); }));
 }
 
 void
@@ -366,11 +367,7 @@
   this->responseBegun = true;
   this->contentType = FieldValue(aHead.fields, "Content-Type");
   this->proxy.metrics.ObserveTimeToFirstByte(this->proxy.clock.Now() - this->exchange->Received());
-  auto const self = this->weak_from_this();
-  this->exchange->onDrained = [self] {
-    if (auto const request = self.lock())
-      request->call.ResumeReading();
-  };
+  this->exchange->onDrained = this->Callback([](ProxiedRequest& aRequest) { aRequest.call.ResumeReading(); });
   this->exchange->BeginStream(Platform::EncodeCallerResponse(aHead));
 }
 
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -92,15 +92,10 @@
                       (double(std::minstd_rand::max()) - double(std::minstd_rand::min()) + 1);
   this->serviceName = PickService(this->route, draw);
   CountRequest(this->proxy.retryBudgets[this->serviceName], this->proxy.settings.retries, received);
-  auto const self = this->weak_from_this();
-  this->exchange->onCallerDisconnected = [self] {
-    if (auto const request = self.lock())
-      request->End(RequestOutcome::CallerDisconnected, 0, "caller-gone");
-  };
-  this->deadlineTimer = this->proxy.clock.Schedule(this->deadline - this->proxy.clock.Now(), [self] {
-    if (auto const request = self.lock())
-      request->OnDeadline();
-  });
+  this->exchange->onCallerDisconnected = this->Callback(
+    [](ProxiedRequest& aRequest) { aRequest.End(RequestOutcome::CallerDisconnected, 0, "caller-gone"); });
+  this->deadlineTimer = this->proxy.clock.Schedule(
+    this->deadline - this->proxy.clock.Now(), this->Callback([](ProxiedRequest& aRequest) { aRequest.OnDeadline(); }));
   if (this->TakesStreamUp())
     this->FindStreamOrigin();
   else
@@ -114,6 +109,10 @@
     this->TryEndpoint();
     return;
   }
+  if (HasTooManyItems(this->metadata.stageItemCounts)) {
+    this->Fail(413, "too-many-pieces");
+    return;
+  }
   this->stages = PlanStages(this->route.stages, this->metadata.stageItemCounts);
   if (!this->stages) {
     this->Fail(400, "pieces-do-not-fit-stages");
@@ -188,11 +187,8 @@
   job.job.inputs = inputs;
   job.job.dataCenter = this->PreferredDataCenter(aStage, job.job.inputs);
   job.job.crossDataCenterBytes = BytesTransferred(plan, aStage);
-  auto const self = this->weak_from_this();
-  auto const done = [self, aStage](StageResult aResult) {
-    if (auto const request = self.lock())
-      request->OnStageResult(aStage, std::move(aResult));
-  };
+  auto const done = this->Callback(
+    [aStage](ProxiedRequest& aRequest, StageResult aResult) { aRequest.OnStageResult(aStage, std::move(aResult)); });
   OnStageStarted(this->timeline, aStage, now);
   // The callback may run before RunStage() returns.
   this->pendingStages[aStage] = nullptr;
@@ -266,6 +262,18 @@
   this->StartStages();
 }
 
+void
+ProxiedRequest::EndAfterException()
+{
+  PART_WARNING("request") << "id=" << this->metadata.requestId
+                          << " decision=end cause=exception route=" << this->route.name
+                          << " attempting=" << this->attempting << " response_begun=" << this->responseBegun;
+  this->mayHaveExecuted = this->mayHaveExecuted || this->attempting;
+  auto const ends = [this] { this->Refuse("internal-error", kRetryAfterNoEndpoint); };
+  if (!RunGuarded("request-end", ends))
+    this->exchange->Abort();
+}
+
 void
 ProxiedRequest::LogUnfinished() const
 {
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -52,7 +52,26 @@
   int Priority() const { return this->priority; }
   MonotonicTime Received() const { return this->exchange->Received(); }
 
+  /// Runs an action of the request. An exception ends the request with an honest answer.
+  template<typename Action>
+  void Run(Action const& aAction)
+  {
+    if (!RunGuarded("request", aAction))
+      this->EndAfterException();
+  }
+
 private:
+  /// Makes a callback of an action on this request; it does nothing once the request is gone.
+  template<typename Action>
+  auto Callback(Action aAction)
+  {
+    return [self = this->weak_from_this(), aAction = std::move(aAction)](auto&&... aArguments) {
+      if (auto const request = self.lock())
+        request->Run([&] { aAction(*request, std::forward<decltype(aArguments)>(aArguments)...); });
+    };
+  }
+  void EndAfterException();
+
   bool IsRetryable() const;
   std::string AffinityKey() const;
   EndpointQuery MakeQuery() const;
@@ -75,6 +94,7 @@
 
   /// Refuses the request if it, or a part of its prompt, is quarantined; returns whether it did.
   bool RefuseIfQuarantined();
+  OutgoingCall MakeCall(EndpointEntry const& aEntry) const;
   void SendAttempt(std::string const& aEndpoint);
   void OnHead(ResponseHead const& aHead);
   void OnBody(std::string aData);
--- a/Libraries/LibGateway/ProxiedTakeUp.cpp
+++ b/Libraries/LibGateway/ProxiedTakeUp.cpp
@@ -20,13 +20,10 @@
 void
 ProxiedRequest::FindStreamOrigin()
 {
-  auto const self = this->weak_from_this();
   auto const requester = RequesterOf(this->account.name, this->exchange->Request().target);
-  this->proxy.streamOrigins.Find({ this->metadata.resumedRequest, this->serviceName, requester },
-                                 [self](FoundOrigin const& aFound) {
-                                   if (auto const request = self.lock())
-                                     request->OnStreamOrigin(aFound);
-                                 });
+  this->proxy.streamOrigins.Find(
+    { this->metadata.resumedRequest, this->serviceName, requester },
+    this->Callback([](ProxiedRequest& aRequest, FoundOrigin const& aFound) { aRequest.OnStreamOrigin(aFound); }));
 }
 
 void
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -64,7 +64,7 @@
     return refuse(503, "stopping", retryAfter);
   auto const request = std::make_shared<ProxiedRequest>(*this, aExchange, table, *route, key.account, *metadata);
   this->activeRequests.insert(request);
-  request->Begin();
+  request->Run([&] { request->Begin(); });
 }
 
 OtherFronts
@@ -132,7 +132,7 @@
   std::ranges::stable_sort(
     requests, {}, [](auto const& aRequest) { return std::pair(aRequest->Priority(), aRequest->Received()); });
   for (auto const& request : requests)
-    request->TryEndpoint();
+    request->Run([&] { request->TryEndpoint(); });
 }
 
 void
--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -67,9 +67,9 @@
 void
 RelayService::Tick()
 {
+  this->clock.Schedule(kTickInterval, [this] { this->Tick(); });
   this->UpdateRoles();
   this->Update();
-  this->clock.Schedule(kTickInterval, [this] { this->Tick(); });
 }
 
 void
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -77,6 +77,14 @@
 CancelAction
 StageOwnerService::RunStage(RemoteStageJob aJob, StageCallback aDone)
 {
+  if (aJob.job.items > kMaxRequestItems) {
+    PART_WARNING("stages") << "event=job-refused request=" << aJob.job.requestId << " items=" << aJob.job.items
+                           << " allowed=" << kMaxRequestItems;
+    this->clock.Schedule(Duration::zero(), [aDone = std::move(aDone)] {
+      aDone({ 0, StageEnd::Failed, {}, Duration::zero() });
+    });
+    return [] {};
+  }
   auto* const pool = this->LeavesJobsToOthers() ? nullptr : this->FindOrCreatePool(aJob.service);
   if (pool == nullptr) {
     this->clock.Schedule(Duration::zero(), [aDone = std::move(aDone)] {
--- a/Libraries/LibGateway/StreamOriginService.cpp
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -1,5 +1,5 @@
-#include "GatewayNames.h"
 #include "StreamOriginService.h"
+#include "GatewayNames.h"
 
 namespace Hornbeam::Gateway {
 
@@ -49,8 +49,8 @@
 {
   // Without changes of the state, the versions in use would seem to have been seen long ago.
   this->clock.Schedule(kRefreshInterval, [this] {
-    this->OnStateChanged();
     this->ScheduleRefresh();
+    this->OnStateChanged();
   });
 }
 
--- a/Libraries/LibServing/RequestStages.cpp
+++ b/Libraries/LibServing/RequestStages.cpp
@@ -3,10 +3,19 @@
 
 namespace Hornbeam::Gateway {
 
+bool
+HasTooManyItems(std::vector<unsigned> const& aItems)
+{
+  std::uint64_t total = 0;
+  for (auto const items : aItems)
+    total += items;
+  return total > kMaxRequestItems;
+}
+
 std::optional<RequestStages>
 PlanStages(std::vector<StageRule> const& aRules, std::vector<unsigned> const& aItems)
 {
-  if (aItems.size() != aRules.size())
+  if (aItems.size() != aRules.size() || HasTooManyItems(aItems))
     return std::nullopt;
   RequestStages stages{ aRules, aItems, {}, {} };
   RestartStages(stages);
--- a/Libraries/LibServing/RequestStages.h
+++ b/Libraries/LibServing/RequestStages.h
@@ -14,7 +14,14 @@
   std::vector<std::optional<std::vector<std::string>>> results;
 };
 
-/// Returns nothing if the number of item counts differs from the number of stages.
+/// The greatest number of items of all stages of a request. The handles of so many results fit the header field that
+/// passes them to an endpoint, and their calls the memory of the smallest machine.
+inline constexpr unsigned kMaxRequestItems = 2000;
+
+bool
+HasTooManyItems(std::vector<unsigned> const& aItems);
+
+/// Returns nothing if the number of item counts differs from the number of stages, or if there are too many items.
 std::optional<RequestStages>
 PlanStages(std::vector<StageRule> const& aRules, std::vector<unsigned> const& aItems);
 
--- a/Tests/LibCore/CoreTests.cpp
+++ b/Tests/LibCore/CoreTests.cpp
@@ -21,6 +21,20 @@
   EXPECT_EQ(ran, (std::vector<Duration>{ 10ms, 15ms, 20ms }));
 }
 
+// An unexpected error in one timer's action ended the process, or kept the timers after it from running.
+TEST(Clock, RunsOtherTimersAfterOneThrew)
+{
+  Clock clock(ClockMode::Paused);
+  auto const caughtBefore = CaughtExceptions();
+  unsigned ran = 0;
+  clock.Schedule(10ms, [] { throw std::length_error("a field is too long"); });
+  clock.Schedule(10ms, [&] { ++ran; });
+  clock.Schedule(20ms, [&] { ++ran; });
+  clock.Advance(30ms);
+  EXPECT_EQ(ran, 2U);
+  EXPECT_EQ(CaughtExceptions(), caughtBefore + 1);
+}
+
 TEST(Clock, DatesMessagesReadAfterAPauseToItsStart)
 {
   // After a front is frozen and resumed it must not run requests whose callers have already timed out (scenario
--- a/Tests/LibExchange/ServerConnectionTests.cpp
+++ b/Tests/LibExchange/ServerConnectionTests.cpp
@@ -75,6 +75,24 @@
 
 }
 
+// An unexpected error in the handling of one request ended the process and the connections of others.
+TEST(HttpListener, ServesOthersAfterAHandlerThrew)
+{
+  ListenerWorld world;
+  auto const serve = std::exchange(world.listener.Context().handler, [](auto const&) { throw std::bad_alloc(); });
+  world.caller->Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_TRUE(world.RunUntil([&] { return world.end.has_value(); }));
+  EXPECT_EQ(world.Connections(), 0U);
+  world.listener.Context().handler = serve;
+  bool connected = false;
+  auto const other =
+    TcpStream::Connect(world.loop.UvLoop(), kAddress, {}, [&](bool aConnected) { connected = aConnected; });
+  ASSERT_TRUE(world.RunUntil([&] { return connected; }));
+  other->Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_TRUE(world.RunUntil([&] { return !world.exchanges.empty(); }));
+  other->Reset();
+}
+
 // A pipelined request that had been read whole got no answer if the listener closed just as the response before it
 // ended.
 TEST(HttpListener, AnswersPipelinedRequestsWhileItCloses)
