LibServing: Give each stage the results of another one once

Callers saw: answers made from doubled inputs.

Cause: an omitted stage passed on its inputs as its own results, and the inputs of a stage, as those of the request, were joined as they came. For the same reason results were released while a stage after an omitted one had yet to read them. Removing equal handles from the joined list was ruled out: it leaves the early release.

SourcesOf() replaces each omitted stage by those before it, and all that reads or releases results follows it.

Before: three tests of RequestStages failed ({e1,e2,e1,e2} instead of {e1,e2}; results released early), and so did the property over random graphs.

--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -145,9 +145,9 @@
   auto const& endpoints = this->proxy.stateCache.Endpoints();
   // Every item reads all inputs, so they cause more traffic than the results.
   if (!aInputs.empty()) {
-    auto const before = this->stages->rules[aStage].after.front();
+    auto const source = SourcesOf(*this->stages, aStage).front();
     auto const address = aInputs.front().substr(0, aInputs.front().find('/'));
-    return DataCenterAt(endpoints, this->stages->rules[before].service, address);
+    return DataCenterAt(endpoints, this->stages->rules[source].service, address);
   }
   auto const preferred = endpoints.byId.find(this->preferredEndpoint);
   return preferred == endpoints.byId.end() ? "" : preferred->second.entry.dataCenter;
@@ -167,9 +167,8 @@
   auto& plan = *this->stages;
   plan.started[aStage] = true;
   auto const now = this->proxy.clock.Now();
-  auto inputs = InputsOf(plan, aStage);
   if (plan.items[aStage] == 0) {
-    CompleteStage(plan, aStage, std::move(inputs));
+    CompleteStage(plan, aStage, {});
     this->StartStages();
     return;
   }
@@ -184,7 +183,7 @@
   job.job.timeAfterStage = this->TimeNeededAfter(aStage);
   job.job.itemBytes = plan.rules[aStage].resultBytes;
   job.job.key = this->metadata.stageKey;
-  job.job.inputs = inputs;
+  job.job.inputs = InputsOf(plan, aStage);
   job.job.dataCenter = this->PreferredDataCenter(aStage, job.job.inputs);
   job.job.crossDataCenterBytes = BytesTransferred(plan, aStage);
   auto const done = this->Callback(
--- a/Libraries/LibServing/RequestStages.cpp
+++ b/Libraries/LibServing/RequestStages.cpp
@@ -27,8 +27,7 @@
 {
   aStages.started.assign(aStages.rules.size(), false);
   aStages.results.assign(aStages.rules.size(), std::nullopt);
-  // A skipped stage passes its inputs on; if it has none, it is completed at once. Positions in `after` precede their
-  // stage.
+  // An omitted stage that follows none is completed at once. Positions in `after` precede their stage.
   for (unsigned stage = 0; stage < aStages.rules.size(); ++stage)
     if (aStages.items[stage] == 0 && aStages.rules[stage].after.empty()) {
       aStages.started[stage] = true;
@@ -53,28 +52,76 @@
   return result;
 }
 
+/// Adds the stages whose results take the place of a stage: itself, or those before it if it is omitted.
+static void
+AddSources(RequestStages const& aStages, unsigned aStage, std::vector<bool>& aVisited, std::vector<unsigned>& aSources)
+{
+  if (aVisited[aStage])
+    return;
+  aVisited[aStage] = true;
+  if (aStages.items[aStage] != 0) {
+    aSources.push_back(aStage);
+    return;
+  }
+  for (auto const before : aStages.rules[aStage].after)
+    AddSources(aStages, before, aVisited, aSources);
+}
+
+std::vector<unsigned>
+SourcesOf(RequestStages const& aStages, unsigned aStage)
+{
+  std::vector<unsigned> sources;
+  std::vector<bool> visited(aStages.rules.size());
+  for (auto const before : aStages.rules[aStage].after)
+    AddSources(aStages, before, visited, sources);
+  return sources;
+}
+
+/// Returns the stages whose results the request itself reads.
+static std::vector<unsigned>
+FinalSources(RequestStages const& aStages)
+{
+  std::vector<bool> followed(aStages.rules.size());
+  for (auto const& rule : aStages.rules)
+    for (auto const before : rule.after)
+      followed[before] = true;
+  std::vector<unsigned> sources;
+  std::vector<bool> visited(aStages.rules.size());
+  for (unsigned stage = 0; stage < aStages.rules.size(); ++stage)
+    if (!followed[stage])
+      AddSources(aStages, stage, visited, sources);
+  return sources;
+}
+
+static std::vector<std::string>
+ResultsOf(RequestStages const& aStages, std::vector<unsigned> const& aSources)
+{
+  std::vector<std::string> results;
+  for (auto const source : aSources)
+    if (auto const& ofSource = aStages.results[source])
+      results.insert(results.end(), ofSource->begin(), ofSource->end());
+  return results;
+}
+
 std::vector<std::string>
 InputsOf(RequestStages const& aStages, unsigned aStage)
 {
-  std::vector<std::string> inputs;
-  for (auto const before : aStages.rules[aStage].after)
-    inputs.insert(inputs.end(), aStages.results[before]->begin(), aStages.results[before]->end());
-  return inputs;
+  return ResultsOf(aStages, SourcesOf(aStages, aStage));
 }
 
 /// Returns whether a later stage or the request itself has yet to read the results of a stage.
 static bool
 IsStillNeeded(RequestStages const& aStages, unsigned aStage)
 {
-  bool followed = false;
-  for (unsigned later = 0; later < aStages.rules.size(); ++later) {
-    if (std::ranges::find(aStages.rules[later].after, aStage) == aStages.rules[later].after.end())
-      continue;
-    followed = true;
-    if (!aStages.results[later])
+  auto const includes = [&](std::vector<unsigned> const& aSources) {
+    return std::ranges::find(aSources, aStage) != aSources.end();
+  };
+  if (includes(FinalSources(aStages)))
+    return true;
+  for (unsigned later = aStage + 1; later < aStages.rules.size(); ++later)
+    if (aStages.items[later] != 0 && !aStages.results[later] && includes(SourcesOf(aStages, later)))
       return true;
-  }
-  return !followed;
+  return false;
 }
 
 std::map<std::string, std::vector<std::string>>
@@ -84,11 +131,11 @@
   std::map<std::string, std::vector<std::string>> unneeded;
   if (aStages.items[aStage] == 0)
     return unneeded;
-  for (auto const before : aStages.rules[aStage].after) {
-    auto& results = *aStages.results[before];
-    if (results.empty() || IsStillNeeded(aStages, before))
+  for (auto const source : SourcesOf(aStages, aStage)) {
+    auto& results = *aStages.results[source];
+    if (results.empty() || IsStillNeeded(aStages, source))
       continue;
-    auto& list = unneeded[aStages.rules[before].service];
+    auto& list = unneeded[aStages.rules[source].service];
     list.insert(list.end(), results.begin(), results.end());
     results.clear();
   }
@@ -104,11 +151,7 @@
 std::vector<std::string>
 FinalInputs(RequestStages const& aStages)
 {
-  std::vector<std::string> inputs;
-  for (unsigned stage = 0; stage < aStages.rules.size(); ++stage)
-    if (aStages.results[stage] && IsStillNeeded(aStages, stage))
-      inputs.insert(inputs.end(), aStages.results[stage]->begin(), aStages.results[stage]->end());
-  return inputs;
+  return ResultsOf(aStages, FinalSources(aStages));
 }
 
 std::map<std::string, std::vector<std::string>>
@@ -130,8 +173,8 @@
 {
   std::size_t const items = aStages.items[aStage];
   std::size_t bytes = items * aStages.rules[aStage].resultBytes;
-  for (auto const before : aStages.rules[aStage].after)
-    bytes += items * aStages.items[before] * aStages.rules[before].resultBytes;
+  for (auto const source : SourcesOf(aStages, aStage))
+    bytes += items * aStages.items[source] * aStages.rules[source].resultBytes;
   return bytes;
 }
 
--- a/Libraries/LibServing/RequestStages.h
+++ b/Libraries/LibServing/RequestStages.h
@@ -8,7 +8,8 @@
 struct RequestStages
 {
   std::vector<StageRule> rules;
-  /// Number of items of each stage; a stage with zero items is skipped.
+  /// Number of items of each stage; a stage with zero items is omitted, and those after it read what it would have
+  /// read.
   std::vector<unsigned> items;
   std::vector<bool> started;
   std::vector<std::optional<std::vector<std::string>>> results;
@@ -29,18 +30,24 @@
 std::vector<unsigned>
 StartableStages(RequestStages const& aStages);
 
-/// Returns the results that the items of a stage are computed from.
+/// Returns the stages whose results a stage reads, each once. The place of an omitted stage is taken by those before
+/// it.
+std::vector<unsigned>
+SourcesOf(RequestStages const& aStages, unsigned aStage);
+
+/// Returns the results that the items of a stage are computed from, each once.
 std::vector<std::string>
 InputsOf(RequestStages const& aStages, unsigned aStage);
 
-/// Records a stage's results and returns the results that are no longer needed, by the service that produced them.
+/// Records a stage's results, none for an omitted one, and returns the results that are no longer needed, by the
+/// service that produced them.
 std::map<std::string, std::vector<std::string>>
 CompleteStage(RequestStages& aStages, unsigned aStage, std::vector<std::string> aResults);
 
 bool
 AllComplete(RequestStages const& aStages);
 
-/// Returns the inputs of the request itself: the results of stages without a following stage.
+/// Returns the inputs of the request itself, each once: the results of stages without a following stage.
 std::vector<std::string>
 FinalInputs(RequestStages const& aStages);
 
