LibGateway: Give a silent attempt up only when another endpoint answers

Cause: OnStall abandoned the attempt if an endpoint was known that had not been tried. Whether that one had a place was known only after asking it; when no retry was left, the begun response was ended. Ruled out: waiting longer for each stall. A stall time from the route's objective lets case 4 pass, but streams at endpoints that hang would come on 3 s later, and the next full endpoint would still end them. Holding a place with /hold-take was ruled out, as only model engines have it.

The silent attempt stays open while another one is sent. The first head that is accepted decides: then the silent one is closed at once. A refusal, a failure, a lack of endpoints, retries or time for stages returns to the silent one, and so does its own next byte.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -3,12 +3,6 @@
 
 namespace Hornbeam::Gateway {
 
-/// An attempt of a retryable request is abandoned after this time without data from the endpoint. Callers disconnect
-/// after two seconds without data.
-static constexpr Duration kStallTimeout = 1200ms;
-/// Before the first byte of the response, an attempt of a retryable request is abandoned after this multiple of the
-/// route's target latency, if that is longer than kStallTimeout.
-static constexpr unsigned kFirstByteTimeoutFactor = 2;
 static constexpr Duration kConnectTimeout = 400ms;
 /// The number of failed connects allowed per request. They do not count as attempts, because nothing was sent.
 static constexpr unsigned kMaxConnectFailures = 4;
@@ -113,69 +107,53 @@
     this->Fail(this->mayHaveExecuted ? 502 : 413, "head-too-long");
     return;
   }
-  this->endpoint = aEndpoint;
-  this->process = ProcessOf(entry);
-  this->attemptVersion = entry.softwareVersion;
+  this->attempt = {};
+  this->attempt.number = ++this->lastAttempt;
+  this->attempt.endpoint = aEndpoint;
+  this->attempt.process = ProcessOf(entry);
+  this->attempt.softwareVersion = entry.softwareVersion;
   this->attempting = true;
-  this->headReceived = false;
-  this->forwarding = false;
-  this->framed = false;
-  this->attemptBytes = 0;
-  this->bufferedHead.reset();
-  this->bufferedBody.clear();
   CallEvents callEvents;
   callEvents.onHead =
-    this->Callback([](ProxiedRequest& aRequest, ResponseHead const& aHead) { aRequest.OnHead(aHead); });
+    this->AttemptCallback([](ProxiedRequest& aRequest, ResponseHead const& aHead) { aRequest.OnHead(aHead); });
   callEvents.onBody =
-    this->Callback([](ProxiedRequest& aRequest, std::string aData) { aRequest.OnBody(std::move(aData)); });
-  callEvents.onEnd = this->Callback([](ProxiedRequest& aRequest, CallEnd aEnd) { aRequest.OnAttemptEnd(aEnd); });
-  this->watchedAttempt = this->proxy.crashes.OnAttemptSent(entry, this->crashCandidates);
+    this->AttemptCallback([](ProxiedRequest& aRequest, std::string aData) { aRequest.OnBody(std::move(aData)); });
+  callEvents.onEnd = this->Callback([number = this->attempt.number](ProxiedRequest& aRequest, CallEnd aEnd) {
+    if (!aRequest.OnStalledAttemptEnd(number, aEnd) && aRequest.GoOnWith(number))
+      aRequest.OnAttemptEnd(aEnd);
+  });
+  this->attempt.watched = this->proxy.crashes.OnAttemptSent(entry, this->crashCandidates);
   OnAttemptSent(this->timeline, now);
   OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, this->proxy.stateCache.Fronts().byName.size(), now);
-  this->call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
+  this->attempt.call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
   this->ArmStallTimer();
 }
 
 void
-ProxiedRequest::ArmStallTimer()
+ProxiedRequest::RecordAttemptHealth(AttemptHealth aHealth)
 {
   this->proxy.clock.Cancel(this->stallTimer);
-  if (!this->IsRetryable() || this->ended)
-    return;
-  auto const timeout = this->headReceived
-                         ? kStallTimeout
-                         : std::max<Duration>(kStallTimeout, this->route.targetLatency * kFirstByteTimeoutFactor);
-  this->stallTimer =
-    this->proxy.clock.Schedule(timeout, this->Callback([](ProxiedRequest& aRequest) { aRequest.OnStall(); }));
+  this->attempting = false;
+  this->RecordHealth(this->attempt, aHealth);
 }
 
 void
-ProxiedRequest::OnStall()
+ProxiedRequest::RecordHealth(EndpointAttempt const& aAttempt, AttemptHealth aHealth)
 {
-  if (this->ended || !this->attempting)
-    return;
-  // If there is no time left for another attempt, a late response is better than none.
-  if (this->proxy.clock.Now() + this->route.targetLatency > this->deadline)
-    return;
-  auto others = this->MakeQuery();
-  others.excluded.push_back(this->endpoint);
-  if (HasUntriedEndpoint(this->proxy.stateCache.MakeSelectionView(), others) && this->TryAcquireRetry())
-    this->AbandonAndRetry("stalled");
-  else
-    this->ArmStallTimer();
+  this->proxy.crashes.OnAttemptEnd(aAttempt.watched,
+                                   aHealth == AttemptHealth::Healthy ? WatchedEnd::Complete : WatchedEnd::Other);
+  auto& endpoints = this->proxy.stateCache.Endpoints();
+  OnRequestEnded(endpoints, aAttempt.endpoint);
+  auto const coldTime = RuleOf(*this->table, this->serviceName).coldTime;
+  Gateway::OnAttemptEnd(endpoints, aAttempt.endpoint, aHealth, coldTime, this->proxy.clock.Now());
 }
 
 void
-ProxiedRequest::RecordAttemptHealth(AttemptHealth aHealth)
+ProxiedRequest::DropAttempt(EndpointAttempt const& aAttempt)
 {
-  this->proxy.clock.Cancel(this->stallTimer);
-  this->attempting = false;
-  this->proxy.crashes.OnAttemptEnd(this->watchedAttempt,
-                                   aHealth == AttemptHealth::Healthy ? WatchedEnd::Complete : WatchedEnd::Other);
-  auto& endpoints = this->proxy.stateCache.Endpoints();
-  OnRequestEnded(endpoints, this->endpoint);
-  auto const coldTime = RuleOf(*this->table, this->serviceName).coldTime;
-  Gateway::OnAttemptEnd(endpoints, this->endpoint, aHealth, coldTime, this->proxy.clock.Now());
+  aAttempt.call.Abandon();
+  this->proxy.crashes.OnAttemptEnd(aAttempt.watched, WatchedEnd::Other);
+  OnRequestEnded(this->proxy.stateCache.Endpoints(), aAttempt.endpoint);
 }
 
 void
@@ -183,20 +161,21 @@
 {
   if (this->ended)
     return;
-  this->headReceived = true;
-  this->framed = HasBodyFraming(aHead);
+  this->attempt.headReceived = true;
+  this->attempt.framed = HasBodyFraming(aHead);
   auto const response = Platform::DecodeEndpointResponse(aHead);
   // A response that names another request, or none, does not belong to this request. Only a refusal may name none, and
   // only on a new connection: on a kept one, it may be that of an earlier request once more.
-  bool const anonymousRefusal = response.notExecuted && response.requestId.empty() && !this->call.UsesKeptConnection();
+  bool const anonymousRefusal =
+    response.notExecuted && response.requestId.empty() && !this->attempt.call.UsesKeptConnection();
   bool const mismatched = response.requestId != this->metadata.requestId && !anonymousRefusal;
   bool const success = aHead.status / 100 == 2;
   // Another request's answer may be an old one, and a misdirected one comes from another process.
   if (!mismatched && !response.misdirected)
     this->proxy.stateCache.ApplySignals(
-      this->process, Platform::DecodeAnswerSignals(aHead.status, aHead.fields), this->metadata.requestId);
+      this->attempt.process, Platform::DecodeAnswerSignals(aHead.status, aHead.fields), this->metadata.requestId);
   if (response.notExecuted || mismatched || (success && (!response.hasSignature || response.hasContentEncoding))) {
-    this->call.Abandon();
+    this->attempt.call.Abandon();
     if (response.notExecuted && !mismatched) {
       this->OnNotExecuted(response);
       return;
@@ -207,24 +186,29 @@
     this->HandleFailedAttempt(mismatched ? "foreign-answer" : "answer-not-the-endpoints");
     return;
   }
+  if (aHead.status >= 500 && this->stalled) {
+    this->FailAttempt("endpoint-error");
+    return;
+  }
   if (aHead.status >= 500 && !this->responseBegun && this->RetryOnError())
     return;
   this->ArmStallTimer();
-  this->forwarding = true;
+  this->attempt.forwarding = true;
   bool const resumed = this->responseBegun;
   if (resumed && !this->ContinuesStream(aHead)) {
-    this->call.Abandon();
+    this->attempt.call.Abandon();
     this->RecordAttemptHealth(AttemptHealth::Failed);
     ++this->endedAttempts;
     this->HandleFailedAttempt("resumption-refused");
     return;
   }
+  this->GiveStalledAttemptUp();
   if (resumed)
     return;
   if (this->route.kind == RequestKind::Streaming && success)
     this->BeginResponse(aHead);
   else
-    this->bufferedHead = aHead;
+    this->attempt.bufferedHead = aHead;
 }
 
 bool
@@ -248,7 +232,7 @@
 ProxiedRequest::AbandonAndRetry(std::string_view aCause)
 {
   auto const strongSelf = this->shared_from_this();
-  this->call.Abandon();
+  this->attempt.call.Abandon();
   this->RecordAttemptHealth(AttemptHealth::Failed);
   this->mayHaveExecuted = true;
   ++this->endedAttempts;
@@ -259,8 +243,8 @@
 ProxiedRequest::Retry(std::string_view aCause)
 {
   PART_LOG("request") << "id=" << this->metadata.requestId << " decision=retry cause=" << aCause
-                      << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts;
-  this->triedEndpoints.push_back(this->endpoint);
+                      << " endpoint=" << this->attempt.endpoint << " attempts=" << this->endedAttempts;
+  this->triedEndpoints.push_back(this->attempt.endpoint);
   // A stream resumes after its last complete event, so a partial event is sent again in full.
   PrepareResumption(this->eventStream);
   if (!this->stages || !this->resultsReleased)
@@ -291,7 +275,7 @@
 ProxiedRequest::TryAcquireRetry()
 {
   auto const now = this->proxy.clock.Now();
-  auto const started = this->endedAttempts + (this->attempting ? 1 : 0);
+  auto const started = this->endedAttempts + (this->attempting ? 1 : 0) + (this->stalled ? 1 : 0);
   if (started >= this->route.maxAttempts || now >= this->deadline)
     return false;
   return TakeRetry(this->proxy.retryBudgets[this->serviceName],
@@ -305,9 +289,10 @@
 {
   auto const begun = this->timeline.firstByte;
   auto const age = this->proxy.clock.Now() - begun;
-  return "head_received=" + std::to_string(this->headReceived) + " framed=" + std::to_string(this->framed) +
+  return "head_received=" + std::to_string(this->attempt.headReceived) +
+         " framed=" + std::to_string(this->attempt.framed) +
          " answer_age_ms=" + (begun == MonotonicTime() ? "-" : std::to_string(Milliseconds(age))) +
-         " answer_bytes=" + std::to_string(this->attemptBytes) + " software=" + this->attemptVersion +
+         " answer_bytes=" + std::to_string(this->attempt.bytes) + " software=" + this->attempt.softwareVersion +
          " last_event=" + this->eventStream.lastId.value_or("-").substr(0, kMaxLoggedEventId) +
          " suspected=" + std::to_string(this->suspected) + " candidates=" + ToLogField(this->crashCandidates);
 }
@@ -315,7 +300,7 @@
 void
 ProxiedRequest::FailAttempt(std::string_view aCause)
 {
-  this->call.Abandon();
+  this->attempt.call.Abandon();
   this->RecordAttemptHealth(AttemptHealth::Failed);
   this->mayHaveExecuted = true;
   ++this->endedAttempts;
@@ -327,7 +312,7 @@
 {
   auto const strongSelf = this->shared_from_this();
   PART_LOG("request") << "id=" << this->metadata.requestId << " decision=attempt-failed cause=" << aCause
-                      << " endpoint=" << this->endpoint << " attempts=" << this->endedAttempts
+                      << " endpoint=" << this->attempt.endpoint << " attempts=" << this->endedAttempts
                       << " may_have_executed=" << this->mayHaveExecuted << " response_begun=" << this->responseBegun
                       << ' ' << this->AttemptProgress();
   bool const retryable = !this->suspected && (this->IsRetryable() || !this->mayHaveExecuted);
@@ -340,11 +325,11 @@
 void
 ProxiedRequest::OnBody(std::string aData)
 {
-  if (this->ended || !this->forwarding)
+  if (this->ended || !this->attempt.forwarding)
     return;
-  this->attemptBytes += aData.size();
-  if (!this->bufferedHead || this->bufferedHead->status / 100 == 2)
-    this->proxy.crashes.OnAnswerBytes(this->watchedAttempt);
+  this->attempt.bytes += aData.size();
+  if (!this->attempt.bufferedHead || this->attempt.bufferedHead->status / 100 == 2)
+    this->proxy.crashes.OnAnswerBytes(this->attempt.watched);
   OnResponseBytes(this->timeline, this->proxy.clock.Now());
   // A response body implies that the endpoint has read the stage results it received as inputs.
   this->ReleaseResults();
@@ -352,11 +337,11 @@
     this->ForwardBody(std::move(aData));
     return;
   }
-  this->bufferedBody += aData;
-  if (this->bufferedBody.size() > kMaxBufferedResponseBytes) {
-    this->BeginResponse(*this->bufferedHead);
-    this->exchange->SendChunk(this->bufferedBody);
-    this->bufferedBody.clear();
+  this->attempt.bufferedBody += aData;
+  if (this->attempt.bufferedBody.size() > kMaxBufferedResponseBytes) {
+    this->BeginResponse(*this->attempt.bufferedHead);
+    this->exchange->SendChunk(this->attempt.bufferedBody);
+    this->attempt.bufferedBody.clear();
   }
   this->ArmStallTimer();
 }
@@ -367,7 +352,7 @@
   this->responseBegun = true;
   this->contentType = FieldValue(aHead.fields, "Content-Type");
   this->proxy.metrics.ObserveTimeToFirstByte(this->proxy.clock.Now() - this->exchange->Received());
-  this->exchange->onDrained = this->Callback([](ProxiedRequest& aRequest) { aRequest.call.ResumeReading(); });
+  this->exchange->onDrained = this->Callback([](ProxiedRequest& aRequest) { aRequest.attempt.call.ResumeReading(); });
   this->exchange->BeginStream(Platform::EncodeCallerResponse(aHead));
 }
 
@@ -379,7 +364,7 @@
   else
     this->exchange->SendChunk(aData);
   if (!this->ended && this->exchange->Unsent() > kMaxUnsentBytes)
-    this->call.PauseReading();
+    this->attempt.call.PauseReading();
 }
 
 void
@@ -387,7 +372,7 @@
 {
   auto const whole = ExtractCompleteEvents(this->eventStream, aBytes);
   if (this->eventStream.outOfOrder) {
-    this->call.Abandon();
+    this->attempt.call.Abandon();
     this->RecordAttemptHealth(AttemptHealth::Failed);
     this->End(RequestOutcome::Interrupted, 0, "events-out-of-order");
     return;
@@ -408,7 +393,7 @@
   if (!this->ForwardsEvents())
     return false;
   // An endpoint that crashes before its first event may close the connection regularly.
-  return EndsInsideEvent(this->eventStream) || (!this->framed && !this->eventStream.hasEvent);
+  return EndsInsideEvent(this->eventStream) || (!this->attempt.framed && !this->eventStream.hasEvent);
 }
 
 void
@@ -417,21 +402,21 @@
   if (this->ended || !this->attempting)
     return;
   bool const premature = aEnd == CallEnd::Complete && this->EndsPrematurely();
-  if (aEnd == CallEnd::Complete && this->forwarding && !premature) {
-    bool const healthy = !this->bufferedHead || this->bufferedHead->status < 500;
+  if (aEnd == CallEnd::Complete && this->attempt.forwarding && !premature) {
+    bool const healthy = !this->attempt.bufferedHead || this->attempt.bufferedHead->status < 500;
     this->RecordAttemptHealth(healthy ? AttemptHealth::Healthy : AttemptHealth::Failed);
     ++this->endedAttempts;
     this->FinishResponse();
     return;
   }
   if (aEnd == CallEnd::Broken || premature)
-    this->suspected = this->proxy.crashes.OnAttemptEnd(this->watchedAttempt, WatchedEnd::Broken);
+    this->suspected = this->proxy.crashes.OnAttemptEnd(this->attempt.watched, WatchedEnd::Broken);
   this->RecordAttemptHealth(AttemptHealth::Failed);
   if (aEnd == CallEnd::NotSent) {
-    this->triedEndpoints.push_back(this->endpoint);
+    this->triedEndpoints.push_back(this->attempt.endpoint);
     if (++this->connectFailures <= kMaxConnectFailures && this->proxy.clock.Now() < this->deadline) {
       PART_LOG("request") << "id=" << this->metadata.requestId
-                          << " decision=other-endpoint cause=not-connected endpoint=" << this->endpoint;
+                          << " decision=other-endpoint cause=not-connected endpoint=" << this->attempt.endpoint;
       this->TryEndpoint();
     } else {
       this->Refuse("no-endpoint-reached", kRetryAfterNoEndpoint);
@@ -454,8 +439,8 @@
     this->End(RequestOutcome::Completed, 200, "complete");
     return;
   }
-  auto const head = Platform::EncodeCallerResponse(*this->bufferedHead);
-  this->exchange->Respond(head, this->bufferedBody);
+  auto const head = Platform::EncodeCallerResponse(*this->attempt.bufferedHead);
+  this->exchange->Respond(head, this->attempt.bufferedBody);
   this->End(RequestOutcome::Completed, head.status, "complete");
 }
 
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -268,7 +268,10 @@
                           << " decision=end cause=exception route=" << this->route.name
                           << " attempting=" << this->attempting << " response_begun=" << this->responseBegun;
   this->mayHaveExecuted = this->mayHaveExecuted || this->attempting;
-  auto const ends = [this] { this->Refuse("internal-error", kRetryAfterNoEndpoint); };
+  auto const ends = [this] {
+    this->DropStalledAttempt();
+    this->Refuse("internal-error", kRetryAfterNoEndpoint);
+  };
   if (!RunGuarded("request-end", ends))
     this->exchange->Abort();
 }
@@ -278,7 +281,7 @@
 {
   auto const now = this->proxy.clock.Now();
   PART_WARNING("request") << "id=" << this->metadata.requestId << " event=unfinished-at-stop route=" << this->route.name
-                          << " endpoint=" << this->endpoint << " attempting=" << this->attempting
+                          << " endpoint=" << this->attempt.endpoint << " attempting=" << this->attempting
                           << " response_begun=" << this->responseBegun
                           << " age_ms=" << Milliseconds(now - this->exchange->Received())
                           << " remaining_ms=" << Milliseconds(this->deadline - now) << ' '
@@ -302,6 +305,7 @@
 {
   if (this->ended)
     return;
+  this->DropStalledAttempt();
   this->LogUnfinished();
   if (this->attempting && !this->responseBegun)
     this->Fail(504, "stopping");
@@ -314,6 +318,7 @@
 {
   if (this->ended)
     return;
+  this->DropStalledAttempt();
   if (this->attempting || this->mayHaveExecuted || this->responseBegun)
     this->Fail(504, "deadline");
   else
@@ -323,7 +328,7 @@
 void
 ProxiedRequest::Refuse(std::string_view aReason, Duration aRetryAfter)
 {
-  if (this->ended)
+  if (this->ended || this->ReturnToStalledAttempt(aReason))
     return;
   // A refusal guarantees that the request was not executed.
   if (this->mayHaveExecuted || this->responseBegun) {
@@ -338,7 +343,7 @@
 void
 ProxiedRequest::Fail(unsigned aStatus, std::string_view aReason)
 {
-  if (this->ended)
+  if (this->ended || this->ReturnToStalledAttempt(aReason))
     return;
   if (this->responseBegun) {
     this->End(RequestOutcome::Interrupted, 0, aReason);
@@ -357,12 +362,9 @@
   this->ended = true;
   this->proxy.clock.Cancel(this->deadlineTimer);
   this->proxy.clock.Cancel(this->stallTimer);
-  if (this->attempting) {
-    this->call.Abandon();
-    this->attempting = false;
-    this->proxy.crashes.OnAttemptEnd(this->watchedAttempt, WatchedEnd::Other);
-    OnRequestEnded(this->proxy.stateCache.Endpoints(), this->endpoint);
-  }
+  if (std::exchange(this->attempting, false))
+    this->DropAttempt(this->attempt);
+  this->DropStalledAttempt();
   if (aOutcome == RequestOutcome::Interrupted)
     this->exchange->Abort();
   this->CancelStages();
@@ -376,8 +378,8 @@
   this->proxy.metrics.ObserveParts(PartsOf(this->timeline));
   PART_LOG("request") << "id=" << this->metadata.requestId << " outcome=" << ToString(aOutcome) << " status=" << aStatus
                       << " reason=" << aReason << " route=" << this->route.name << " service=" << this->serviceName
-                      << " account=" << this->account.name << " endpoint=" << this->endpoint
-                      << " attempts=" << this->endedAttempts << " framed=" << this->framed
+                      << " account=" << this->account.name << " endpoint=" << this->attempt.endpoint
+                      << " attempts=" << this->endedAttempts << " framed=" << this->attempt.framed
                       << " stage_restarts=" << this->stageRestarts << " table=" << this->table->version
                       << " duration_ms=" << Milliseconds(took)
                       << " target_ms=" << Milliseconds(this->route.targetLatency) << ' ' << ToLogFields(this->timeline)
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -24,6 +24,36 @@
 MonotonicTime
 DeadlineOf(Route const& aRoute, std::optional<Duration> aClientTimeout, MonotonicTime aReceived);
 
+/// One sending of a request to an endpoint.
+struct EndpointAttempt
+{
+  /// Counts the attempts of the request; events of others than the known ones are ignored.
+  std::uint64_t number{ 0 };
+  std::string endpoint;
+  /// The process to which the attempt was sent, and the version of its software.
+  EndpointProcess process;
+  std::string softwareVersion;
+  CallHandle call;
+  /// The attempt's number at the crash service.
+  std::uint64_t watched{ 0 };
+  bool headReceived{ false };
+  /// Set if the head of the response was accepted, so that its body is forwarded to the caller.
+  bool forwarding{ false };
+  /// Set if the body of the response has a length or chunks; otherwise it ends with its connection.
+  bool framed{ false };
+  /// Bytes of the response that the attempt has delivered.
+  std::size_t bytes{ 0 };
+  std::optional<ResponseHead> bufferedHead;
+  std::string bufferedBody;
+};
+
+/// An attempt that may still go on, and the state of the stream of events when it was left waiting.
+struct StalledAttempt
+{
+  EndpointAttempt attempt;
+  EventStream eventStream;
+};
+
 /// A caller's request: runs its stages, then sends it to endpoints until an attempt succeeds or it may not be retried.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
 {
@@ -99,6 +129,15 @@
   void OnHead(ResponseHead const& aHead);
   void OnBody(std::string aData);
   void OnAttemptEnd(CallEnd aEnd);
+  /// Makes a callback of an event of the attempt that is about to be sent.
+  template<typename Action>
+  auto AttemptCallback(Action aAction)
+  {
+    return this->Callback([number = this->attempt.number, aAction](ProxiedRequest& aRequest, auto&&... aArguments) {
+      if (aRequest.GoOnWith(number))
+        aAction(aRequest, std::forward<decltype(aArguments)>(aArguments)...);
+    });
+  }
   /// Whether a response can go on with the stream that the caller receives.
   bool ContinuesStream(ResponseHead const& aHead) const;
   void OnNotExecuted(Platform::EndpointResponse const& aResponse);
@@ -114,12 +153,31 @@
   /// Whether another attempt is allowed; if so, takes it from the retry budget.
   bool TryAcquireRetry();
   void RecordAttemptHealth(AttemptHealth aHealth);
+  void RecordHealth(EndpointAttempt const& aAttempt, AttemptHealth aHealth);
+  /// Ends an attempt about whose endpoint nothing was learnt.
+  void DropAttempt(EndpointAttempt const& aAttempt);
+
+  // Defined in ProxiedStall.cpp.
+
   void ArmStallTimer();
   void OnStall();
+  /// Leaves the silent attempt waiting and asks another endpoint.
+  void AskAnotherEndpoint();
+  /// Returns whether an event of an attempt is to be handled: it is the one in flight, or the stalled one, which then
+  /// takes the place of the other.
+  bool GoOnWith(std::uint64_t aAttempt);
+  /// Goes on with the stalled attempt, if there is one, instead of ending the request; returns whether there is one.
+  bool ReturnToStalledAttempt(std::string_view aCause);
+  /// Gives the stalled attempt up, as another endpoint answers.
+  void GiveStalledAttemptUp();
+  /// Ends the stalled attempt with its request.
+  void DropStalledAttempt();
+  /// Handles the end of the stalled attempt's connection; returns whether it was its connection.
+  bool OnStalledAttemptEnd(std::uint64_t aAttempt, CallEnd aEnd);
 
   void BeginResponse(ResponseHead const& aHead);
   /// Whether the response being forwarded is a stream of events. The error response of a streaming route is not.
-  bool ForwardsEvents() const { return this->responseBegun && !this->bufferedHead; }
+  bool ForwardsEvents() const { return this->responseBegun && !this->attempt.bufferedHead; }
   void ForwardBody(std::string aData);
   void ForwardEvents(std::string_view aBytes);
   /// Binds the stream to the software version of the endpoint that began it.
@@ -131,7 +189,8 @@
   void OnDeadline();
   /// Logs how far the request is when its process ends before it.
   void LogUnfinished() const;
-  /// Ends the request with a response that guarantees that it was not executed, or as failed if it may have been.
+  /// Ends the request with a response that guarantees that it was not executed, or as failed if it may have been. While
+  /// a stalled attempt may still answer, Refuse() and Fail() go on with it instead.
   void Refuse(std::string_view aReason, Duration aRetryAfter);
   void Fail(unsigned aStatus, std::string_view aReason);
   void End(RequestOutcome aOutcome, unsigned aStatus, std::string_view aReason);
@@ -160,26 +219,16 @@
   bool resultsReleased{ false };
   std::string preferredEndpoint;
 
-  /// The endpoint of the attempt in flight, or of the last one.
-  std::string endpoint;
-  /// The process to which the attempt was sent, and the version of its software.
-  EndpointProcess process;
-  std::string attemptVersion;
+  /// The attempt in flight, or the last one.
+  EndpointAttempt attempt;
+  bool attempting{ false };
+  /// An attempt whose endpoint is silent while another endpoint is asked. It is given up once that one answers.
+  std::optional<StalledAttempt> stalled;
+  std::uint64_t lastAttempt{ 0 };
   /// The software version of the endpoint that began the stream, once an event of it has been forwarded.
   std::optional<std::string> streamVersion;
-  CallHandle call;
-  /// The attempt's number at the crash service.
-  std::uint64_t watchedAttempt{ 0 };
   /// Set if the attempt may have crashed its endpoint, as others with one of its candidates did.
   bool suspected{ false };
-  bool attempting{ false };
-  bool headReceived{ false };
-  /// Set if the head of the response was accepted, so that its body is forwarded to the caller.
-  bool forwarding{ false };
-  /// Set if the body of the response has a length or chunks; otherwise it ends with its connection.
-  bool framed{ false };
-  /// Bytes of the response that the attempt has delivered.
-  std::size_t attemptBytes{ 0 };
   std::vector<std::string> triedEndpoints;
   /// The number of attempts that have ended.
   unsigned endedAttempts{ 0 };
@@ -188,10 +237,8 @@
   bool mayHaveExecuted{ false };
 
   RequestTimeline timeline;
-  std::optional<ResponseHead> bufferedHead;
   /// The content type of the response that the caller receives.
   std::string contentType;
-  std::string bufferedBody;
   bool responseBegun{ false };
   EventStream eventStream;
   bool ended{ false };
--- a/Libraries/LibGateway/ProxiedTakeUp.cpp
+++ b/Libraries/LibGateway/ProxiedTakeUp.cpp
@@ -55,12 +55,12 @@
 void
 ProxiedRequest::OnFirstEvent()
 {
-  this->streamVersion = this->attemptVersion;
+  this->streamVersion = this->attempt.softwareVersion;
   if (!this->route.resumable)
     return;
   auto const requester = RequesterOf(this->account.name, this->exchange->Request().target);
   this->proxy.streamOrigins.OnStreamBegun(
-    { this->metadata.requestId, { this->serviceName, this->attemptVersion, requester } });
+    { this->metadata.requestId, { this->serviceName, this->attempt.softwareVersion, requester } });
 }
 
 }
--- a/Tests/Platform/PlatformStreamTests.cpp
+++ b/Tests/Platform/PlatformStreamTests.cpp
@@ -72,6 +72,86 @@
   EXPECT_EQ(world.Call(0, ModelRequestWithLongTimeout()).body, FiveEvents());
 }
 
+/// Two model endpoints: the first request pauses at one, and the other treats its requests as told.
+struct PausedStreamWorld
+{
+  explicit PausedStreamWorld(EndpointFault aOther, EndpointFault aFirst = EndpointFault::Pause)
+    : world(1)
+  {
+    for (auto const* service : { "model", "model" })
+      this->world.AddEndpoint(EndpointKind::Model, service);
+    for (auto const& endpoint : this->world.endpoints) {
+      endpoint->faultOf = [this, aOther, aFirst](std::size_t) { return this->total++ == 0 ? aFirst : aOther; };
+      // Longer than the time after which another endpoint is asked.
+      endpoint->pauseTime = 2s;
+      endpoint->events = 3;
+    }
+    this->world.PutTable(1, 10s);
+    this->world.Start();
+    EXPECT_TRUE(this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-0"); }));
+  }
+
+  unsigned CallersGone() const { return this->world.endpoints[0]->callersGone + this->world.endpoints[1]->callersGone; }
+
+  PlatformWorld world;
+  std::size_t total{ 0 };
+};
+
+static std::string
+ThreeEvents()
+{
+  return "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n";
+}
+
+// A sound stream that paused was given up before another endpoint had a place for it, and then cut.
+TEST(Platform, StaysAtAPausedStreamIfTheOtherEndpointHasNoRoom)
+{
+  PausedStreamWorld paused(EndpointFault::Full);
+  auto const response = paused.world.Call(0, ModelRequestWithLongTimeout());
+  EXPECT_EQ(response.end, CallEnd::Complete);
+  EXPECT_EQ(response.body, ThreeEvents());
+  EXPECT_EQ(paused.total, 2U);
+  EXPECT_LT(response.duration, 3s);
+}
+
+// The same with another endpoint that fails, or that is silent, too.
+TEST(Platform, GoesOnAtThePausedStreamIfItIsTheFirstToAnswer)
+{
+  for (auto const other : { EndpointFault::Silent, EndpointFault::LostResponse }) {
+    PausedStreamWorld paused(other);
+    auto const response = paused.world.Call(0, ModelRequestWithLongTimeout());
+    EXPECT_EQ(response.end, CallEnd::Complete);
+    EXPECT_EQ(response.body, ThreeEvents());
+    EXPECT_LT(response.duration, 3s);
+    paused.world.RunFor(50ms);
+    EXPECT_EQ(paused.CallersGone(), other == EndpointFault::Silent ? 1U : 0U);
+  }
+}
+
+// Two endpoints worked on one stream after the second had taken it over.
+TEST(Platform, LeavesThePausedStreamAsSoonAsTheOtherEndpointAnswers)
+{
+  PausedStreamWorld paused(EndpointFault::None);
+  auto const response = paused.world.Call(0, ModelRequestWithLongTimeout());
+  EXPECT_EQ(response.body, ThreeEvents());
+  EXPECT_LT(response.duration, 1500ms);
+  paused.world.RunFor(50ms);
+  EXPECT_EQ(paused.CallersGone(), 1U);
+}
+
+// A request whose endpoint had not begun to answer was refused as it might have run, although it would have been
+// answered.
+TEST(Platform, StaysAtASilentEndpointIfTheOtherOneHasNoRoom)
+{
+  PausedStreamWorld paused(EndpointFault::Full, EndpointFault::None);
+  for (auto const& endpoint : paused.world.endpoints)
+    endpoint->workTime = 2500ms;
+  auto const response = paused.world.Call(0, ModelRequestWithLongTimeout());
+  EXPECT_EQ(response.status, 200U);
+  EXPECT_EQ(response.body, ThreeEvents());
+  EXPECT_EQ(paused.total, 2U);
+}
+
 TEST(Platform, RunsStagesOfAllFrontsAndReleasesTheirResults)
 {
   PlatformWorld world(3);
