LibCore: Give signals and RPC their turn while bytes arrive without end

Cause: EventLoop::RunEmbedded ran libuv while it had work; signals and the calls between fronts are KJ's and waited. Ruled out: leaving the rest for KJ's observer, which is edge-triggered and would not fire again. The loop now runs four turns of libuv at most and then lets KJ poll without waiting.

--- a/Libraries/LibCore/EventLoop.cpp
+++ b/Libraries/LibCore/EventLoop.cpp
@@ -8,6 +8,8 @@
 
 /// Upper bound on the wait of an idle loop.
 static constexpr Duration kIdleWait = 1s;
+/// How often the embedded loop runs before KJ gets its turn, however much work is left.
+static constexpr unsigned kMaxEmbeddedTurns = 4;
 
 EventLoop::EventLoop(Clock& aClock)
   : clock(aClock)
@@ -35,14 +37,17 @@
 {
   auto& timer = this->io.provider->getTimer();
   while (!this->stopped) {
+    auto const began = this->clock.Now();
     this->clock.RunDue();
-    this->RunEmbedded();
+    bool const workIsLeft = this->RunEmbedded();
     if (aCondition())
       return;
     FlushLog();
+    this->longestTurn = std::max<Duration>(this->longestTurn, this->clock.Now() - began);
     auto ready = kj::newPromiseAndFulfiller<void>();
     this->wake = kj::mv(ready.fulfiller);
-    auto const wait = this->NextWait();
+    // The wait polls for signals and for KJ's connections, even if it is zero.
+    auto const wait = workIsLeft ? Duration::zero() : this->NextWait();
     auto event = this->observer->whenBecomesReadable()
                    .exclusiveJoin(kj::mv(ready.promise))
                    .exclusiveJoin(timer.afterDelay(wait.count() * kj::MICROSECONDS));
@@ -51,14 +56,17 @@
   }
 }
 
-void
+bool
 EventLoop::RunEmbedded()
 {
-  // KJ polls edge-triggered: events that are left unhandled here would not raise another edge.
-  do {
+  // KJ polls edge-triggered: events that are left unhandled here do not raise another edge.
+  for (unsigned turn = 0; turn < kMaxEmbeddedTurns; ++turn) {
     uv_run(&this->embedded, UV_RUN_NOWAIT);
     this->clock.RunDue();
-  } while (this->HasEmbeddedWork() && !this->stopped);
+    if (this->stopped || !this->HasEmbeddedWork())
+      return false;
+  }
+  return true;
 }
 
 bool
--- a/Libraries/LibCore/EventLoop.h
+++ b/Libraries/LibCore/EventLoop.h
@@ -29,12 +29,16 @@
   void Wake();
 
   kj::AsyncIoContext& Io() { return this->io; }
+  /// The longest time for which signals and calls of other processes had to wait for the work of the embedded loop.
+  Duration LongestTurn() const { return this->longestTurn; }
+
   uv_loop_t& UvLoop() { return this->embedded; }
   Clock& RuntimeClock() { return this->clock; }
 
 private:
   Duration NextWait() const;
-  void RunEmbedded();
+  /// Runs the embedded loop for a bounded number of turns; returns whether it has work left.
+  bool RunEmbedded();
   bool HasEmbeddedWork() const;
 
   Clock& clock;
@@ -43,6 +47,7 @@
   kj::Own<kj::UnixEventPort::FdObserver> observer;
   kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> wake;
   bool stopped{ false };
+  Duration longestTurn{ 0 };
 };
 
 }
--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -11,6 +11,7 @@
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
   , stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
   , clock(aKernel.Find<Clock>(GatewayName::kClock))
+  , loop(aKernel.Find<EventLoop const>(GatewayName::kEventLoop))
   , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
   , store(aKernel.Find<StoreClient>(GatewayName::kStore))
   , peers(aKernel.Find<FrontPeers>(GatewayName::kPeers))
@@ -90,6 +91,7 @@
   for (auto const& [kind, time] : this->stateCache.TimesSinceAnswer())
     longest = std::max(longest, time);
   target.SetGauge("store_longest_unanswered_seconds", double(Milliseconds(longest)) / 1000);
+  target.SetGauge("loop_longest_turn_seconds", Seconds(this->loop.LongestTurn()));
   target.SetGauge("caught_exceptions", double(CaughtExceptions()));
   target.SetGauge("endpoints", double(endpoints.byId.size()));
   auto const count = [&](auto const& aHolds) {
--- a/Libraries/LibGateway/DirectoryService.h
+++ b/Libraries/LibGateway/DirectoryService.h
@@ -26,6 +26,7 @@
   GatewaySettings const& settings;
   StateCache& stateCache;
   Clock& clock;
+  EventLoop const& loop;
   ConnectionPool& connections;
   StoreClient& store;
   FrontPeers& peers;
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -15,6 +15,7 @@
 {
   this->kernel.Provide(GatewayName::kSettings, static_cast<GatewaySettings const&>(this->settings));
   this->kernel.Provide(GatewayName::kClock, aLoop.RuntimeClock());
+  this->kernel.Provide(GatewayName::kEventLoop, static_cast<EventLoop const&>(aLoop));
   this->kernel.Provide(GatewayName::kConnections, this->connections);
   this->kernel.Provide(GatewayName::kStore, this->store);
   this->kernel.Provide(GatewayName::kPeers, this->peers);
--- a/Libraries/LibGateway/GatewayNames.h
+++ b/Libraries/LibGateway/GatewayNames.h
@@ -5,6 +5,7 @@
 /// The names under which the services of a front on the platform are registered in its kernel.
 inline constexpr char kSettings[] = "settings";
 inline constexpr char kClock[] = "clock";
+inline constexpr char kEventLoop[] = "event-loop";
 inline constexpr char kStore[] = "store";
 inline constexpr char kConnections[] = "connections";
 inline constexpr char kStateCache[] = "state-cache";
