LibExchange: Bound the answers that are kept whole

Cause: answers of stage calls and of the store were kept whole, up to 64 MiB each. The proxied path was ruled out: it buffers 256 KiB.

Each call states the greatest body of its answer, from what its question can have as an answer; a longer one is broken, and its connection closed.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -116,7 +116,7 @@
     this->events = std::make_shared<CallEvents const>(std::move(aEvents));
     this->connectTimeout = aCall.connectTimeout;
     auto const method = aCall.request.method == "HEAD" ? ResponseTo::Head : ResponseTo::OtherMethod;
-    this->parser = std::make_unique<ResponseParser>(method);
+    this->parser = std::make_unique<ResponseParser>(method, aCall.maxBodyBytes);
     this->headDelivered = false;
     this->requestBytes = SerializeRequest(aCall.request);
     this->pool.clock.Cancel(this->timer);
--- a/Libraries/LibExchange/ClientCall.h
+++ b/Libraries/LibExchange/ClientCall.h
@@ -38,6 +38,8 @@
   /// Timeout of the whole call, including the connect.
   Duration timeout{ 5s };
   Duration connectTimeout{ 500ms };
+  /// A response with a longer body is broken.
+  std::uint64_t maxBodyBytes{ kMaxResponseBodyBytes };
 };
 
 class ConnectionPool;
--- a/Libraries/LibExchange/HttpParsers.cpp
+++ b/Libraries/LibExchange/HttpParsers.cpp
@@ -8,8 +8,6 @@
 
 /// Size limit of response heads, for which the platform specifies none.
 static constexpr std::uint32_t kMaxResponseHeaderBytes = 65536;
-/// A response that declares a longer body is rejected, because memory is reserved for the declared length.
-static constexpr std::uint64_t kMaxResponseBodyBytes = 64 << 20;
 /// Size limit of a chunk extension, and of the trailer of a chunked body. Beast limits neither.
 static constexpr std::size_t kMaxChunkHeaderBytes = 16384;
 /// Limit of the informational responses (1xx) before the final one.
@@ -131,22 +129,24 @@
 {
   std::optional<http::response_parser<http::string_body>> parser;
   ResponseTo method;
+  std::uint64_t maxBodyBytes;
   unsigned informationalResponses{ 0 };
 
   void Reset()
   {
     this->parser.emplace();
     this->parser->header_limit(kMaxResponseHeaderBytes);
-    this->parser->body_limit(kMaxResponseBodyBytes);
+    this->parser->body_limit(this->maxBodyBytes);
     this->parser->eager(true);
     this->parser->skip(this->method == ResponseTo::Head);
   }
 };
 
-ResponseParser::ResponseParser(ResponseTo aMethod)
+ResponseParser::ResponseParser(ResponseTo aMethod, std::uint64_t aMaxBodyBytes)
   : implementation(std::make_unique<Implementation>())
 {
   this->implementation->method = aMethod;
+  this->implementation->maxBodyBytes = aMaxBodyBytes;
   this->implementation->Reset();
 }
 
--- a/Libraries/LibExchange/HttpParsers.h
+++ b/Libraries/LibExchange/HttpParsers.h
@@ -54,11 +54,15 @@
   OtherMethod,
 };
 
+/// The greatest size of a response body that is passed on as it arrives.
+inline constexpr std::uint64_t kMaxResponseBodyBytes = 64 << 20;
+
 /// Parses one response incrementally.
 class ResponseParser
 {
 public:
-  explicit ResponseParser(ResponseTo aMethod);
+  /// A body of more than aMaxBodyBytes in all is not valid.
+  explicit ResponseParser(ResponseTo aMethod, std::uint64_t aMaxBodyBytes = kMaxResponseBodyBytes);
   ResponseParser(ResponseParser const&) = delete;
   ResponseParser& operator=(ResponseParser const&) = delete;
   ~ResponseParser();
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -10,6 +10,9 @@
 /// deadlines.
 static constexpr Duration kTickInterval = 50ms;
 static constexpr Duration kReleaseTimeout = 1s;
+/// The greatest sizes of answers: a fixed part, and for a stage call a handle or a reason for each item.
+static constexpr std::uint64_t kMaxAnswerBytes = 4096;
+static constexpr std::uint64_t kMaxAnswerBytesPerItem = 1024;
 /// By then, a result that was passed on has been written to the peer's connection.
 static constexpr Duration kResultSendTime = 20ms;
 
@@ -170,6 +173,7 @@
   OutgoingCall call;
   call.address = aCall.address;
   call.timeout = aCall.timeout;
+  call.maxBodyBytes = kMaxAnswerBytes + kMaxAnswerBytesPerItem * aCall.items.size();
   call.request = Platform::EncodeStageCall(this->pools.at(aService), aCall, this->clock.Now());
   SendBuffered(this->connections, std::move(call), [this, aService, id = aCall.id](BufferedResponse const& aResponse) {
     this->OnCallDone(aService, id, aResponse);
@@ -253,6 +257,7 @@
     OutgoingCall call;
     call.address = address;
     call.timeout = kReleaseTimeout;
+    call.maxBodyBytes = kMaxAnswerBytes;
     call.request = Platform::EncodeStageRelease(address, handles);
     auto const done =
       [this, service = service, address = address, handles = handles](BufferedResponse const& aResponse) {
--- a/Tests/LibExchange/ExchangeTests.cpp
+++ b/Tests/LibExchange/ExchangeTests.cpp
@@ -65,12 +65,15 @@
     std::string body;
   };
 
-  Result Call(std::string aMethod = "GET", Duration aTimeout = 500ms)
+  Result Call(std::string aMethod = "GET",
+              Duration aTimeout = 500ms,
+              std::uint64_t aMaxBodyBytes = kMaxResponseBodyBytes)
   {
     Result result;
     OutgoingCall call;
     call.address = kAddress;
     call.timeout = aTimeout;
+    call.maxBodyBytes = aMaxBodyBytes;
     call.request = { std::move(aMethod), "/", { { "Host", "x" } }, "" };
     CallEvents events;
     events.onHead = [&](ResponseHead const& aHead) { result.status = aHead.status; };
@@ -118,6 +121,22 @@
   EXPECT_EQ(RawServer("", Ending::Keep).Call("GET", 100ms).end, CallEnd::TimedOut);
 }
 
+// An endpoint that sent a body without end filled the memory of the process that had called it.
+TEST(ConnectionPool, EndsAResponseWhoseBodyIsLongerThanTheCallAllows)
+{
+  std::string const body(2000, 'x');
+  std::string const chunk = "1f4\r\n" + std::string(500, 'x') + "\r\n";
+  for (auto const& response : { "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n" + body,
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk + chunk + chunk,
+                                "HTTP/1.1 200 OK\r\n\r\n" + body }) {
+    auto const result = RawServer(response, Ending::Keep).Call("GET", 5s, 1000);
+    EXPECT_EQ(result.end, CallEnd::Broken) << response.substr(0, 40);
+    EXPECT_LE(result.body.size(), 1000U);
+  }
+  auto const allowed = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk + "0\r\n\r\n";
+  EXPECT_EQ(RawServer(allowed, Ending::Keep).Call("GET", 5s, 1000).end, CallEnd::Complete);
+}
+
 TEST(ConnectionPool, DoesNotReuseAConnectionWithTrailingBytes)
 {
   std::string const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
--- a/Tests/Platform/PlatformLimitTests.cpp
+++ b/Tests/Platform/PlatformLimitTests.cpp
@@ -1,4 +1,5 @@
 #include "PlatformFixtures.h"
+#include "RawEndpoint.h"
 
 namespace Hornbeam::Testing {
 
@@ -53,4 +54,26 @@
   EXPECT_EQ(staged.Call("1,8", std::string(1000, 'b')).status, 200U);
 }
 
+// A stage endpoint whose answers had no end filled the memory of the front that owns its pool.
+TEST(PlatformLimit, ClosesAStageCallWhoseAnswerHasNoEnd)
+{
+  PlatformWorld world(1);
+  RawEndpoint encode(world, "encode", 20995);
+  encode.answerOf = [](RequestMessage const& aRequest, std::size_t) {
+    RawAnswer answer{ RawHead(aRequest, "Transfer-Encoding: chunked\r\n") };
+    answer.repeated = SerializeChunk(std::string(65536, ' '));
+    return answer;
+  };
+  world.AddEndpoint(EndpointKind::Stage, "rank");
+  world.AddEndpoint(EndpointKind::Model, "model");
+  world.Start();
+  ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
+  world.RunFor(50ms);
+  EXPECT_EQ(world.Call(0, ModelRequest("/staged/x")).status, 503U);
+  ASSERT_FALSE(encode.seen.empty());
+  // What the sockets of both sides hold of each answer.
+  static constexpr std::size_t kSocketBytes = 8 << 20;
+  EXPECT_LT(encode.sent, encode.seen.size() * kSocketBytes);
+}
+
 }
