LibGateway: Tie the answers of stage calls to their calls

Callers saw: answers made from the inputs of other requests, with 200.

Cause: nothing but the order tied an answer to its call. Ruled out: a new connection for each call, as connections to endpoints are limited and occupy slots.

A call names the request of its first item, which endpoints return. What names another one, cannot be read or holds a handle that is already known is no answer; the idle connections to that address are closed with it, as the true answer would come there. Answers to releases are checked alike.

Before: both new tests of PlatformAnswer failed (r2 was given the results of r1; four results of eight came twice).

--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -222,26 +222,32 @@
 StageOwnerService::OnCallDone(std::string const& aService, StageCallId aCall, BufferedResponse const& aResponse)
 {
   auto& pool = this->pools.at(aService);
+  auto const running = pool.running.find(aCall);
+  if (running == pool.running.end())
+    return;
+  auto const call = running->second.call;
+  auto const requestId = pool.jobs.at(call.items.front().job).job.requestId;
   auto end = CallEndFromStatus(aResponse.status, aResponse.end);
-  this->ApplySignals(aService, aCall, aResponse);
-  std::vector<ItemResult> results;
-  if (end == StageCallEnd::Responded) {
-    auto decoded = Platform::DecodeStageResponse(aResponse.body);
-    if (decoded)
-      results = std::move(*decoded);
-    else
-      end = StageCallEnd::Failed;
+  auto const results = end == StageCallEnd::Responded ? Platform::DecodeStageResponse(aResponse.body) : std::nullopt;
+  bool const foreign = aResponse.end == CallEnd::Complete &&
+                       (Platform::NamesAnotherRequest(aResponse.fields, requestId) ||
+                        (end == StageCallEnd::Responded && (!results || HasKnownResult(pool, *results))));
+  if (foreign) {
+    end = StageCallEnd::Failed;
+    // The answer to this call is yet to come, where that of the next one would be expected.
+    this->connections.CloseIdleConnections(call.address);
+  } else {
+    this->ApplySignals(aService, aCall, aResponse);
   }
   if (end != StageCallEnd::Responded) {
     ++this->usage.failedCalls;
-    auto const running = pool.running.find(aCall);
-    if (running != pool.running.end())
-      PART_WARNING("stages") << "event=call-failed service=" << aService
-                             << " endpoint=" << running->second.call.endpoint << " status=" << aResponse.status
-                             << " end=" << ToString(aResponse.end) << " items=" << running->second.call.items.size()
-                             << " first_request=" << pool.jobs.at(running->second.call.items[0].job).job.requestId;
+    PART_WARNING("stages") << "event=call-failed service=" << aService << " endpoint=" << call.endpoint
+                           << " status=" << aResponse.status << " end=" << ToString(aResponse.end)
+                           << " foreign=" << foreign << " items=" << call.items.size()
+                           << " first_request=" << requestId;
   }
-  this->ApplyDecisions(aService, OnCallEnd(pool, aCall, end, results, this->clock.Now()));
+  auto const items = end == StageCallEnd::Responded ? *results : std::vector<ItemResult>();
+  this->ApplyDecisions(aService, OnCallEnd(pool, aCall, end, items, this->clock.Now()));
 }
 
 void
@@ -262,6 +268,11 @@
     auto const done =
       [this, service = service, address = address, handles = handles](BufferedResponse const& aResponse) {
         --this->releaseCalls;
+        if (aResponse.end == CallEnd::Complete && Platform::NamesAnotherRequest(aResponse.fields, "")) {
+          PART_WARNING("stages") << "event=release-unconfirmed address=" << address << " results=" << handles.size();
+          this->connections.CloseIdleConnections(address);
+          return;
+        }
         if (aResponse.end == CallEnd::Complete) {
           auto const pool = this->pools.find(service);
           if (pool != this->pools.end())
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -320,6 +320,14 @@
   pending.waiting.push_front(aItem.segment);
 }
 
+bool
+HasKnownResult(StagePool const& aPool, std::vector<ItemResult> const& aResults)
+{
+  return std::ranges::any_of(aResults, [&](auto const& aResult) {
+    return aResult.end == ItemEnd::Completed && aPool.held.contains(aResult.handle);
+  });
+}
+
 StageDecisions
 OnCallEnd(StagePool& aPool,
           StageCallId aCall,
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -213,6 +213,10 @@
 StageDecisions
 CancelJob(StagePool& aPool, StageJobId aJob, MonotonicTime aNow);
 
+/// Whether any of the results is one that an earlier call returned: endpoints make new handles for each call.
+bool
+HasKnownResult(StagePool const& aPool, std::vector<ItemResult> const& aResults);
+
 /// aResults has one entry for each item of the call if aEnd is Responded.
 StageDecisions
 OnCallEnd(StagePool& aPool,
--- a/Tests/Platform/PlatformAnswerTests.cpp
+++ b/Tests/Platform/PlatformAnswerTests.cpp
@@ -483,4 +483,89 @@
   EXPECT_EQ(result.requests, 2U);
 }
 
+/// A stage endpoint that sends the answer to its first call once more before that to the second.
+struct DoubledAnswerWorld
+{
+  DoubledAnswerWorld()
+    : world(1)
+    , rank(this->world, "rank", 20996)
+  {
+    this->rank.answerOf = [this](RequestMessage const& aRequest, std::size_t) { return this->Answer(aRequest); };
+    this->world.AddEndpoint(EndpointKind::Stage, "encode");
+    this->model = &this->world.AddEndpoint(EndpointKind::Model, "model");
+    this->world.Start();
+    EXPECT_TRUE(this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-0"); }));
+    this->world.RunFor(50ms);
+  }
+
+  RawAnswer Answer(RequestMessage const& aRequest)
+  {
+    if (aRequest.target == "/stage-free")
+      return { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}" };
+    auto items = nlohmann::json::array();
+    auto const request = nlohmann::json::parse(aRequest.body);
+    for (auto const& item : request["items"])
+      items.push_back(
+        { { "handle_id",
+            "127.0.0.1:20996/" + std::to_string(++this->handles) + "-" + item["id"].get<std::string>() } });
+    auto const body = nlohmann::json{ { "items", items } }.dump();
+    auto const answer = RawHead(aRequest, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+    auto const doubled = this->calls == 1 ? this->first : std::string();
+    if (this->calls++ == 0)
+      this->first = answer;
+    return { doubled + answer };
+  }
+
+  CallerResponse Call(std::string const& aId, std::string const& aChunks)
+  {
+    auto request = ModelRequest("/staged/x");
+    request.id = aId;
+    request.extraFields[2].second = aChunks;
+    return this->world.Call(0, request);
+  }
+
+  /// The inputs that the model endpoint was given for a request.
+  std::string InputsOf(std::string const& aId) const
+  {
+    for (auto const& seen : this->model->seen)
+      if (seen.id == aId)
+        return FieldValue(seen.fields, "Hornbeamfront-Inputs");
+    return "";
+  }
+
+  PlatformWorld world;
+  RawEndpoint rank;
+  StandInEndpoint* model{ nullptr };
+  unsigned calls{ 0 };
+  unsigned handles{ 0 };
+  std::string first;
+};
+
+// A late second copy of a stage endpoint's answer was taken for the answer to its next call, for another request.
+TEST(PlatformAnswer, TakesNoAnswerOfAnotherStageCall)
+{
+  DoubledAnswerWorld doubled;
+  EXPECT_EQ(doubled.Call("r1", "1,1").status, 200U);
+  EXPECT_EQ(doubled.Call("r2", "1,1").status, 200U);
+  EXPECT_TRUE(doubled.InputsOf("r2").ends_with("-r2")) << doubled.InputsOf("r2");
+  EXPECT_EQ(doubled.calls, 3U);
+}
+
+// The same within one request, whose next pieces got the results of the ones before.
+TEST(PlatformAnswer, TakesNoResultsOfTheSameRequestTwice)
+{
+  DoubledAnswerWorld doubled;
+  EXPECT_EQ(doubled.Call("r1", "1,8").status, 200U);
+  auto const inputs = doubled.InputsOf("r1");
+  std::set<std::string> distinct;
+  std::size_t count = 0;
+  for (std::size_t begin = 0; begin < inputs.size(); ++count) {
+    auto const end = std::min(inputs.find(',', begin), inputs.size());
+    distinct.insert(inputs.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  EXPECT_EQ(count, 8U);
+  EXPECT_EQ(distinct.size(), 8U) << inputs;
+}
+
 }
