--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -1,5 +1,6 @@
 #include "PlannedCallers.h"
 #include "SoakCallers.h"
+#include "StreamCallers.h"
 #include <CLI/CLI.hpp>
 #include <filesystem>
 #include <glog/logging.h>
@@ -22,7 +23,7 @@
 static unsigned
 PortsOf(SoakSettings const& aSettings)
 {
-  return 35 + 6 * aSettings.fronts;
+  return 41 + 6 * aSettings.fronts;
 }
 
 static void
@@ -61,6 +62,28 @@
   return violations;
 }
 
+/// Breaks streams off in all ways while releases go on, and lets their callers take them up at any front.
+static std::vector<std::string>
+RunStreams(SoakSettings const& aSettings, Duration aGap)
+{
+  std::filesystem::create_directories(aSettings.directory);
+  SoakWorld world(aSettings);
+  StreamCallers callers(world, aSettings.seed);
+  SoakCallers recovery(world, aSettings.seed);
+  world.Start();
+  world.RunFor(kStartTime);
+  auto const faults = PlanStreams(aSettings.seed, aSettings.time, aSettings.fronts, unsigned(world.endpoints.size()));
+  world.Schedule(faults);
+  callers.Load(aSettings.time, aGap);
+  world.ClearFaults();
+  callers.Load(kSettleTime, aGap);
+  auto violations = callers.CheckGuarantees();
+  std::ranges::copy(world.violations, std::back_inserter(violations));
+  Report(aSettings, faults.size(), recovery, violations);
+  callers.PrintCounts();
+  return violations;
+}
+
 static std::vector<std::string>
 RunSeed(SoakSettings const& aSettings, Duration aGap)
 {
@@ -93,6 +116,7 @@
   double gapMs = 10;
   bool calm = false;
   bool planned = false;
+  bool streams = false;
   settings.directory = "soak";
   application.add_option("--program", settings.program, "hornbeamfront")->required()->check(CLI::ExistingFile);
   application.add_option("--directory", settings.directory, "Directory for settings and logs");
@@ -105,6 +129,8 @@
   application.add_flag(
     "--calm", calm, "Inject no faults: put load on fronts and stand-ins and report the response times");
   application.add_flag("--planned", planned, "Only terminate fronts, in series and beside other planned work");
+  application.add_flag(
+    "--streams", streams, "Break streams off, with releases of other software versions, and take them up again");
   application.add_option("--first-port", settings.firstPort, "First port; further ones are allocated upwards");
   CLI11_PARSE(application, aCount, aArguments);
   google::InitGoogleLogging(aArguments[0]);
@@ -118,6 +144,9 @@
     settings.mode = SoakMode::PlannedStops;
     settings.graceTime = kPlannedGraceTime;
   }
+  if (streams)
+    settings.mode = SoakMode::Streams;
+  auto const run = planned ? RunPlannedStops : streams ? RunStreams : RunSeed;
   auto const gap = FromSeconds(gapMs / 1000);
   auto const directory = settings.directory;
   std::vector<unsigned> failed;
@@ -126,7 +155,7 @@
     // Closing connections of the previous run may still occupy its ports.
     settings.firstPort = firstPort + index * PortsOf(settings) % kPortRange;
     settings.directory = directory + "/" + std::to_string(settings.seed);
-    if (!(planned ? RunPlannedStops(settings, gap) : RunSeed(settings, gap)).empty())
+    if (!run(settings, gap).empty())
       failed.push_back(settings.seed);
   }
   std::cout << seeds << " seeds, " << failed.size() << " with a violated guarantee";
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -7,17 +7,24 @@
 
 /// Names of the kinds, in the order of SoakFaultKind.
 static constexpr std::string_view kNames[] = {
-  "front-stops",          "front-killed",           "front-terminated",     "front-settings-signal",
-  "store-refuses",        "store-resets",           "store-silent",         "store-forgets",
-  "store-loses-answers",  "table-changes",          "store-link-slow",      "store-link-reset",
-  "store-link-cut-to",    "store-link-cut-from",    "endpoint-link-slow",   "endpoint-link-reset",
-  "endpoint-link-cut-to", "endpoint-link-cut-from", "endpoint-link-silent", "endpoint-faulty",
-  "endpoint-leaves",      "endpoint-starts-anew",   "endpoint-signals",     "data-center-out",
-  "store-restored",
+  "front-stops",          "front-killed",
+  "front-terminated",     "front-settings-signal",
+  "store-refuses",        "store-resets",
+  "store-silent",         "store-forgets",
+  "store-loses-answers",  "table-changes",
+  "store-link-slow",      "store-link-reset",
+  "store-link-cut-to",    "store-link-cut-from",
+  "endpoint-link-slow",   "endpoint-link-reset",
+  "endpoint-link-cut-to", "endpoint-link-cut-from",
+  "endpoint-link-silent", "endpoint-faulty",
+  "endpoint-leaves",      "endpoint-starts-anew",
+  "endpoint-signals",     "data-center-out",
+  "store-restored",       "release",
 };
 
-static constexpr unsigned kKinds = std::size(kNames);
-static_assert(kKinds == static_cast<unsigned>(SoakFaultKind::StoreRestored) + 1);
+/// The kinds of runs of random faults.
+static constexpr unsigned kKinds = static_cast<unsigned>(SoakFaultKind::Release);
+static_assert(std::size(kNames) == kKinds + 1);
 
 std::string_view
 ToString(SoakFaultKind aKind)
@@ -50,6 +57,37 @@
   return faults;
 }
 
+std::vector<SoakFault>
+PlanStreams(unsigned aSeed, Duration aTime, unsigned aFronts, unsigned aEndpoints)
+{
+  using enum SoakFaultKind;
+  // Kinds that break streams off, or let a front fall behind, come more often than others.
+  static constexpr SoakFaultKind kStreamKinds[] = {
+    Release,           Release,          Release,          FrontStops,         FrontStops,       FrontKilled,
+    FrontKilled,       FrontTerminated,  StoreRefuses,     StoreSilent,        StoreForgets,     StoreLinkSlow,
+    StoreLinkCutTo,    StoreLinkCutFrom, StoreLinkCutFrom, StoreLinkReset,     EndpointLinkSlow, EndpointLinkReset,
+    EndpointLinkReset, EndpointFaulty,   EndpointFaulty,   EndpointLinkSilent, EndpointDrains,   EndpointRestarts,
+    StoreRestored,
+  };
+  std::mt19937 random(aSeed);
+  auto const below = [&](unsigned aLimit) { return unsigned(random() % aLimit); };
+  std::vector<SoakFault> faults;
+  Duration at = 300ms;
+  while (at < aTime) {
+    SoakFault fault;
+    fault.kind = kStreamKinds[below(std::size(kStreamKinds))];
+    fault.at = at;
+    fault.length = std::chrono::milliseconds(100 + below(2400));
+    bool const hitsFront =
+      fault.kind <= FrontReloadsSettings || (fault.kind >= StoreLinkSlow && fault.kind <= StoreLinkCutFrom);
+    fault.target = below(hitsFront ? aFronts : aEndpoints);
+    fault.randomValue = random();
+    faults.push_back(fault);
+    at += std::chrono::milliseconds(below(2) == 0 ? 50 + below(200) : 200 + below(700));
+  }
+  return faults;
+}
+
 /// The time in which a series reaches every front.
 static constexpr unsigned kMaxSeriesMs = 12000;
 
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -35,6 +35,8 @@
   DataCenterOut,
   /// The store is away, and comes back from an older copy; its other writers write again a little later.
   StoreRestored,
+  /// Endpoints of another software version join, and leave again. Only in runs of streams.
+  Release,
 };
 
 std::string_view
@@ -57,6 +59,11 @@
 std::vector<SoakFault>
 PlanSoak(unsigned aSeed, Duration aTime, unsigned aFronts, unsigned aEndpoints);
 
+/// Returns faults that break streams off, and releases of other software versions between them. The plan depends only
+/// on the parameters.
+std::vector<SoakFault>
+PlanStreams(unsigned aSeed, Duration aTime, unsigned aFronts, unsigned aEndpoints);
+
 /// Returns planned work alone: fronts terminated in series, twice, and beside settings signals and table changes. The
 /// plan depends only on the parameters.
 std::vector<SoakFault>
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -18,6 +18,11 @@
 static constexpr unsigned kSlowSlots = 64;
 static constexpr Duration kSlowStageTime = 100ms;
 
+static constexpr Duration kVersionedEventTime = 30ms;
+/// How long endpoints of a new version serve at least, and how long they then serve on as leaving ones.
+static constexpr Duration kMinReleaseTime = 1500ms;
+static constexpr Duration kLeavingTime = 400ms;
+
 /// A copy from which the store is restored is up to this old.
 static constexpr Duration kCopyInterval = 4s;
 /// Other writers than fronts have written again within two seconds.
@@ -39,6 +44,8 @@
   }
   if (this->settings.mode == SoakMode::PlannedStops)
     this->AddSlowEndpoints();
+  if (this->settings.mode == SoakMode::Streams)
+    this->AddVersionedEndpoints();
   std::vector<SoakFrontAddresses> all;
   for (unsigned index = 0; index < this->settings.fronts; ++index) {
     SoakFrontAddresses addresses;
@@ -82,6 +89,44 @@
   }
 }
 
+void
+SoakWorld::AddVersionedEndpoints()
+{
+  for (std::string const version : { "v2", "v2", "v3" }) {
+    auto& endpoint = this->AddEndpoint(EndpointKind::Model, "model", "a");
+    endpoint.standIn->softwareVersion = version;
+    endpoint.joined = false;
+    this->store->Remove("servers", endpoint.standIn->Id());
+  }
+  for (auto& endpoint : this->endpoints) {
+    if (endpoint.service != "model")
+      continue;
+    endpoint.standIn->includesVersion = true;
+    endpoint.standIn->events = kVersionedEvents;
+    endpoint.standIn->eventTime = kVersionedEventTime;
+  }
+}
+
+void
+SoakWorld::BeginRelease(SoakFault const& aFault)
+{
+  auto const version = "v" + std::to_string(2 + aFault.randomValue % 2);
+  for (auto& endpoint : this->endpoints) {
+    if (endpoint.standIn->softwareVersion != version || endpoint.joined)
+      continue;
+    ++endpoint.incarnation;
+    endpoint.joined = true;
+    this->PutEndpoint(endpoint, "ready");
+    // It leaves after a while, and breaks off what it has left.
+    this->RunAfter(aFault.length + kMinReleaseTime, [this, &endpoint] { this->PutEndpoint(endpoint, "draining"); });
+    this->RunAfter(aFault.length + kMinReleaseTime + kLeavingTime, [this, &endpoint] {
+      endpoint.joined = false;
+      this->store->Remove("servers", endpoint.standIn->Id());
+      endpoint.proxy->ResetAll();
+    });
+  }
+}
+
 nlohmann::json
 SoakWorld::NextTable()
 {
@@ -131,8 +176,12 @@
 void
 SoakWorld::PutEndpoint(SoakEndpoint const& aEndpoint, std::string const& aState)
 {
-  auto entry = StandInEntry(
-    aEndpoint.service, aEndpoint.standIn->PublicAddress(), aState, aEndpoint.dataCenter, aEndpoint.incarnation);
+  auto entry = StandInEntry(aEndpoint.service,
+                            aEndpoint.standIn->PublicAddress(),
+                            aState,
+                            aEndpoint.dataCenter,
+                            aEndpoint.incarnation,
+                            aEndpoint.standIn->softwareVersion);
   if (aEndpoint.service == kSlowService)
     entry["slots"] = kSlowSlots;
   this->store->Put("servers", aEndpoint.standIn->Id(), std::move(entry));
@@ -270,6 +319,8 @@
       return this->store->Put("config", "main", this->NextTable());
     case SoakFaultKind::StoreRestored:
       return this->RestoreStore(aFault);
+    case SoakFaultKind::Release:
+      return this->BeginRelease(aFault);
     default:
       this->store->Put("evacuations", "b", nlohmann::json::object());
       this->RunAfter(aFault.length, [this] { this->store->Remove("evacuations", "b"); });
@@ -325,6 +376,8 @@
 SoakWorld::BeginAtEndpoint(SoakFault const& aFault)
 {
   auto& endpoint = this->endpoints[aFault.target];
+  if (!endpoint.joined)
+    return;
   switch (aFault.kind) {
     case SoakFaultKind::EndpointFaulty: {
       static constexpr EndpointFault kFaults[] = {
@@ -367,7 +420,10 @@
       this->store->Remove("servers", endpoint.standIn->Id());
       endpoint.proxy->ResetAll();
   }
-  this->RunAfter(aFault.length, [this, &endpoint] { this->PutEndpoint(endpoint, "ready"); });
+  this->RunAfter(aFault.length, [this, &endpoint] {
+    if (endpoint.joined)
+      this->PutEndpoint(endpoint, "ready");
+  });
 }
 
 void
@@ -410,7 +466,8 @@
     endpoint.standIn->faultOf = nullptr;
     endpoint.incarnation += endpoint.standIn->signals.empty() ? 0 : 1;
     endpoint.standIn->signals.clear();
-    this->PutEndpoint(endpoint, "ready");
+    if (endpoint.joined)
+      this->PutEndpoint(endpoint, "ready");
   }
   this->store->behavior = StoreBehavior::Healthy;
   this->store->responsesToLose = 0;
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -15,6 +15,8 @@
   RandomFaults,
   /// Planned work alone, with the platform's grace time, and endpoints with slow streams and slow stages.
   PlannedStops,
+  /// Faults that break streams off, while endpoints of several software versions join and leave.
+  Streams,
 };
 
 struct SoakSettings
@@ -35,6 +37,9 @@
 /// Events of a slow stream.
 static constexpr unsigned kSlowEvents = 40;
 
+/// Events of a stream in runs of streams.
+static constexpr unsigned kVersionedEvents = 20;
+
 /// A stand-in endpoint and the proxy in front of it.
 struct SoakEndpoint
 {
@@ -42,6 +47,8 @@
   std::unique_ptr<SoakProxy> proxy;
   std::string service;
   std::string dataCenter;
+  /// Whether the endpoint has an entry in the store when no fault is active.
+  bool joined{ true };
   std::int64_t incarnation{ 1 };
 };
 
@@ -105,6 +112,9 @@
   std::string NextAddress();
   SoakEndpoint& AddEndpoint(EndpointKind aKind, std::string const& aService, std::string const& aDataCenter);
   void AddSlowEndpoints();
+  /// Makes the model endpoints name their versions, and adds some of other versions that have not joined.
+  void AddVersionedEndpoints();
+  void BeginRelease(SoakFault const& aFault);
   void PutEndpoint(SoakEndpoint const& aEndpoint, std::string const& aState);
   void Begin(SoakFault const& aFault);
   void BeginAtFront(SoakFault const& aFault);
