Tests: Begin each soak of streams with a release that one front misses

Fronts remember versions for longer than a run, so only the first release of a run can be missed. The front stands still right after a change, while it does not watch the store, and another front is killed just before it goes on.

--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -57,6 +57,25 @@
   return faults;
 }
 
+/// How long a front misses a release.
+static constexpr Duration kMissedReleaseTime = 2600ms;
+static constexpr Duration kBeforeNextWatch = 150ms;
+
+/// Adds a front that stands still while another version joins, and the kill of another front just before the first goes
+/// on, so that streams of the new version are taken up at a front that has not heard of it.
+static void
+AddMissedRelease(std::vector<SoakFault>& aFaults, Duration aAt, unsigned aFronts, std::mt19937& aRandom)
+{
+  auto const stopped = unsigned(aRandom() % aFronts);
+  auto const killed = unsigned((stopped + 1 + aRandom() % (aFronts - 1)) % aFronts);
+  // A front waits a little after a change before it watches the store again, so that no answer waits for it meanwhile.
+  aFaults.push_back({ SoakFaultKind::TableChanges, aAt - kBeforeNextWatch, 0ms, 0, 0 });
+  aFaults.push_back({ SoakFaultKind::FrontStops, aAt, kMissedReleaseTime, stopped, 0 });
+  aFaults.push_back({ SoakFaultKind::Release, aAt + 300ms, kMissedReleaseTime, 0, unsigned(aRandom()) });
+  auto const beforeEnd = std::chrono::milliseconds(aRandom() % 150);
+  aFaults.push_back({ SoakFaultKind::FrontKilled, aAt + kMissedReleaseTime - beforeEnd, 0ms, killed, 0 });
+}
+
 std::vector<SoakFault>
 PlanStreams(unsigned aSeed, Duration aTime, unsigned aFronts, unsigned aEndpoints)
 {
@@ -74,6 +93,12 @@
   std::vector<SoakFault> faults;
   Duration at = 300ms;
   while (at < aTime) {
+    // Fronts remember versions for longer than a run, so only the first release can be missed.
+    if (faults.empty()) {
+      AddMissedRelease(faults, at, aFronts, random);
+      at += kMissedReleaseTime;
+      continue;
+    }
     SoakFault fault;
     fault.kind = kStreamKinds[below(std::size(kStreamKinds))];
     fault.at = at;
