--- a/Tests/Platform/PlatformLimitTests.cpp
+++ b/Tests/Platform/PlatformLimitTests.cpp
@@ -4,9 +4,9 @@
 namespace Hornbeam::Testing {
 
 /// A front with two stages and a model endpoint.
-struct StagedWorld
+struct LimitedPiecesWorld
 {
-  StagedWorld()
+  LimitedPiecesWorld()
     : world(1)
     , encode(this->world.AddEndpoint(EndpointKind::Stage, "encode"))
     , rank(this->world.AddEndpoint(EndpointKind::Stage, "rank"))
@@ -34,7 +34,7 @@
 // front and with it the requests of others.
 TEST(PlatformLimit, RefusesARequestOfTooManyPiecesBeforeItsStagesRun)
 {
-  StagedWorld staged;
+  LimitedPiecesWorld staged;
   for (auto const* chunks : { "1,2600", "4294967295,1", "4294967295,4294967295", "1999,2" }) {
     auto const response = staged.Call(chunks);
     EXPECT_EQ(response.status, 413U) << chunks;
@@ -47,7 +47,7 @@
 // Handles that are longer than usual did not fit a header field either.
 TEST(PlatformLimit, RefusesARequestWhoseResultsDoNotFitItsHead)
 {
-  StagedWorld staged;
+  LimitedPiecesWorld staged;
   staged.encode.includesRequestIds = staged.rank.includesRequestIds = true;
   EXPECT_EQ(staged.Call("1,100", std::string(1000, 'a')).status, 413U);
   EXPECT_TRUE(staged.world.RunUntil([&] { return staged.rank.heldResults.empty(); }));
--- a/Tests/Platform/PlatformVersionTests.cpp
+++ b/Tests/Platform/PlatformVersionTests.cpp
@@ -298,15 +298,15 @@
     auto& world = versionWorld.world;
     world.RunFor(500ms);
     std::map<std::string, std::string> lastEvents;
+    // Records that have not been written are lost with their keepers.
+    world.store->behavior = StoreBehavior::Resetting;
     BreakStreams(versionWorld);
     for (unsigned number = 0; number < 4; ++number) {
       auto const id = "s" + std::to_string(number);
       lastEvents[id] = BeginStream(versionWorld, killed, id);
     }
-    world.RunFor(30ms);
+    world.RunFor(200ms);
     Recover(versionWorld);
-    // Records that have not been written are lost with their keepers.
-    world.store->behavior = StoreBehavior::Resetting;
     world.fronts[killed]->StopPeers();
     unsigned goneOn = 0;
     for (auto const& [id, last] : lastEvents) {
