LibServing: Choose model endpoints by the load of the fleet

With 140 endpoints a front has 0 or 1 requests in flight at each, so that its own counts bound nothing, and the load is that of the hash.

ChooseEndpoint uses the view, if it is given, for services with model endpoints: parts move to their second or third endpoint by the difference of load, other requests take the lesser of two. Without a view it chooses as before.

--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -8,6 +8,19 @@
 static constexpr double kAffinityLoadFactor = 1.5;
 static constexpr double kAffinityLoadSlack = 3;
 
+/// A prompt part stays at its first endpoint while that has less load than this multiple of the mean, and a third
+/// endpoint is considered above kThirdFactor. Lower factors gain little and make endpoints read more parts again.
+static constexpr double kKeepFactor = 1.1;
+static constexpr double kThirdFactor = 1.3;
+/// The portion of an endpoint's parts that go to the next one, per relative difference of their loads.
+static constexpr double kMoveGain = 3;
+/// Range of the portion in which requests of one part go to both endpoints, so that a popular part is split.
+static constexpr double kMoveJitter = 0.1;
+/// If even the third endpoint has more load than this multiple of the mean, the part goes to further ones. A part of
+/// 28% of the requests has the load of 39 of 140 endpoints.
+static constexpr double kHotFactor = 1.6;
+static constexpr double kHotExponent = 3;
+
 /// Time window of the platform's rate limit for cold endpoints.
 static constexpr Duration kColdWindow = 1s;
 
@@ -143,6 +156,102 @@
   return *std::ranges::min_element(aCandidates, {}, cost);
 }
 
+using Candidates = std::vector<KnownEndpoint const*>;
+
+struct WeighedEndpoint
+{
+  std::uint64_t weight{ 0 };
+  KnownEndpoint const* endpoint{ nullptr };
+  double load{ 0 };
+};
+
+/// Returns the endpoints with their estimated loads, in the order of their rendezvous weights for a key.
+static std::vector<WeighedEndpoint>
+WeighEndpoints(FleetLoads const& aLoads, Candidates const& aCandidates, std::string const& aKey)
+{
+  std::vector<WeighedEndpoint> weighed;
+  weighed.reserve(aCandidates.size());
+  for (auto const* candidate : aCandidates)
+    weighed.push_back(
+      { RendezvousWeight(aKey, candidate->entry.id), candidate, EstimatedLoad(aLoads, ProcessOf(candidate->entry)) });
+  std::ranges::sort(weighed, std::greater(), &WeighedEndpoint::weight);
+  return weighed;
+}
+
+/// Returns a number in [0, 1) for a key or a draw.
+static double
+Uniform(std::string_view aKey, std::string_view aPurpose)
+{
+  return double(RendezvousWeight(aKey, aPurpose) >> 11) * 0x1p-53;
+}
+
+/// Chooses for a part of which the first endpoints are overloaded: the more load an endpoint has, the more requests go
+/// on to the next one.
+static KnownEndpoint const*
+ChooseForHotPart(std::vector<WeighedEndpoint> const& aWeighed, double aMean, std::uint64_t aDraw)
+{
+  auto const draw = std::to_string(aDraw);
+  for (auto const& candidate : aWeighed) {
+    double const accepted = std::pow(kHotFactor * aMean / std::max(1.0, candidate.load), kHotExponent);
+    if (Uniform(draw, candidate.endpoint->entry.id) < accepted)
+      return candidate.endpoint;
+  }
+  return std::ranges::min_element(aWeighed, {}, &WeighedEndpoint::load)->endpoint;
+}
+
+/// Returns one of the two or three endpoints with the greatest rendezvous weights. The more load the first one has than
+/// the second, the more parts go to the second; which ones is the same on all fronts.
+static KnownEndpoint const*
+ChooseByFleetAffinity(FleetLoads const& aLoads, Candidates const& aCandidates, EndpointQuery const& aQuery)
+{
+  auto const weighed = WeighEndpoints(aLoads, aCandidates, aQuery.affinityKey);
+  double total = 0;
+  for (auto const& candidate : weighed)
+    total += candidate.load;
+  double const mean = total / double(weighed.size());
+  auto best = weighed.front();
+  double threshold = kKeepFactor;
+  for (std::size_t index = 1; index < std::min<std::size_t>(3, weighed.size()); ++index, threshold = kThirdFactor) {
+    if (best.load <= threshold * mean)
+      return best.endpoint;
+    auto const& other = weighed[index];
+    double const portion = kMoveGain * (best.load - other.load) / (best.load + other.load);
+    double const place = Uniform(aQuery.affinityKey, index == 1 ? "second" : "third");
+    double const jitter = kMoveJitter * Uniform(std::to_string(aQuery.draw), "jitter");
+    if (place * (1 - kMoveJitter) + jitter < portion)
+      best = other;
+  }
+  return best.load > kHotFactor * mean ? ChooseForHotPart(weighed, mean, aQuery.draw) : best.endpoint;
+}
+
+/// Returns the one of two random endpoints with the lower estimated load.
+static KnownEndpoint const*
+ChooseOfTwo(FleetLoads const& aLoads, Candidates const& aCandidates, std::uint64_t aDraw)
+{
+  auto const size = aCandidates.size();
+  auto const first = aDraw % size;
+  if (size == 1)
+    return aCandidates.front();
+  // The pair has no order, so that the first of equal ones is random, too.
+  auto const second = (first + 1 + aDraw / size % (size - 1)) % size;
+  auto const load = [&](std::size_t aIndex) { return EstimatedLoad(aLoads, ProcessOf(aCandidates[aIndex]->entry)); };
+  return aCandidates[load(second) < load(first) ? second : first];
+}
+
+static KnownEndpoint const*
+ChooseByFleetLoad(SelectionView const& aView,
+                  EndpointQuery const& aQuery,
+                  Candidates const& aUnlimited,
+                  Candidates const& aCandidates)
+{
+  auto const& loads = *aView.fleetLoads;
+  if (aUnlimited.empty())
+    return ChooseByLoad(aView, aQuery, aCandidates);
+  if (aQuery.affinityKey.empty())
+    return ChooseOfTwo(loads, aUnlimited, aQuery.draw);
+  return ChooseByFleetAffinity(loads, aUnlimited, aQuery);
+}
+
 std::optional<std::string>
 ChooseEndpoint(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow)
 {
@@ -154,7 +263,10 @@
   std::vector<KnownEndpoint const*> unlimited;
   std::ranges::copy_if(
     candidates, std::back_inserter(unlimited), [](auto const* aEndpoint) { return !aEndpoint->signals.limit; });
-  if (!aQuery.affinityKey.empty() && !unlimited.empty())
+  if (aView.fleetLoads != nullptr && aView.fleetLoads->expires > aNow &&
+      RuleOf(aView.table, aQuery.service).hasModelEndpoints)
+    chosen = ChooseByFleetLoad(aView, aQuery, unlimited, candidates);
+  else if (!aQuery.affinityKey.empty() && !unlimited.empty())
     chosen = ChooseByAffinity(unlimited, aQuery.affinityKey);
   if (chosen == nullptr)
     chosen = ChooseByLoad(aView, aQuery, candidates);
--- a/Libraries/LibServing/EndpointSelection.h
+++ b/Libraries/LibServing/EndpointSelection.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "EndpointSet.h"
-#include "FrontSet.h"
+#include "FleetLoad.h"
 #include <functional>
 
 namespace Hornbeam::Gateway {
@@ -25,6 +24,8 @@
   std::string ownDataCenter;
   /// The software version that the endpoint must have; any if not set.
   std::optional<std::string> softwareVersion{};
+  /// Uniformly random; used to choose by the fleet's load without affinity.
+  std::uint64_t draw{ 0 };
 };
 
 /// The known state that a selection is based on.
@@ -37,6 +38,8 @@
   /// Returns whether an idle keep-alive connection to an address exists. A new connection briefly occupies a slot of
   /// the endpoint.
   std::function<bool(std::string const&)> hasConnection;
+  /// The load of the fleet; null if it is not known. It is used for services with model endpoints.
+  FleetLoads const* fleetLoads{ nullptr };
 };
 
 /// Number of fronts that may send to one cold endpoint. Each has an equal portion of half the limit, so that two views
--- a/Libraries/LibServing/ServingTable.h
+++ b/Libraries/LibServing/ServingTable.h
@@ -75,6 +75,8 @@
   /// Requests per second that a cold endpoint can serve; zero if the service's endpoints are never cold.
   double coldRate{ 0 };
   std::optional<StageLimits> stage;
+  /// The endpoints run models, whose load depends on the tokens of their requests.
+  bool hasModelEndpoints{ false };
 };
 
 /// Limits on what callers may send.
