--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -177,6 +177,33 @@
            { aWire.getService().cStr(), aWire.getSoftwareVersion().cStr(), aWire.getRequester() } };
 }
 
+void
+WriteLoads(LoadReport const& aReport, Wire::LoadReport::Builder aWire)
+{
+  aWire.setFront(aReport.front);
+  aWire.setDataCenter(aReport.dataCenter);
+  aWire.setIncarnation(aReport.incarnation);
+  aWire.setNumber(aReport.number);
+  aWire.setLevel(std::uint8_t(aReport.level));
+  aWire.setFronts(std::uint16_t(std::min(aReport.sum.fronts, kMaxLoadFronts)));
+  aWire.setAgeUs(aReport.sum.age.count());
+  auto const loads = EncodeLoads(aReport.sum.byEndpoint);
+  aWire.setLoads({ reinterpret_cast<kj::byte const*>(loads.data()), loads.size() });
+}
+
+/// Returns nothing if the loads are not readable.
+std::optional<LoadReport>
+ReadLoads(Wire::LoadReport::Reader aWire)
+{
+  auto const bytes = aWire.getLoads();
+  auto loads = DecodeLoads({ reinterpret_cast<char const*>(bytes.begin()), bytes.size() });
+  if (!loads)
+    return std::nullopt;
+  return LoadReport{ aWire.getFront().cStr(), aWire.getDataCenter().cStr(),
+                     aWire.getIncarnation(),  aWire.getNumber(),
+                     aWire.getLevel(),        { aWire.getFronts(), Duration(aWire.getAgeUs()), std::move(*loads) } };
+}
+
 class PeerServer final : public Wire::GatewayPeer::Server
 {
 public:
@@ -287,6 +314,17 @@
     });
   }
 
+  kj::Promise<void> exchangeLoads(ExchangeLoadsContext aContext) override
+  {
+    auto report = ReadLoads(aContext.getParams().getReport());
+    aContext.releaseParams();
+    KJ_REQUIRE(report.has_value(), "unreadable loads");
+    auto const reply = this->Handlers().exchangeLoads(std::move(*report));
+    if (reply)
+      WriteLoads(*reply, aContext.getResults().initReply());
+    return kj::READY_NOW;
+  }
+
 private:
   /// Throws if the front has been destroyed, which fails the call.
   FrontPeerHandlers const& Handlers() const
@@ -550,4 +588,23 @@
     });
 }
 
+void
+FrontPeers::ExchangeLoads(std::string const& aAddress,
+                          LoadReport const& aReport,
+                          std::function<void(std::optional<LoadReport>)> aDone)
+{
+  ++this->calls;
+  using Reply = std::optional<LoadReport>;
+  auto call = [aReport](Wire::GatewayPeer::Client& aClient) {
+    auto request = aClient.exchangeLoadsRequest();
+    WriteLoads(aReport, request.initReport());
+    // A reply without loads is not one: those of no endpoint have a header.
+    return request.send().then([](auto&& aResponse) { return ReadLoads(aResponse.getReply()); });
+  };
+  this->implementation->connections.Run<Reply>(
+    aAddress, kProbeTimeout, kj::mv(call), [aDone = std::move(aDone)](std::optional<Reply> aReply) {
+      aDone(std::move(aReply).value_or(std::nullopt));
+    });
+}
+
 }
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -85,6 +85,8 @@
   std::function<void(std::vector<StreamRecord> const&)> recordStreams;
   /// Calls back exactly once.
   std::function<void(StreamQuestion const&, OriginCallback)> findStream;
+  /// Returns nothing if the report is not accepted.
+  std::function<std::optional<LoadReport>(LoadReport)> exchangeLoads;
 };
 
 /// Cap'n Proto RPC between fronts, on the event loop. Connections with jobs in flight are probed. A connection that
@@ -135,6 +137,12 @@
   /// time.
   void FindStream(std::string const& aAddress, StreamQuestion const& aQuestion, OriginCallback aDone);
 
+  /// Reports loads to a collector. aDone receives its reply, or nothing if it does not accept the report or does not
+  /// respond in time.
+  void ExchangeLoads(std::string const& aAddress,
+                     LoadReport const& aReport,
+                     std::function<void(std::optional<LoadReport>)> aDone);
+
   std::uint64_t Calls() const { return this->calls; }
 
 private:
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -67,6 +67,18 @@
   requester @3 :UInt64;
 }
 
+# The sum of the loads of some fronts. ageUs is their mean age.
+struct LoadReport {
+  front @0 :Text;
+  dataCenter @1 :Text;
+  incarnation @2 :Int64;
+  number @3 :UInt64;
+  level @4 :UInt8;
+  fronts @5 :UInt16;
+  ageUs @6 :Int64;
+  loads @7 :Data;
+}
+
 interface GatewayPeer {
   # Returns when all items are completed or the job is abandoned. Dropping the call cancels the job.
   makeStage @0 (order :StageOrder) -> (result :StageResult);
@@ -89,4 +101,7 @@
   # The record is meaningful only if it is known. If the service has only one version, as the store tells after the call
   # came, the record names it, with the requester of the call.
   findStream @7 (requestId :Text, service :Text, requester :UInt64) -> (known :Bool, record :StreamRecord);
+  # The load of a front and of all that report to it, to its collector or from one collector to another (FleetLoad.h).
+  # The reply is the load of all other fronts, or between data centres that of the called one's.
+  exchangeLoads @8 (report :LoadReport) -> (reply :LoadReport);
 }
--- a/Libraries/LibGateway/Gateway.capnp.c++
+++ b/Libraries/LibGateway/Gateway.capnp.c++
@@ -758,7 +758,158 @@
   0, 4, i_d5c9eaa6b0417d17, nullptr, nullptr, { &s_d5c9eaa6b0417d17, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<105> b_fcf92d53b3c3d6a5 = {
+static const ::capnp::_::AlignedData<140> b_ac867d0f7ba04151 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     81,  65, 160, 123,  15, 125, 134, 172,
+     14,   0,   0,   0,   1,   0,   4,   0,
+     72, 144,  94, 124, 178, 246, 161, 211,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 199,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  76, 111,
+     97, 100,  82, 101, 112, 111, 114, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     32,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    209,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    204,   0,   0,   0,   3,   0,   1,   0,
+    216,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    213,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    212,   0,   0,   0,   3,   0,   1,   0,
+    224,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    221,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    220,   0,   0,   0,   3,   0,   1,   0,
+    232,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    229,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    224,   0,   0,   0,   3,   0,   1,   0,
+    236,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,  16,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    233,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    228,   0,   0,   0,   3,   0,   1,   0,
+    240,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   9,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    237,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    232,   0,   0,   0,   3,   0,   1,   0,
+    244,   0,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    241,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    236,   0,   0,   0,   3,   0,   1,   0,
+    248,   0,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    245,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    240,   0,   0,   0,   3,   0,   1,   0,
+    252,   0,   0,   0,   2,   0,   1,   0,
+    102, 114, 111, 110, 116,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,  97, 116,  97,  67, 101, 110, 116,
+    101, 114,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 117, 109,  98, 101, 114,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101, 118, 101, 108,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 114, 111, 110, 116, 115,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101,  85, 115,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 111,  97, 100, 115,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ac867d0f7ba04151 = b_ac867d0f7ba04151.words;
+#if !CAPNP_LITE
+static const uint16_t m_ac867d0f7ba04151[] = {6, 1, 0, 5, 2, 4, 7, 3};
+static const uint16_t i_ac867d0f7ba04151[] = {0, 1, 2, 3, 4, 5, 6, 7};
+const ::capnp::_::RawSchema s_ac867d0f7ba04151 = {
+  0xac867d0f7ba04151, b_ac867d0f7ba04151.words, 140, nullptr, m_ac867d0f7ba04151,
+  0, 8, i_ac867d0f7ba04151, nullptr, nullptr, { &s_ac867d0f7ba04151, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<116> b_fcf92d53b3c3d6a5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     165, 214, 195, 179,  83,  45, 249, 252,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -768,79 +919,87 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   2,   0,   0,
-    117,   1,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0,  71,   2,   0,   0,
+    161,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      71,  97, 116, 101, 119,  97, 121,  46,
      99,  97, 112, 110, 112,  58,  71,  97,
     116, 101, 119,  97, 121,  80, 101, 101,
     114,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     32,   0,   0,   0,   3,   0,   5,   0,
+     36,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     189, 251, 240, 213, 209, 155,   1, 234,
      88, 124,  82,  58,  45, 235,  69, 131,
-    241,   0,   0,   0,  82,   0,   0,   0,
+     17,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    233,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     244,  77, 139, 237, 159, 115, 117, 139,
     130,  26,  98,  69,  10, 225, 114, 245,
-    221,   0,   0,   0, 122,   0,   0,   0,
+    253,   0,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    213,   0,   0,   0,   7,   0,   0,   0,
+    245,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     158,  91, 252, 188, 194, 250, 243, 221,
     228, 173,  41, 233,  54, 204, 223, 246,
-    201,   0,   0,   0,  42,   0,   0,   0,
+    233,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+    221,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     192, 220,  74,  37,  44, 179, 224, 250,
      63, 234, 225, 169, 214, 190, 101, 140,
-    177,   0,   0,   0, 106,   0,   0,   0,
+    209,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
       6,  79, 217, 229,  18, 239,  25, 176,
      30,   5, 187,  39,  46, 173, 245, 236,
-    157,   0,   0,   0,  58,   0,   0,   0,
+    189,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      94, 150,  97,  91, 182, 148, 218, 157,
      88, 228, 134,  84, 245, 251,  67, 210,
-    133,   0,   0,   0,  98,   0,   0,   0,
+    165,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
+    157,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     145, 184,  44, 111, 189, 145, 236, 196,
      81, 209, 239, 241,  66,   8, 180, 219,
-    113,   0,   0,   0, 114,   0,   0,   0,
+    145,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
      95,  26, 238,  61, 237,  73, 217, 158,
      51, 112, 119, 185,   4, 218, 244, 217,
-     93,   0,   0,   0,  90,   0,   0,   0,
+    125,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+     56, 114,  61,  13, 171, 133, 130, 214,
+     54, 225, 203, 119,   4,   1,  32, 254,
+    105,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
     109,  97, 107, 101,  83, 116,  97, 103,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -863,6 +1022,9 @@
     102, 105, 110, 100,  83, 116, 114, 101,
      97, 109,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    101, 120,  99, 104,  97, 110, 103, 101,
+     76, 111,  97, 100, 115,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_fcf92d53b3c3d6a5 = b_fcf92d53b3c3d6a5.words;
@@ -876,6 +1038,7 @@
   &s_b019ef12e5d94f06,
   &s_c4ec91bd6f2cb891,
   &s_d243fbf55486e458,
+  &s_d68285ab0d3d7238,
   &s_d9f4da04b9777033,
   &s_dbb40842f1efd151,
   &s_ddf3fac2bcfc5b9e,
@@ -884,11 +1047,12 @@
   &s_f572e10a45621a82,
   &s_f6dfcc36e929ade4,
   &s_fae0b32c254adcc0,
+  &s_fe20010477cbe136,
 };
-static const uint16_t m_fcf92d53b3c3d6a5[] = {7, 4, 5, 3, 0, 2, 6, 1};
+static const uint16_t m_fcf92d53b3c3d6a5[] = {8, 7, 4, 5, 3, 0, 2, 6, 1};
 const ::capnp::_::RawSchema s_fcf92d53b3c3d6a5 = {
-  0xfcf92d53b3c3d6a5, b_fcf92d53b3c3d6a5.words, 105, d_fcf92d53b3c3d6a5, m_fcf92d53b3c3d6a5,
-  16, 8, nullptr, nullptr, nullptr, { &s_fcf92d53b3c3d6a5, nullptr, nullptr, 0, 0, nullptr }
+  0xfcf92d53b3c3d6a5, b_fcf92d53b3c3d6a5.words, 116, d_fcf92d53b3c3d6a5, m_fcf92d53b3c3d6a5,
+  18, 9, nullptr, nullptr, nullptr, { &s_fcf92d53b3c3d6a5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_ea019bd1d5f0fbbd = {
@@ -1847,6 +2011,102 @@
   1, 2, i_d9f4da04b9777033, nullptr, nullptr, { &s_d9f4da04b9777033, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_d68285ab0d3d7238 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     56, 114,  61,  13, 171, 133, 130, 214,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 122,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  71,  97,
+    116, 101, 119,  97, 121,  80, 101, 101,
+    114,  46, 101, 120,  99, 104,  97, 110,
+    103, 101,  76, 111,  97, 100, 115,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     81,  65, 160, 123,  15, 125, 134, 172,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d68285ab0d3d7238 = b_d68285ab0d3d7238.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d68285ab0d3d7238[] = {
+  &s_ac867d0f7ba04151,
+};
+static const uint16_t m_d68285ab0d3d7238[] = {0};
+static const uint16_t i_d68285ab0d3d7238[] = {0};
+const ::capnp::_::RawSchema s_d68285ab0d3d7238 = {
+  0xd68285ab0d3d7238, b_d68285ab0d3d7238.words, 34, d_d68285ab0d3d7238, m_d68285ab0d3d7238,
+  1, 1, i_d68285ab0d3d7238, nullptr, nullptr, { &s_d68285ab0d3d7238, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_fe20010477cbe136 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     54, 225, 203, 119,   4,   1,  32, 254,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 130,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     71,  97, 116, 101, 119,  97, 121,  46,
+     99,  97, 112, 110, 112,  58,  71,  97,
+    116, 101, 119,  97, 121,  80, 101, 101,
+    114,  46, 101, 120,  99, 104,  97, 110,
+    103, 101,  76, 111,  97, 100, 115,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 108, 121,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     81,  65, 160, 123,  15, 125, 134, 172,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fe20010477cbe136 = b_fe20010477cbe136.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_fe20010477cbe136[] = {
+  &s_ac867d0f7ba04151,
+};
+static const uint16_t m_fe20010477cbe136[] = {0};
+static const uint16_t i_fe20010477cbe136[] = {0};
+const ::capnp::_::RawSchema s_fe20010477cbe136 = {
+  0xfe20010477cbe136, b_fe20010477cbe136.words, 34, d_fe20010477cbe136, m_fe20010477cbe136,
+  1, 1, i_fe20010477cbe136, nullptr, nullptr, { &s_fe20010477cbe136, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1903,6 +2163,14 @@
 constexpr ::capnp::_::RawSchema const* StreamRecord::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// LoadReport
+constexpr uint16_t LoadReport::_capnpPrivate::dataWordSize;
+constexpr uint16_t LoadReport::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind LoadReport::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* LoadReport::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::MakeStageParams,  ::Hornbeam::Wire::GatewayPeer::MakeStageResults>
 GatewayPeer::Client::makeStageRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1984,6 +2252,16 @@
       "Gateway.capnp:GatewayPeer", "findStream",
       0xfcf92d53b3c3d6a5ull, 7);
 }
+::capnp::Request< ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsParams,  ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsResults>
+GatewayPeer::Client::exchangeLoadsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsParams,  ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsResults>(
+      0xfcf92d53b3c3d6a5ull, 8, sizeHint);
+}
+::kj::Promise<void> GatewayPeer::Server::exchangeLoads(ExchangeLoadsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Gateway.capnp:GatewayPeer", "exchangeLoads",
+      0xfcf92d53b3c3d6a5ull, 8);
+}
 ::capnp::Capability::Server::DispatchCallResult GatewayPeer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2046,6 +2324,12 @@
              ::Hornbeam::Wire::GatewayPeer::FindStreamParams,  ::Hornbeam::Wire::GatewayPeer::FindStreamResults>(context)),
         false
       };
+    case 8:
+      return {
+        exchangeLoads(::capnp::Capability::Server::internalGetTypedContext<
+             ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsParams,  ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2189,6 +2473,22 @@
 constexpr ::capnp::_::RawSchema const* GatewayPeer::FindStreamResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// GatewayPeer::ExchangeLoadsParams
+constexpr uint16_t GatewayPeer::ExchangeLoadsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t GatewayPeer::ExchangeLoadsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GatewayPeer::ExchangeLoadsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GatewayPeer::ExchangeLoadsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// GatewayPeer::ExchangeLoadsResults
+constexpr uint16_t GatewayPeer::ExchangeLoadsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t GatewayPeer::ExchangeLoadsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GatewayPeer::ExchangeLoadsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GatewayPeer::ExchangeLoadsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -34,6 +34,7 @@
 CAPNP_DECLARE_SCHEMA(f19ea63c42488bab);
 CAPNP_DECLARE_SCHEMA(fd49de7df2b14d99);
 CAPNP_DECLARE_SCHEMA(d5c9eaa6b0417d17);
+CAPNP_DECLARE_SCHEMA(ac867d0f7ba04151);
 CAPNP_DECLARE_SCHEMA(fcf92d53b3c3d6a5);
 CAPNP_DECLARE_SCHEMA(ea019bd1d5f0fbbd);
 CAPNP_DECLARE_SCHEMA(8345eb2d3a527c58);
@@ -51,6 +52,8 @@
 CAPNP_DECLARE_SCHEMA(dbb40842f1efd151);
 CAPNP_DECLARE_SCHEMA(9ed949ed3dee1a5f);
 CAPNP_DECLARE_SCHEMA(d9f4da04b9777033);
+CAPNP_DECLARE_SCHEMA(d68285ab0d3d7238);
+CAPNP_DECLARE_SCHEMA(fe20010477cbe136);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -150,6 +153,21 @@
   };
 };
 
+struct LoadReport {
+  LoadReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ac867d0f7ba04151, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GatewayPeer {
   GatewayPeer() = delete;
 
@@ -174,6 +192,8 @@
   struct RecordStreamsResults;
   struct FindStreamParams;
   struct FindStreamResults;
+  struct ExchangeLoadsParams;
+  struct ExchangeLoadsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -423,6 +443,36 @@
   };
 };
 
+struct GatewayPeer::ExchangeLoadsParams {
+  ExchangeLoadsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d68285ab0d3d7238, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GatewayPeer::ExchangeLoadsResults {
+  ExchangeLoadsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe20010477cbe136, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class StageOrder::Reader {
@@ -1083,6 +1133,132 @@
 };
 #endif  // !CAPNP_LITE
 
+class LoadReport::Reader {
+public:
+  typedef LoadReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFront() const;
+  inline  ::capnp::Text::Reader getFront() const;
+
+  inline bool hasDataCenter() const;
+  inline  ::capnp::Text::Reader getDataCenter() const;
+
+  inline  ::int64_t getIncarnation() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint8_t getLevel() const;
+
+  inline  ::uint16_t getFronts() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::Data::Reader getLoads() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadReport::Builder {
+public:
+  typedef LoadReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFront();
+  inline  ::capnp::Text::Builder getFront();
+  inline void setFront( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFront(unsigned int size);
+  inline void adoptFront(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFront();
+
+  inline bool hasDataCenter();
+  inline  ::capnp::Text::Builder getDataCenter();
+  inline void setDataCenter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCenter(unsigned int size);
+  inline void adoptDataCenter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCenter();
+
+  inline  ::int64_t getIncarnation();
+  inline void setIncarnation( ::int64_t value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint8_t getLevel();
+  inline void setLevel( ::uint8_t value);
+
+  inline  ::uint16_t getFronts();
+  inline void setFronts( ::uint16_t value);
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline bool hasLoads();
+  inline  ::capnp::Data::Builder getLoads();
+  inline void setLoads( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownLoads();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadReport::Pipeline {
+public:
+  typedef LoadReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class GatewayPeer::Client
     : public virtual ::capnp::Capability::Client {
@@ -1118,6 +1294,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FindStreamParams,  ::Hornbeam::Wire::GatewayPeer::FindStreamResults> findStreamRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsParams,  ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsResults> exchangeLoadsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1166,6 +1344,10 @@
   typedef  ::Hornbeam::Wire::GatewayPeer::FindStreamResults FindStreamResults;
   typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
   virtual ::kj::Promise<void> findStream(FindStreamContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsParams ExchangeLoadsParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::ExchangeLoadsResults ExchangeLoadsResults;
+  typedef ::capnp::CallContext<ExchangeLoadsParams, ExchangeLoadsResults> ExchangeLoadsContext;
+  virtual ::kj::Promise<void> exchangeLoads(ExchangeLoadsContext context);
 
   inline  ::Hornbeam::Wire::GatewayPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2537,6 +2719,170 @@
 };
 #endif  // !CAPNP_LITE
 
+class GatewayPeer::ExchangeLoadsParams::Reader {
+public:
+  typedef ExchangeLoadsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::Hornbeam::Wire::LoadReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::ExchangeLoadsParams::Builder {
+public:
+  typedef ExchangeLoadsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::Hornbeam::Wire::LoadReport::Builder getReport();
+  inline void setReport( ::Hornbeam::Wire::LoadReport::Reader value);
+  inline  ::Hornbeam::Wire::LoadReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::Hornbeam::Wire::LoadReport>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::LoadReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::ExchangeLoadsParams::Pipeline {
+public:
+  typedef ExchangeLoadsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hornbeam::Wire::LoadReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::ExchangeLoadsResults::Reader {
+public:
+  typedef ExchangeLoadsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::Hornbeam::Wire::LoadReport::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::ExchangeLoadsResults::Builder {
+public:
+  typedef ExchangeLoadsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::Hornbeam::Wire::LoadReport::Builder getReply();
+  inline void setReply( ::Hornbeam::Wire::LoadReport::Reader value);
+  inline  ::Hornbeam::Wire::LoadReport::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Hornbeam::Wire::LoadReport>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::LoadReport> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::ExchangeLoadsResults::Pipeline {
+public:
+  typedef ExchangeLoadsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hornbeam::Wire::LoadReport::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool StageOrder::Reader::hasService() const {
@@ -3269,6 +3615,178 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadReport::Reader::hasFront() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasFront() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadReport::Reader::getFront() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::getFront() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setFront( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::initFront(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptFront(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownFront() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadReport::Reader::hasDataCenter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasDataCenter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadReport::Reader::getDataCenter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::getDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setDataCenter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::initDataCenter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptDataCenter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t LoadReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LoadReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setIncarnation( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LoadReport::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadReport::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t LoadReport::Reader::getLevel() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t LoadReport::Builder::getLevel() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setLevel( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t LoadReport::Reader::getFronts() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LoadReport::Builder::getFronts() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setFronts( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LoadReport::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LoadReport::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadReport::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader LoadReport::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder LoadReport::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setLoads( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder LoadReport::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> LoadReport::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline GatewayPeer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -4020,6 +4538,84 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayPeer::ExchangeLoadsParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::ExchangeLoadsParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hornbeam::Wire::LoadReport::Reader GatewayPeer::ExchangeLoadsParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Hornbeam::Wire::LoadReport::Builder GatewayPeer::ExchangeLoadsParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hornbeam::Wire::LoadReport::Pipeline GatewayPeer::ExchangeLoadsParams::Pipeline::getReport() {
+  return  ::Hornbeam::Wire::LoadReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GatewayPeer::ExchangeLoadsParams::Builder::setReport( ::Hornbeam::Wire::LoadReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Hornbeam::Wire::LoadReport::Builder GatewayPeer::ExchangeLoadsParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::ExchangeLoadsParams::Builder::adoptReport(
+    ::capnp::Orphan< ::Hornbeam::Wire::LoadReport>&& value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hornbeam::Wire::LoadReport> GatewayPeer::ExchangeLoadsParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayPeer::ExchangeLoadsResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::ExchangeLoadsResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hornbeam::Wire::LoadReport::Reader GatewayPeer::ExchangeLoadsResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Hornbeam::Wire::LoadReport::Builder GatewayPeer::ExchangeLoadsResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hornbeam::Wire::LoadReport::Pipeline GatewayPeer::ExchangeLoadsResults::Pipeline::getReply() {
+  return  ::Hornbeam::Wire::LoadReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GatewayPeer::ExchangeLoadsResults::Builder::setReply( ::Hornbeam::Wire::LoadReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Hornbeam::Wire::LoadReport::Builder GatewayPeer::ExchangeLoadsResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::ExchangeLoadsResults::Builder::adoptReply(
+    ::capnp::Orphan< ::Hornbeam::Wire::LoadReport>&& value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hornbeam::Wire::LoadReport> GatewayPeer::ExchangeLoadsResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::LoadReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -34,6 +34,8 @@
   this->kernel.Provide(GatewayName::kCrashes, *this->crashes);
   this->streamOrigins = std::make_unique<StreamOriginService>(this->kernel);
   this->kernel.Provide(GatewayName::kStreamOrigins, *this->streamOrigins);
+  this->loads = std::make_unique<LoadService>(this->kernel);
+  this->kernel.Provide(GatewayName::kLoads, *this->loads);
   this->proxy = std::make_unique<ProxyService>(this->kernel);
   this->kernel.Provide(GatewayName::kProxy, *this->proxy);
   this->directory = std::make_unique<DirectoryService>(this->kernel);
@@ -74,6 +76,7 @@
   handlers.findStream = [this](StreamQuestion const& aQuestion, OriginCallback aDone) {
     this->streamOrigins->FindAsKeeper(aQuestion, std::move(aDone));
   };
+  handlers.exchangeLoads = [this](LoadReport aReport) { return this->loads->OnReport(std::move(aReport)); };
   return handlers;
 }
 
@@ -121,6 +124,7 @@
   this->presence->Start();
   this->crashes->Start();
   this->streamOrigins->Start();
+  this->loads->Start();
 }
 
 void
@@ -144,6 +148,7 @@
   this->settings.directoryLifetime = aSettings.directoryLifetime;
   this->settings.retries = aSettings.retries;
   this->settings.cold = aSettings.cold;
+  this->settings.exchangeLoadsFrom = aSettings.exchangeLoadsFrom;
   PART_LOG("front") << "event=reload name=" << this->settings.name;
 }
 
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -52,6 +52,7 @@
   std::unique_ptr<RelayService> relay;
   std::unique_ptr<CrashService> crashes;
   std::unique_ptr<StreamOriginService> streamOrigins;
+  std::unique_ptr<LoadService> loads;
   std::unique_ptr<ProxyService> proxy;
   std::unique_ptr<DirectoryService> directory;
   std::vector<std::unique_ptr<HttpListener>> entries;
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -52,6 +52,11 @@
     return FromSeconds(this->Number(aPath, aMinimum, aMaximum));
   }
 
+  double OptionalNumber(std::string const& aPath, double aMinimum, double aMaximum, double aDefault)
+  {
+    return this->Find(aPath) ? this->Number(aPath, aMinimum, aMaximum) : aDefault;
+  }
+
   /// False if it is missing.
   bool Flag(std::string const& aPath)
   {
@@ -131,6 +136,8 @@
   settings.retries.window = reader.Seconds("retries.window_s", 1, 600);
   settings.cold.overshoot = reader.Number("cold.overshoot", 0, 100);
   settings.cold.slack = reader.Number("cold.slack", 0, 100000);
+  settings.exchangeLoadsFrom =
+    std::size_t(reader.OptionalNumber("balancing.exchange_from_fronts", 2, 100000, double(settings.exchangeLoadsFrom)));
   if (!aErrors.empty())
     return std::nullopt;
   return settings;
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -32,6 +32,8 @@
   Duration directoryLifetime{ 2s };
   RetryRules retries;
   ColdRules cold;
+  /// The number of fronts from which on they exchange their loads; with fewer, the own counts show the load.
+  std::size_t exchangeLoadsFrom{ 64 };
 };
 
 /// Reads and validates a YAML file. Returns nothing if it has errors; the messages in aErrors begin with the key or
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -49,7 +49,7 @@
   if (preferredIsUsable)
     chosen = this->preferredEndpoint;
   else
-    chosen = ChooseEndpoint(view, this->MakeQuery(), now);
+    chosen = this->ChooseEndpointNow();
   if (chosen) {
     this->SendAttempt(*chosen);
     return;
@@ -125,6 +125,7 @@
   this->attempt.watched = this->proxy.crashes.OnAttemptSent(entry, this->crashCandidates);
   OnAttemptSent(this->timeline, now);
   OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, this->proxy.stateCache.Fronts().byName.size(), now);
+  this->attempt.load = this->proxy.loads.OnAttemptSent(entry, this->metadata.tokenUsage);
   this->attempt.call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
   this->ArmStallTimer();
 }
@@ -144,6 +145,7 @@
                                    aHealth == AttemptHealth::Healthy ? WatchedEnd::Complete : WatchedEnd::Other);
   auto& endpoints = this->proxy.stateCache.Endpoints();
   OnRequestEnded(endpoints, aAttempt.endpoint);
+  this->proxy.loads.OnAttemptEnd(aAttempt.process, aAttempt.load);
   auto const coldTime = RuleOf(*this->table, this->serviceName).coldTime;
   Gateway::OnAttemptEnd(endpoints, aAttempt.endpoint, aHealth, coldTime, this->proxy.clock.Now());
 }
@@ -154,6 +156,7 @@
   aAttempt.call.Abandon();
   this->proxy.crashes.OnAttemptEnd(aAttempt.watched, WatchedEnd::Other);
   OnRequestEnded(this->proxy.stateCache.Endpoints(), aAttempt.endpoint);
+  this->proxy.loads.OnAttemptEnd(aAttempt.process, aAttempt.load);
 }
 
 void
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -81,6 +81,16 @@
            this->streamVersion };
 }
 
+std::optional<std::string>
+ProxiedRequest::ChooseEndpointNow() const
+{
+  auto view = this->proxy.stateCache.MakeSelectionView();
+  view.fleetLoads = this->proxy.loads.FleetView();
+  auto query = this->MakeQuery();
+  query.draw = this->proxy.random();
+  return ChooseEndpoint(view, query, this->proxy.clock.Now());
+}
+
 void
 ProxiedRequest::Begin()
 {
@@ -118,9 +128,7 @@
     this->Fail(400, "pieces-do-not-fit-stages");
     return;
   }
-  auto const now = this->proxy.clock.Now();
-  this->preferredEndpoint =
-    ChooseEndpoint(this->proxy.stateCache.MakeSelectionView(), this->MakeQuery(), now).value_or("");
+  this->preferredEndpoint = this->ChooseEndpointNow().value_or("");
   this->StartStages();
 }
 
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -34,6 +34,8 @@
   EndpointProcess process;
   std::string softwareVersion;
   CallHandle call;
+  /// What the attempt adds to the load of its process; zero if its service has no model endpoints.
+  double load{ 0 };
   /// The attempt's number at the crash service.
   std::uint64_t watched{ 0 };
   bool headReceived{ false };
@@ -105,6 +107,8 @@
   bool IsRetryable() const;
   std::string AffinityKey() const;
   EndpointQuery MakeQuery() const;
+  /// Chooses by the load of the fleet, if it is known.
+  std::optional<std::string> ChooseEndpointNow() const;
 
   /// Whether the request goes on with a stream of which the caller has events already.
   bool TakesStreamUp() const;
--- a/Tests/LibGateway/FrontPeersTests.cpp
+++ b/Tests/LibGateway/FrontPeersTests.cpp
@@ -136,4 +136,43 @@
   RunFor(loop, 5ms);
 }
 
+// A refused report must not look like a reply without load, after which a front would use loads that nobody sent.
+TEST(FrontPeers, ExchangesLoads)
+{
+  Clock clock(ClockMode::Running);
+  EventLoop loop(clock);
+  FrontPeers peer(loop);
+  auto handlers = SilentHandlers();
+  handlers.exchangeLoads = [](LoadReport aReport) -> std::optional<LoadReport> {
+    if (aReport.front != "front" || aReport.number != 5 || aReport.level != 2)
+      return std::nullopt;
+    return LoadReport{ "collector", aReport.dataCenter, 9, 1, 0, { 7, 300ms, std::move(aReport.sum.byEndpoint) } };
+  };
+  ASSERT_TRUE(peer.Listen(kAddress, handlers));
+  FrontPeers caller(loop);
+  std::vector<std::optional<LoadReport>> replies;
+  LoadReport report{ "front", "a", 3, 5, 2, { 1, 0ms, { { 0xabcdef, 500 } } } };
+  auto const exchange = [&](std::string const& aAddress) {
+    auto const expected = replies.size() + 1;
+    caller.ExchangeLoads(aAddress, report, [&](auto const& aReply) { replies.push_back(aReply); });
+    loop.RunUntil([&] { return replies.size() == expected; });
+  };
+  exchange(kAddress);
+  report.sum.byEndpoint.clear();
+  exchange(kAddress);
+  report.number = 6;
+  exchange(kAddress);
+  exchange("127.0.0.1:1");
+  ASSERT_TRUE(replies[0]);
+  EXPECT_EQ(replies[0]->front, "collector");
+  EXPECT_EQ(replies[0]->dataCenter, "a");
+  EXPECT_EQ(replies[0]->sum.fronts, 7U);
+  EXPECT_EQ(replies[0]->sum.age, 300ms);
+  EXPECT_EQ(replies[0]->sum.byEndpoint, (LoadByEndpoint{ { 0xabcdef, 500 } }));
+  ASSERT_TRUE(replies[1]);
+  EXPECT_TRUE(replies[1]->sum.byEndpoint.empty());
+  EXPECT_FALSE(replies[2]);
+  EXPECT_FALSE(replies[3]);
+}
+
 }
