--- a/Libraries/LibGateway/LoadService.cpp
+++ b/Libraries/LibGateway/LoadService.cpp
@@ -80,11 +80,9 @@
   if (found)
     this->ApplyRole(*found);
   else if (this->role)
-    PART_LOG("loads") << "event=not-exchanged fronts=" << this->stateCache.Fronts().byName.size()
-                      << " model_endpoints=" << this->ModelEndpoints();
+    this->EndExchange();
   this->role = found;
   if (!found) {
-    this->view.reset();
     this->clock.Schedule(kIdleInterval, [this] { this->Tick(); });
     return;
   }
@@ -101,6 +99,16 @@
   this->clock.Schedule(FromSeconds(Seconds(found->interval) * jitter(this->random)), [this] { this->Tick(); });
 }
 
+void
+LoadService::EndExchange()
+{
+  PART_LOG("loads") << "event=not-exchanged fronts=" << this->stateCache.Fronts().byName.size()
+                    << " model_endpoints=" << this->ModelEndpoints();
+  this->role.reset();
+  this->view.reset();
+  this->UpdateMetrics();
+}
+
 void
 LoadService::ApplyRole(LoadRole const& aRole)
 {
--- a/Libraries/LibGateway/LoadService.h
+++ b/Libraries/LibGateway/LoadService.h
@@ -32,6 +32,7 @@
   std::optional<LoadRole> FindRole();
   void Tick();
   void ApplyRole(LoadRole const& aRole);
+  void EndExchange();
   void SendReport(FrontEntry const& aCollector);
   void OnReply(FrontEntry const& aCollector, std::optional<LoadReport> const& aReply);
   void Refresh();
--- a/Tests/LibServing/FleetLoadTests.cpp
+++ b/Tests/LibServing/FleetLoadTests.cpp
@@ -4,6 +4,7 @@
 #include <capnp/rpc.capnp.h>
 #include <capnp/serialize.h>
 #include <gtest/gtest.h>
+#include <platform/Platform.h>
 
 namespace Hornbeam::Gateway {
 
@@ -234,6 +235,21 @@
   EXPECT_EQ(LoadOf(std::nullopt), 1);
 }
 
+// A caller's header must neither refuse the request nor make an endpoint seem overloaded for long.
+TEST(FleetLoad, IgnoresUnreadableTokenUsage)
+{
+  auto const usageOf = [](std::string const& aValue) {
+    RequestMessage request;
+    request.fields = { { "Hornbeamfront-Token-Usage", aValue } };
+    std::string error;
+    return Platform::DecodeRequest(request, error).value().tokenUsage;
+  };
+  ASSERT_TRUE(usageOf("9190, 100"));
+  EXPECT_EQ(LoadOf(usageOf("9190, 100")), 10190);
+  for (auto const* const value : { "", "35", "35,9,1", "x,9", "35,", "-1,9", "1000001,9", "1e3,9", "35,99999999999" })
+    EXPECT_FALSE(usageOf(value)) << value;
+}
+
 /// A service with four model endpoints, and the loads of each.
 struct ModelService
 {
