LibServing: Keep prompt parts at endpoints that have slots free

A part now stays where it is while less than half of the endpoint's slots are in use, by the mean load of this front's requests.

--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -12,6 +12,9 @@
 /// endpoint is considered above kThirdFactor. Lower factors gain little and make endpoints read more parts again.
 static constexpr double kKeepFactor = 1.1;
 static constexpr double kThirdFactor = 1.3;
+/// An endpoint with less than this portion of its slots in use keeps its parts, whatever the mean: a request hardly
+/// waits there, and reading a part again at another endpoint costs more than the wait.
+static constexpr double kUnloadedPortion = 0.5;
 /// The portion of an endpoint's parts that go to the next one, per relative difference of their loads.
 static constexpr double kMoveGain = 3;
 /// Range of the portion in which requests of one part go to both endpoints, so that a popular part is split.
@@ -202,8 +205,12 @@
 /// Returns one of the two or three endpoints with the greatest rendezvous weights. The more load the first one has than
 /// the second, the more parts go to the second; which ones is the same on all fronts.
 static KnownEndpoint const*
-ChooseByFleetAffinity(FleetLoads const& aLoads, Candidates const& aCandidates, EndpointQuery const& aQuery)
+ChooseByFleetAffinity(FleetLoads const& aLoads,
+                      Candidates const& aCandidates,
+                      EndpointQuery const& aQuery,
+                      unsigned aSlots)
 {
+  double const unloaded = kUnloadedPortion * aSlots * aLoads.requestLoad;
   auto const weighed = WeighEndpoints(aLoads, aCandidates, aQuery.affinityKey);
   double total = 0;
   for (auto const& candidate : weighed)
@@ -212,7 +219,7 @@
   auto best = weighed.front();
   double threshold = kKeepFactor;
   for (std::size_t index = 1; index < std::min<std::size_t>(3, weighed.size()); ++index, threshold = kThirdFactor) {
-    if (best.load <= threshold * mean)
+    if (best.load <= std::max(threshold * mean, unloaded))
       return best.endpoint;
     auto const& other = weighed[index];
     double const portion = kMoveGain * (best.load - other.load) / (best.load + other.load);
@@ -221,7 +228,8 @@
     if (place * (1 - kMoveJitter) + jitter < portion)
       best = other;
   }
-  return best.load > kHotFactor * mean ? ChooseForHotPart(weighed, mean, aQuery.draw) : best.endpoint;
+  bool const hot = best.load > std::max(kHotFactor * mean, unloaded);
+  return hot ? ChooseForHotPart(weighed, std::max(mean, unloaded / kHotFactor), aQuery.draw) : best.endpoint;
 }
 
 /// Returns the one of two random endpoints with the lower estimated load.
@@ -249,7 +257,7 @@
     return ChooseByLoad(aView, aQuery, aCandidates);
   if (aQuery.affinityKey.empty())
     return ChooseOfTwo(loads, aUnlimited, aQuery.draw);
-  return ChooseByFleetAffinity(loads, aUnlimited, aQuery);
+  return ChooseByFleetAffinity(loads, aUnlimited, aQuery, RuleOf(aView.table, aQuery.service).modelSlots);
 }
 
 std::optional<std::string>
--- a/Libraries/LibServing/FleetLoad.cpp
+++ b/Libraries/LibServing/FleetLoad.cpp
@@ -17,6 +17,8 @@
 /// Time constant of the mean over which the load of others is taken. The load at one moment consists of a few requests
 /// and has changed before it is known; choices that follow it make prompt parts go back and forth.
 static constexpr double kSmoothingSeconds = 5;
+/// Weight of the latest request in the mean load of a request.
+static constexpr double kRequestLoadWeight = 0.02;
 /// An increase by more than this factor counts at once, as a part that becomes popular overloads its endpoint within
 /// seconds.
 static constexpr double kJump = 2;
@@ -209,6 +211,8 @@
 AddOwnLoad(LoadExchange& aExchange, EndpointProcess const& aProcess, double aLoad)
 {
   aExchange.own[LoadNameOf(aProcess)] += aLoad;
+  bool const first = aExchange.requestLoad == 0;
+  aExchange.requestLoad += (first ? 1 : kRequestLoadWeight) * (aLoad - aExchange.requestLoad);
 }
 
 void
@@ -332,9 +336,8 @@
   double const existing = double(aFronts) - 1;
   if (others.fronts == 0 || others.fronts < kMinKnownFronts * existing)
     return std::nullopt;
-  FleetLoads loads{
-    std::move(others.byEndpoint), &aExchange.own, others.age, others.fronts, aNow + (kMaxLoadAge - others.age)
-  };
+  FleetLoads loads{ std::move(others.byEndpoint),      &aExchange.own,       others.age, others.fronts,
+                    aNow + (kMaxLoadAge - others.age), aExchange.requestLoad };
   // Fronts are counted twice for a moment when they change their parent; then nothing is scaled.
   if (auto const scale = existing / others.fronts; scale > 1)
     for (auto& [name, load] : loads.elsewhere)
--- a/Libraries/LibServing/FleetLoad.h
+++ b/Libraries/LibServing/FleetLoad.h
@@ -126,6 +126,8 @@
   Duration interval{ 1s };
   /// The load of this front's own requests.
   LoadByEndpoint own;
+  /// The mean load of a request, smoothed over this front's requests.
+  double requestLoad{ 0 };
   /// The latest reports of the fronts that report to this one, by front.
   std::map<std::string, HeldReport> children;
   /// The latest sums of the other data centres, by data centre.
@@ -183,6 +185,8 @@
   unsigned fronts{ 0 };
   /// When the loads are too old to be used.
   MonotonicTime expires{};
+  /// The mean load of this front's requests; zero if it has sent none.
+  double requestLoad{ 0 };
 };
 
 /// Makes the view of a front from what it holds and from its former view, which is given while it has not expired; to
--- a/Libraries/LibServing/ServingTable.h
+++ b/Libraries/LibServing/ServingTable.h
@@ -77,6 +77,8 @@
   std::optional<StageLimits> stage;
   /// The endpoints run models, whose load depends on the tokens of their requests.
   bool hasModelEndpoints{ false };
+  /// The number of requests that a model endpoint runs at once; zero if the table does not tell.
+  unsigned modelSlots{ 0 };
 };
 
 /// Limits on what callers may send.
