--- a/Tests/Soak/SoakFront.cpp
+++ b/Tests/Soak/SoakFront.cpp
@@ -52,7 +52,8 @@
                      std::string aDirectory,
                      std::string aName,
                      SoakFrontAddresses aAddresses,
-                     Duration aGraceTime)
+                     Duration aGraceTime,
+                     std::string const& aLimits)
   : program(std::move(aProgram))
   , name(std::move(aName))
   , settingsFile(aDirectory + "/" + this->name + ".yaml")
@@ -60,7 +61,8 @@
   , addresses(std::move(aAddresses))
 {
   std::ofstream settings(this->settingsFile);
-  settings << "name: " << this->name << "\ndata_center: a\nregion: r\nmachine:\n  cores: 1\naddresses:\n"
+  settings << "name: " << this->name << "\ndata_center: a\nregion: r\nmachine:\n  cores: 1\n"
+           << aLimits << "addresses:\n"
            << "  callers: " << this->addresses.callers << "\n  readiness: " << this->addresses.readiness
            << "\n  directory: " << this->addresses.directory << "\n  peers: " << this->addresses.peers
            << "\n  metrics: " << this->addresses.metrics << "\nstore:\n  address: " << this->addresses.store
--- a/Tests/Soak/SoakFront.h
+++ b/Tests/Soak/SoakFront.h
@@ -28,12 +28,14 @@
 class SoakFront
 {
 public:
-  /// Writes the settings file to aDirectory. The log also goes there.
+  /// Writes the settings file to aDirectory. The log also goes there. aLimits are the lines of the settings that follow
+  /// machine.cores, such as "  memory_mb: 64\n".
   SoakFront(std::string aProgram,
             std::string aDirectory,
             std::string aName,
             SoakFrontAddresses aAddresses,
-            Duration aGraceTime);
+            Duration aGraceTime,
+            std::string const& aLimits = "");
   SoakFront(SoakFront const&) = delete;
   SoakFront& operator=(SoakFront const&) = delete;
   ~SoakFront();
@@ -48,6 +50,8 @@
   std::optional<int> TakeExitStatus();
 
   bool IsRunning() const { return this->process > 0; }
+  /// The id of the process; zero if none is running.
+  pid_t Process() const { return this->process; }
 
 private:
   std::string program;
