LibExchange, LibGateway: Bound what all callers hold together

Nothing bounded the memory of callers' requests over all connections, nor the number of connections. ServerConnection now charges the capacity of its buffers, unsent bytes and the copies that a request needs to one CallerMemory for the four listening addresses of a front, and carries out what CallerBudget decides. A request that does not fit gets 503 with Retry-After before its handler runs. Buffers of rejected requests are freed at once instead of cleared, kernel buffers of callers' and endpoints' connections are bounded, and memory returns to the system after a crowd. Readiness, directory and metrics have connections of their own and accept bodies of up to 4 KiB. A property of each crowd test records its figures; bounds and crowds are unchanged.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -11,6 +11,9 @@
 /// close on the network. Covers a round trip between data centres and a late timer.
 static constexpr Duration kIdleMargin = 700ms;
 static constexpr Duration kMaxIdleTimeout = 30s;
+/// Bounds what the kernel holds of a response while reading is paused for a slow caller: unread bytes count for the
+/// process. At the latency between data centres it does not slow a response down.
+static constexpr std::size_t kReceiveBufferBytes = 131072;
 
 std::string_view
 ToString(CallEnd aEnd)
@@ -61,6 +64,7 @@
       });
       return;
     }
+    this->stream->SetBufferSizes(kReceiveBufferBytes, 0);
     this->SetStreamEvents();
     this->connectTimer = this->pool.clock.Schedule(this->connectTimeout, [weak] {
       auto const connection = weak.lock();
--- a/Libraries/LibExchange/HttpMessage.cpp
+++ b/Libraries/LibExchange/HttpMessage.cpp
@@ -59,6 +59,29 @@
     aFields, [](auto const& aField) { return aField.first.size() + aField.second.size() <= kMaxFieldBytes; });
 }
 
+void
+ReleaseString(std::string& aString)
+{
+  std::string().swap(aString);
+}
+
+std::size_t
+AllocatedBytes(std::string const& aString)
+{
+  static std::size_t const inlineCapacity = std::string().capacity();
+  return aString.capacity() > inlineCapacity ? aString.capacity() + 1 : 0;
+}
+
+std::size_t
+HeldBytes(RequestMessage const& aRequest)
+{
+  auto bytes = AllocatedBytes(aRequest.body) + AllocatedBytes(aRequest.target) +
+               aRequest.fields.capacity() * sizeof(HeaderFields::value_type);
+  for (auto const& [name, value] : aRequest.fields)
+    bytes += AllocatedBytes(name) + AllocatedBytes(value);
+  return bytes;
+}
+
 static void
 CopyFields(HeaderFields const& aFrom, http::fields& aTo)
 {
--- a/Libraries/LibExchange/HttpMessage.h
+++ b/Libraries/LibExchange/HttpMessage.h
@@ -36,6 +36,18 @@
   std::string body;
 };
 
+/// The memory that a request occupies in bytes, with the spare capacity of its buffers.
+std::size_t
+HeldBytes(RequestMessage const& aRequest);
+
+/// Gives the memory of a string back; clear() keeps its capacity.
+void
+ReleaseString(std::string& aString);
+
+/// The memory that a string occupies outside of itself, in bytes.
+std::size_t
+AllocatedBytes(std::string const& aString);
+
 /// The status and the header fields of a response, without framing.
 struct ResponseHead
 {
--- a/Libraries/LibExchange/HttpParsers.cpp
+++ b/Libraries/LibExchange/HttpParsers.cpp
@@ -71,9 +71,25 @@
          EqualIgnoringCase(std::string_view(coding->value().data(), coding->value().size()), "chunked");
 }
 
+/// What Beast allocates for a field besides its name and value.
+static constexpr std::size_t kFieldBytes = 96;
+/// A body is copied to a smaller buffer if that frees more than this.
+static constexpr std::size_t kMaxSpareBytes = 65536;
+
 struct RequestParser::Implementation
 {
   http::request_parser<http::string_body> parser;
+  /// The memory of the head; zero until it is complete.
+  std::size_t headBytes{ 0 };
+
+  void MeasureHead()
+  {
+    if (this->headBytes != 0 || !this->parser.is_header_done())
+      return;
+    this->headBytes = this->parser.get().target().size();
+    for (auto const& field : this->parser.get())
+      this->headBytes += kFieldBytes + field.name_string().size() + field.value().size();
+  }
 };
 
 RequestParser::RequestParser(MessageLimits aLimits)
@@ -91,7 +107,15 @@
 RequestParser::Feed(std::string& aBytes)
 {
   auto& parser = this->implementation->parser;
-  return FeedParser(parser, aBytes, [&] { return HasValidTransferCoding(parser.get()); });
+  auto const state = FeedParser(parser, aBytes, [&] { return HasValidTransferCoding(parser.get()); });
+  this->implementation->MeasureHead();
+  return state;
+}
+
+std::size_t
+RequestParser::HeldBytes() const
+{
+  return this->implementation->headBytes + AllocatedBytes(this->implementation->parser.get().body());
 }
 
 bool
@@ -122,6 +146,8 @@
   request.target = std::string(message.target());
   request.fields = FieldsOf(message);
   request.body = std::move(message.body());
+  if (request.body.capacity() - request.body.size() > kMaxSpareBytes)
+    request.body.shrink_to_fit();
   return request;
 }
 
--- a/Libraries/LibExchange/HttpParsers.h
+++ b/Libraries/LibExchange/HttpParsers.h
@@ -40,6 +40,9 @@
   bool ExpectsContinue() const;
   bool WantsClose() const;
 
+  /// The memory that the head and the body occupy in bytes, with the spare capacity of the body.
+  std::size_t HeldBytes() const;
+
   /// Returns the request. Must be called only after Feed() has returned ParseState::Done.
   RequestMessage Take();
 
--- a/Libraries/LibExchange/ServerConnection.cpp
+++ b/Libraries/LibExchange/ServerConnection.cpp
@@ -6,6 +6,13 @@
 static constexpr Duration kLingerTime = 500ms;
 /// Upper bound on buffered bytes of pipelined requests; above it reading is paused.
 static constexpr std::size_t kMaxPipelinedBytes = 65536;
+/// What an open connection occupies without any bytes of a message: its objects, timers and the handle of libuv.
+static constexpr std::size_t kConnectionBytes = 2048;
+/// What a request in progress occupies besides its own bytes: its state and the connection to its endpoint.
+static constexpr std::size_t kRequestBytes = 16384;
+/// Bounds what the kernel holds of responses that callers do not read.
+static constexpr std::size_t kSendBufferBytes = 131072;
+static constexpr char kRefusalRetryAfter[] = "0.5";
 
 Exchange::Exchange(std::weak_ptr<ServerConnection> aConnection, RequestMessage aRequest, MonotonicTime aReceived)
   : connection(std::move(aConnection))
@@ -23,7 +30,7 @@
   auto bytes = SerializeResponseHead(aHead, BodyFraming::Sized, aBody.size(), to->ResponseConnectionUse());
   if (this->SendsBody())
     bytes += aBody;
-  to->stream->Write(std::move(bytes));
+  to->Send(std::move(bytes));
   to->FinishResponse();
 }
 
@@ -32,7 +39,7 @@
 {
   auto const to = this->connection.lock();
   if (to && to->phase == ServerConnection::Phase::Responding)
-    to->stream->Write(SerializeResponseHead(aHead, BodyFraming::Chunked, 0, to->ResponseConnectionUse()));
+    to->Send(SerializeResponseHead(aHead, BodyFraming::Chunked, 0, to->ResponseConnectionUse()));
 }
 
 void
@@ -40,7 +47,7 @@
 {
   auto const to = this->connection.lock();
   if (to && to->phase == ServerConnection::Phase::Responding && !aChunk.empty() && this->SendsBody())
-    to->stream->Write(SerializeChunk(aChunk));
+    to->Send(SerializeChunk(aChunk));
 }
 
 void
@@ -50,7 +57,7 @@
   if (!to || to->phase != ServerConnection::Phase::Responding)
     return;
   if (this->SendsBody())
-    to->stream->Write(SerializeLastChunk());
+    to->Send(SerializeLastChunk());
   to->FinishResponse();
 }
 
@@ -83,12 +90,22 @@
 {
   this->context.connections.erase(this);
   this->context.clock.Cancel(this->timer);
+  if (this->account != 0)
+    this->context.memory->Close(this->account);
 }
 
 void
 ServerConnection::Serve(ServerContext& aContext, std::shared_ptr<TcpStream> aStream)
 {
   auto const connection = std::make_shared<ServerConnection>(aContext, std::move(aStream));
+  if (auto* const memory = aContext.memory; memory != nullptr) {
+    auto& connected = *connection->stream;
+    connection->account = memory->Open(*connection, aContext.group, connected.PeerAddress());
+    if (connection->account == 0)
+      return connected.Reset();
+    connected.SetBufferSizes(ReceiveBufferBytes(memory->Budget()), kSendBufferBytes);
+    connection->UpdateUsage();
+  }
   connection->self = connection;
   StreamEvents events;
   auto* const raw = connection.get();
@@ -122,6 +139,93 @@
   this->End();
 }
 
+CallerUsage
+ServerConnection::Usage() const
+{
+  CallerUsage usage;
+  bool const serving = this->phase == Phase::Responding;
+  usage.unsentBytes = this->stream->Unsent();
+  usage.bytesMoved = this->phase == Phase::Receiving ? this->bytesReceived : this->bytesWritten - usage.unsentBytes;
+  usage.requestsCompleted = this->requestsCompleted;
+  usage.copyBytes = this->copyBytes;
+  usage.requestBytes = kConnectionBytes + this->exchangeBytes + (this->parser ? this->parser->HeldBytes() : 0);
+  (serving ? usage.pipelinedBytes : usage.requestBytes) += AllocatedBytes(this->received);
+  if (serving)
+    usage.state = CallerState::Serving;
+  else if (this->phase == Phase::Receiving)
+    usage.state = CallerState::Receiving;
+  else if (this->phase != Phase::Idle)
+    usage.state = CallerState::Closing;
+  return usage;
+}
+
+void
+ServerConnection::UpdateUsage()
+{
+  if (this->account != 0)
+    this->context.memory->Update(this->account, this->Usage());
+}
+
+bool
+ServerConnection::FitsBudget()
+{
+  if (this->account == 0)
+    return true;
+  auto const before = this->phase;
+  this->UpdateUsage();
+  this->context.memory->MakeRoom();
+  return this->phase == before;
+}
+
+void
+ServerConnection::Send(std::string aBytes)
+{
+  this->bytesWritten += aBytes.size();
+  this->stream->Write(std::move(aBytes));
+  this->UpdateUsage();
+  // The caller of this function may be in the middle of a request whose connection would be closed.
+  if (this->account != 0)
+    this->context.memory->MakeRoomLater();
+}
+
+void
+ServerConnection::GiveWay(RoomAction aAction)
+{
+  auto const protector = this->shared_from_this();
+  switch (aAction) {
+    case RoomAction::RefuseRequest:
+      // A refusal guarantees that the request has not run.
+      if (this->phase != Phase::Receiving)
+        return this->UpdateUsage();
+      return this->RespondAndClose({ 503, { { "Content-Type", "text/plain" }, { "Retry-After", kRefusalRetryAfter } } },
+                                   "no memory for request");
+    case RoomAction::DropPipelined:
+      ReleaseString(this->received);
+      this->inputDropped = this->closeAfter = true;
+      this->stream->ResumeReading();
+      return this->UpdateUsage();
+    case RoomAction::CloseUnread:
+      this->ReportDisconnect();
+      this->stream->Reset();
+      return this->End();
+  }
+}
+
+void
+ServerConnection::CloseForRoom()
+{
+  auto const protector = this->shared_from_this();
+  this->stream->Close();
+  this->End();
+}
+
+void
+ServerConnection::ReportDisconnect()
+{
+  if (auto const disconnected = std::move(this->exchange); disconnected && disconnected->onCallerDisconnected)
+    disconnected->onCallerDisconnected();
+}
+
 ConnectionUse
 ServerConnection::ResponseConnectionUse()
 {
@@ -136,10 +240,14 @@
   auto const protector = this->shared_from_this();
   if (this->phase == Phase::Lingering || this->phase == Phase::Ended)
     return;
+  this->bytesReceived += aBytes.size();
+  if (this->inputDropped)
+    return;
   this->received += aBytes;
   if (this->phase == Phase::Responding) {
     if (this->received.size() > kMaxPipelinedBytes)
       this->stream->PauseReading();
+    this->FitsBudget();
     return;
   }
   this->ParseReceived();
@@ -149,8 +257,7 @@
 ServerConnection::OnEnd()
 {
   auto const protector = this->shared_from_this();
-  if (auto const disconnected = std::move(this->exchange); disconnected && disconnected->onCallerDisconnected)
-    disconnected->onCallerDisconnected();
+  this->ReportDisconnect();
   this->stream->Close();
   this->End();
 }
@@ -159,6 +266,7 @@
 ServerConnection::OnDrained()
 {
   auto const protector = this->shared_from_this();
+  this->UpdateUsage();
   if (auto const current = this->exchange; current && current->onDrained)
     current->onDrained();
   if (this->context.closing)
@@ -184,9 +292,13 @@
     this->BeginRequest();
   switch (this->parser->Feed(this->received)) {
     case ParseState::NeedMore:
+      if (this->received.empty())
+        ReleaseString(this->received);
+      if (!this->FitsBudget())
+        return;
       if (this->parser->HeadComplete() && this->parser->ExpectsContinue() && !this->continueSent) {
         this->continueSent = true;
-        this->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+        this->Send("HTTP/1.1 100 Continue\r\n\r\n");
       }
       return;
     case ParseState::Malformed:
@@ -198,11 +310,26 @@
     case ParseState::Done:
       break;
   }
+  this->BeginResponding();
+}
+
+void
+ServerConnection::BeginResponding()
+{
   this->closeAfter = this->parser->WantsClose();
+  auto message = this->parser->Take();
+  this->parser.reset();
+  if (this->received.empty())
+    ReleaseString(this->received);
+  // The request stays with its exchange, and is encoded once more for the endpoint, where it may wait unsent.
+  this->exchangeBytes = HeldBytes(message);
+  this->copyBytes = kRequestBytes + this->exchangeBytes;
+  if (!this->FitsBudget())
+    return;
   this->context.clock.Cancel(this->timer);
   this->phase = Phase::Responding;
-  auto request = std::make_shared<Exchange>(this->weak_from_this(), this->parser->Take(), this->firstByte);
-  this->parser.reset();
+  this->UpdateUsage();
+  auto request = std::make_shared<Exchange>(this->weak_from_this(), std::move(message), this->firstByte);
   this->exchange = request;
   this->context.handler(std::move(request));
 }
@@ -211,14 +338,19 @@
 ServerConnection::FinishResponse()
 {
   this->exchange.reset();
+  this->exchangeBytes = this->copyBytes = 0;
+  ++this->requestsCompleted;
   // Close only if the response announced it: otherwise the caller may already be sending its next request.
   if (this->closeAfter) {
     this->phase = Phase::Lingering;
+    ReleaseString(this->received);
+    this->UpdateUsage();
     this->stream->ResumeReading();
     this->ArmTimer(kLingerTime);
     return;
   }
   this->phase = Phase::Idle;
+  this->UpdateUsage();
   if (this->context.closing)
     this->CloseIfIdle();
   if (this->phase == Phase::Ended)
@@ -240,13 +372,19 @@
 ServerConnection::Reject(unsigned aStatus, std::string_view aReason)
 {
   this->context.onRejected(aStatus, aReason);
-  ResponseHead const head{ aStatus, { { "Content-Type", "text/plain" } } };
-  this->stream->Write(SerializeResponseHead(head, BodyFraming::Sized, aReason.size(), ConnectionUse::Close) +
-                      std::string(aReason));
+  this->RespondAndClose({ aStatus, { { "Content-Type", "text/plain" } } }, aReason);
+}
+
+void
+ServerConnection::RespondAndClose(ResponseHead const& aHead, std::string_view aReason)
+{
   this->parser.reset();
-  this->received.clear();
+  ReleaseString(this->received);
+  this->exchangeBytes = this->copyBytes = 0;
   this->phase = Phase::Lingering;
   this->ArmTimer(kLingerTime);
+  this->Send(SerializeResponseHead(aHead, BodyFraming::Sized, aReason.size(), ConnectionUse::Close) +
+             std::string(aReason));
 }
 
 void
@@ -274,6 +412,8 @@
 {
   this->phase = Phase::Ended;
   this->context.clock.Cancel(this->timer);
+  if (auto const closed = std::exchange(this->account, 0); closed != 0)
+    this->context.memory->Close(closed);
   this->self.reset();
 }
 
@@ -295,7 +435,8 @@
 }
 
 HttpListener::HttpListener(uv_loop_t& aLoop, Clock& aClock, ExchangeHandler aHandler)
-  : context{ aClock, {}, std::move(aHandler), ConnectionUse::KeepAlive, false, {}, [](unsigned, std::string_view) {} }
+  : context{ aClock, {},      std::move(aHandler),  ConnectionUse::KeepAlive,         false,
+             {},     nullptr, CallerGroup::Callers, [](unsigned, std::string_view) {} }
   , listener(aLoop, StreamTimeouts{}, [this](std::shared_ptr<TcpStream> aStream) {
     ServerConnection::Serve(this->context, std::move(aStream));
   })
--- a/Libraries/LibExchange/ServerConnection.h
+++ b/Libraries/LibExchange/ServerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallerMemory.h"
 #include "HttpParsers.h"
 #include "TcpStream.h"
 #include <set>
@@ -69,6 +70,9 @@
   /// Set when the process is about to end: a connection is closed as soon as no request is in progress on it.
   bool closing{ false };
   std::set<ServerConnection*> connections;
+  /// The accounts of all callers of the process; null if they are not limited.
+  CallerMemory* memory{ nullptr };
+  CallerGroup group{ CallerGroup::Callers };
   /// Called for each request that is rejected because of its framing, its size or the header timeout.
   std::function<void(unsigned aStatus, std::string_view aReason)> onRejected;
 };
@@ -85,6 +89,13 @@
   /// Closes the connection without a response to what was received. A response that was sent is still delivered.
   void Reset();
 
+  /// Carries out what CallerBudget decided; the connection holds less afterwards.
+  void GiveWay(RoomAction aAction);
+  /// Closes the connection, on which no request is in progress, for the sake of another one.
+  void CloseForRoom();
+  /// Reports what the connection holds now.
+  void UpdateUsage();
+
   ServerConnection(ServerContext& aContext, std::shared_ptr<TcpStream> aStream);
   ServerConnection(ServerConnection const&) = delete;
   ServerConnection& operator=(ServerConnection const&) = delete;
@@ -105,12 +116,21 @@
 
   void OnData(std::string_view aBytes);
   void OnEnd();
+  /// Tells the handler of the request in progress, if there is one, that its caller is gone.
+  void ReportDisconnect();
+  CallerUsage Usage() const;
+  void Send(std::string aBytes);
+  /// Updates the usage and makes room for it; returns false if this request was refused for that.
+  bool FitsBudget();
+  void BeginResponding();
   void OnDrained();
   void ParseReceived();
   void BeginRequest();
   void ArmTimer(Duration aDelay);
   void OnTimer();
   void Reject(unsigned aStatus, std::string_view aReason);
+  /// Sends a complete response, discards the request and closes the connection.
+  void RespondAndClose(ResponseHead const& aHead, std::string_view aReason);
   void FinishResponse();
   /// The connection use to announce in the response that begins now.
   ConnectionUse ResponseConnectionUse();
@@ -126,8 +146,17 @@
   MonotonicTime firstByte{};
   TimerId timer{ 0 };
   Phase phase{ Phase::Idle };
+  CallerId account{ 0 };
+  std::uint64_t bytesReceived{ 0 };
+  std::uint64_t bytesWritten{ 0 };
+  std::uint64_t requestsCompleted{ 0 };
+  /// What the complete request in progress occupies, and what its copies and its handling do.
+  std::size_t exchangeBytes{ 0 };
+  std::size_t copyBytes{ 0 };
   bool closeAfter{ false };
   bool continueSent{ false };
+  /// Input after the request in progress is discarded.
+  bool inputDropped{ false };
 };
 
 /// An HTTP server on one listening address. It must live as long as the process.
--- a/Libraries/LibExchange/TcpStream.cpp
+++ b/Libraries/LibExchange/TcpStream.cpp
@@ -113,6 +113,32 @@
   this->events = std::make_shared<StreamEvents const>(std::move(aEvents));
 }
 
+void
+TcpStream::SetBufferSizes(std::size_t aReceive, std::size_t aSend)
+{
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t const*>(&this->handle), &descriptor) != 0)
+    return;
+  int const receive = int(aReceive);
+  int const send = int(aSend);
+  if (receive > 0)
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive, sizeof(receive));
+  if (send > 0)
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &send, sizeof(send));
+}
+
+std::string
+TcpStream::PeerAddress() const
+{
+  sockaddr_in address{};
+  int length = sizeof(address);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  if (uv_tcp_getpeername(&this->handle, reinterpret_cast<sockaddr*>(&address), &length) != 0 ||
+      uv_ip4_name(&address, text.data(), text.size()) != 0)
+    return "";
+  return text.data();
+}
+
 void
 TcpStream::StartReading()
 {
--- a/Libraries/LibExchange/TcpStream.h
+++ b/Libraries/LibExchange/TcpStream.h
@@ -53,6 +53,14 @@
   TcpStream& operator=(TcpStream const&) = delete;
 
   void SetEvents(StreamEvents aEvents);
+
+  /// Bounds the kernel's buffers of the connection, in bytes; the kernel may double them for its own overhead. Zero
+  /// leaves a buffer as it is.
+  void SetBufferSizes(std::size_t aReceive, std::size_t aSend);
+
+  /// The numeric address of the peer without its port; empty if it is unknown.
+  std::string PeerAddress() const;
+
   void Write(std::string aBytes);
 
   /// The number of written bytes that the operating system has not accepted yet.
--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -19,6 +19,7 @@
   , proxy(aKernel.Find<ProxyService>(GatewayName::kProxy))
   , relay(aKernel.Find<RelayService>(GatewayName::kRelay))
   , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
+  , callerMemory(aKernel.Find<CallerMemory const>(GatewayName::kCallerMemory))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
 {
 }
@@ -114,6 +115,17 @@
   target.SetGauge("endpoint_calls", double(this->connections.Usage().calls));
   target.SetGauge("endpoint_connections_made", double(this->connections.Usage().connectionsMade));
   target.SetGauge("endpoint_call_failures", double(this->connections.Usage().failures));
+  auto const& budget = this->callerMemory.Budget();
+  target.SetGauge("caller_bytes", double(budget.bytes));
+  target.SetGauge("caller_bytes_limit", double(budget.limits.bytes));
+  target.SetGauge("caller_connections", double(budget.callers));
+  target.SetGauge("caller_connections_limit", double(budget.limits.connections));
+  target.SetGauge("caller_connections_internal", double(budget.internalCallers));
+  auto const& refusals = this->callerMemory.Refusals();
+  target.SetGauge("caller_requests_refused_for_memory", double(refusals.requestsRefused));
+  target.SetGauge("caller_inputs_dropped_for_memory", double(refusals.inputsDropped));
+  target.SetGauge("caller_connections_closed_unread", double(refusals.unreadClosed));
+  target.SetGauge("caller_connections_closed_for_room", double(refusals.connectionsClosed));
   auto const& counts = this->stageOwner.Counts();
   target.SetGauge("endpoint_crashes_seen", double(this->crashes.Crashes()));
   target.SetGauge("crash_candidates_quarantined", double(this->crashes.Quarantined().size()));
--- a/Libraries/LibGateway/DirectoryService.h
+++ b/Libraries/LibGateway/DirectoryService.h
@@ -34,6 +34,7 @@
   ProxyService& proxy;
   RelayService& relay;
   CrashService& crashes;
+  CallerMemory const& callerMemory;
   GatewayMetrics& metrics;
   bool draining{ false };
 };
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -4,11 +4,16 @@
 namespace Hornbeam::Gateway {
 
 static constexpr Duration kStopCheckInterval = 50ms;
+/// Requests for readiness, the directory and metrics need no body.
+static constexpr std::size_t kMaxInternalBodyBytes = 4096;
+/// A chunked body occupies up to twice its size, and is encoded once more for the endpoint.
+static constexpr std::size_t kCopiesOfBody = 3;
 
 GatewayFront::GatewayFront(GatewaySettings aSettings, EventLoop& aLoop, std::function<void()> aOnStopped)
   : settings(std::move(aSettings))
   , loop(aLoop)
   , onStopped(std::move(aOnStopped))
+  , callerMemory(aLoop.RuntimeClock(), this->settings.callerLimits)
   , connections(aLoop.UvLoop(), aLoop.RuntimeClock())
   , store(this->connections, this->settings.storeAddress)
   , peers(aLoop)
@@ -16,6 +21,7 @@
   this->kernel.Provide(GatewayName::kSettings, static_cast<GatewaySettings const&>(this->settings));
   this->kernel.Provide(GatewayName::kClock, aLoop.RuntimeClock());
   this->kernel.Provide(GatewayName::kEventLoop, static_cast<EventLoop const&>(aLoop));
+  this->kernel.Provide(GatewayName::kCallerMemory, static_cast<CallerMemory const&>(this->callerMemory));
   this->kernel.Provide(GatewayName::kConnections, this->connections);
   this->kernel.Provide(GatewayName::kStore, this->store);
   this->kernel.Provide(GatewayName::kPeers, this->peers);
@@ -41,10 +47,15 @@
 }
 
 HttpListener&
-GatewayFront::AddEntry(ExchangeHandler aHandler)
+GatewayFront::AddEntry(CallerGroup aGroup, ExchangeHandler aHandler)
 {
   this->entries.push_back(
     std::make_unique<HttpListener>(this->loop.UvLoop(), this->loop.RuntimeClock(), std::move(aHandler)));
+  auto& context = this->entries.back()->Context();
+  context.memory = &this->callerMemory;
+  context.group = aGroup;
+  if (aGroup == CallerGroup::Internal)
+    context.limits.message.bodyBytes = kMaxInternalBodyBytes;
   return *this->entries.back();
 }
 
@@ -80,16 +91,19 @@
 bool
 GatewayFront::Open()
 {
-  this->callers = &this->AddEntry([this](std::shared_ptr<Exchange> aExchange) { this->proxy->Handle(aExchange); });
+  this->callers = &this->AddEntry(CallerGroup::Callers,
+                                  [this](std::shared_ptr<Exchange> aExchange) { this->proxy->Handle(aExchange); });
   this->callers->Context().onRejected = [](unsigned aStatus, std::string_view aReason) {
     PART_LOG("callers") << "event=rejected status=" << aStatus << " reason=\"" << aReason << "\"";
   };
-  auto& readiness =
-    this->AddEntry([this](std::shared_ptr<Exchange> aExchange) { this->directory->HandleReadiness(aExchange); });
-  auto& directoryEntry =
-    this->AddEntry([this](std::shared_ptr<Exchange> aExchange) { this->directory->HandleDirectory(aExchange); });
-  auto& metricsEntry =
-    this->AddEntry([this](std::shared_ptr<Exchange> aExchange) { this->directory->HandleMetrics(aExchange); });
+  auto& readiness = this->AddEntry(CallerGroup::Internal, [this](std::shared_ptr<Exchange> aExchange) {
+    this->directory->HandleReadiness(aExchange);
+  });
+  auto& directoryEntry = this->AddEntry(CallerGroup::Internal, [this](std::shared_ptr<Exchange> aExchange) {
+    this->directory->HandleDirectory(aExchange);
+  });
+  auto& metricsEntry = this->AddEntry(
+    CallerGroup::Internal, [this](std::shared_ptr<Exchange> aExchange) { this->directory->HandleMetrics(aExchange); });
   std::vector<std::pair<HttpListener*, std::string>> const addresses{
     { this->callers, this->settings.callerAddress },
     { &readiness, this->settings.readinessAddress },
@@ -134,6 +148,10 @@
   limits.message = { rules.maxHeaderBytes, rules.maxBodyBytes };
   limits.headerTimeout = rules.headerTimeout;
   limits.idleTimeout = rules.idleTimeout;
+  auto const needed = kCopiesOfBody * rules.maxBodyBytes;
+  if (needed > this->settings.callerLimits.bytes && needed != std::exchange(this->loggedNeed, needed))
+    PART_WARNING("callers") << "event=limit-below-one-request limit_bytes=" << this->settings.callerLimits.bytes
+                            << " needed_bytes=" << needed << " max_body_bytes=" << rules.maxBodyBytes;
 }
 
 void
@@ -144,6 +162,8 @@
   this->settings.directoryLifetime = aSettings.directoryLifetime;
   this->settings.retries = aSettings.retries;
   this->settings.cold = aSettings.cold;
+  this->settings.callerLimits = aSettings.callerLimits;
+  this->callerMemory.SetLimits(aSettings.callerLimits);
   PART_LOG("front") << "event=reload name=" << this->settings.name;
 }
 
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -35,12 +35,13 @@
   void ContinueStop();
   StopProgress MakeStopProgress() const;
   void ApplyCallerLimits();
-  HttpListener& AddEntry(ExchangeHandler aHandler);
+  HttpListener& AddEntry(CallerGroup aGroup, ExchangeHandler aHandler);
 
   GatewaySettings settings;
   EventLoop& loop;
   std::function<void()> onStopped;
   Kernel kernel;
+  CallerMemory callerMemory;
   ConnectionPool connections;
   StoreClient store;
   FrontPeers peers;
@@ -56,6 +57,8 @@
   std::unique_ptr<DirectoryService> directory;
   std::vector<std::unique_ptr<HttpListener>> entries;
   HttpListener* callers{ nullptr };
+  /// The need of one request for which a warning was logged.
+  std::size_t loggedNeed{ 0 };
   std::optional<StopPlan> stop;
   StopStep stopStep{ StopStep::Serve };
 };
--- a/Libraries/LibGateway/GatewayNames.h
+++ b/Libraries/LibGateway/GatewayNames.h
@@ -7,6 +7,7 @@
 inline constexpr char kClock[] = "clock";
 inline constexpr char kEventLoop[] = "event-loop";
 inline constexpr char kStore[] = "store";
+inline constexpr char kCallerMemory[] = "caller-memory";
 inline constexpr char kConnections[] = "connections";
 inline constexpr char kStateCache[] = "state-cache";
 inline constexpr char kPeers[] = "peers";
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -1,5 +1,6 @@
 #include "GatewaySettings.h"
 #include <LibExchange/LibExchange.h>
+#include <algorithm>
 #include <yaml-cpp/yaml.h>
 
 namespace Hornbeam::Gateway {
@@ -7,6 +8,10 @@
 /// Directory responses expire sooner than the platform requires, so that callers leave a stopped front quickly.
 static constexpr Duration kDirectoryLifetime = 700ms;
 
+/// The machine of a front whose settings do not state it.
+static constexpr double kDefaultMemoryMegabytes = 256;
+static constexpr double kDefaultMaxDescriptors = 4096;
+
 namespace {
 
 /// Reads values by their dotted path and collects all errors.
@@ -47,6 +52,14 @@
     return aMinimum;
   }
 
+  /// Nothing if it is missing.
+  std::optional<double> OptionalNumber(std::string const& aPath, double aMinimum, double aMaximum)
+  {
+    if (!this->Find(aPath))
+      return std::nullopt;
+    return this->Number(aPath, aMinimum, aMaximum);
+  }
+
   Duration Seconds(std::string const& aPath, double aMinimum, double aMaximum)
   {
     return FromSeconds(this->Number(aPath, aMinimum, aMaximum));
@@ -99,6 +112,37 @@
 
 }
 
+static std::size_t
+BytesOf(double aMegabytes)
+{
+  return std::size_t(aMegabytes * 1e6);
+}
+
+static CallerBudgetLimits
+LimitsOfConnections(std::size_t aBytes, std::size_t aConnections)
+{
+  return { aBytes, aConnections, std::clamp<std::size_t>(aConnections / 4, 8, 128) };
+}
+
+CallerBudgetLimits
+CallerShareOf(double aMemoryMegabytes, double aMaxDescriptors)
+{
+  return LimitsOfConnections(BytesOf(aMemoryMegabytes / 4), std::size_t((aMaxDescriptors - kReservedDescriptors) / 2));
+}
+
+static CallerBudgetLimits
+ReadCallerLimits(SettingsReader& aReader)
+{
+  auto const memory = aReader.OptionalNumber("machine.memory_mb", 8, 1e7).value_or(kDefaultMemoryMegabytes);
+  auto const descriptors =
+    aReader.OptionalNumber("machine.max_descriptors", 2 * kReservedDescriptors, 1e7).value_or(kDefaultMaxDescriptors);
+  auto const share = CallerShareOf(memory, descriptors);
+  auto const megabytes = aReader.OptionalNumber("callers.memory_mb", 1, memory);
+  auto const connections = aReader.OptionalNumber("callers.max_connections", 1, descriptors - kReservedDescriptors);
+  return LimitsOfConnections(megabytes ? BytesOf(*megabytes) : share.bytes,
+                             connections ? std::size_t(*connections) : share.connections);
+}
+
 std::optional<GatewaySettings>
 LoadGatewaySettings(std::string const& aFile, std::vector<std::string>& aErrors)
 {
@@ -116,6 +160,7 @@
   settings.dataCenter = reader.Text("data_center");
   settings.region = reader.Text("region");
   settings.cores = reader.Number("machine.cores", 0.001, 1024);
+  settings.callerLimits = ReadCallerLimits(reader);
   settings.callerAddress = reader.Address("addresses.callers");
   settings.readinessAddress = reader.Address("addresses.readiness");
   settings.directoryAddress = reader.Address("addresses.directory");
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/LibCore.h>
+#include <LibExchange/CallerBudget.h>
 #include <LibServing/LibServing.h>
 #include <optional>
 #include <string>
@@ -30,10 +31,21 @@
   Duration graceTime{ 8s };
   /// The time for which callers may cache a directory response.
   Duration directoryLifetime{ 2s };
+  /// What callers may hold of the process.
+  CallerBudgetLimits callerLimits;
   RetryRules retries;
   ColdRules cold;
 };
 
+/// The share of a machine that callers may hold, unless the settings state it: a quarter of its memory, so that a
+/// single request of 4 MiB fits on a machine of 120 MB, and half of the descriptors that are not reserved for files.
+/// aMemoryMegabytes is at least 1, aMaxDescriptors at least kReservedDescriptors + 2.
+CallerBudgetLimits
+CallerShareOf(double aMemoryMegabytes, double aMaxDescriptors);
+
+/// Descriptors for files.
+inline constexpr unsigned kReservedDescriptors = 200;
+
 /// Reads and validates a YAML file. Returns nothing if it has errors; the messages in aErrors begin with the key or
 /// file.
 std::optional<GatewaySettings>
--- a/Tests/Crowds/CrowdTests.cpp
+++ b/Tests/Crowds/CrowdTests.cpp
@@ -37,6 +37,8 @@
   aWorld.EndCrowd();
   EXPECT_EQ(aWorld.SendOrdinaryRequest(), 200U);
   EXPECT_TRUE(aWorld.FrontLives());
+  testing::Test::RecordProperty("peak_bytes", std::to_string(aWorld.HighestUsage().peakBytes));
+  testing::Test::RecordProperty("descriptors", std::to_string(aWorld.HighestUsage().descriptors));
   EXPECT_LE(aWorld.HighestUsage().peakBytes, kMaxPeakBytes);
   EXPECT_LE(aWorld.HighestUsage().descriptors, kMaxDescriptors);
 }
