LibExchange: Charge responses that are held back, and keep the limit after exceptions

Up to 256 KiB of each response are held back to allow a retry and counted for nobody, and cleared buffers kept their capacity until the request ended. Exchange::HoldBack() charges them to the caller's connection. An exception in the callback of a request that is closed for room would have left the limit without effect for the rest of the process.

--- a/Libraries/LibExchange/CallerMemory.cpp
+++ b/Libraries/LibExchange/CallerMemory.cpp
@@ -66,6 +66,14 @@
   if (this->makingRoom || this->budget.bytes <= this->budget.limits.bytes)
     return;
   this->makingRoom = true;
+  // The callback of a request that is closed may throw; the limit must hold all the same from then on.
+  RunGuarded("make-room", [this] { this->CarryOutDecisions(); });
+  this->makingRoom = false;
+}
+
+void
+CallerMemory::CarryOutDecisions()
+{
   this->RefreshUnsent();
   // Each connection gives way at most once in each way.
   auto left = 3 * this->connections.size();
@@ -75,7 +83,6 @@
       break;
     this->Apply(*decision);
   }
-  this->makingRoom = false;
 }
 
 void
--- a/Libraries/LibExchange/CallerMemory.h
+++ b/Libraries/LibExchange/CallerMemory.h
@@ -42,6 +42,7 @@
   CallerRefusals const& Refusals() const { return this->refusals; }
 
 private:
+  void CarryOutDecisions();
   void Apply(RoomDecision const& aDecision);
   void RefreshUnsent();
   /// Logs at most one line a second, with the counts since the one before.
--- a/Libraries/LibExchange/ServerConnection.cpp
+++ b/Libraries/LibExchange/ServerConnection.cpp
@@ -61,6 +61,16 @@
   to->FinishResponse();
 }
 
+void
+Exchange::HoldBack(std::size_t aBytes)
+{
+  auto const to = this->connection.lock();
+  if (!to || to->phase != ServerConnection::Phase::Responding || to->heldBackBytes == aBytes)
+    return;
+  to->heldBackBytes = aBytes;
+  to->UpdateUsage();
+}
+
 void
 Exchange::Abort()
 {
@@ -147,7 +157,7 @@
   usage.unsentBytes = this->stream->Unsent();
   usage.bytesMoved = this->phase == Phase::Receiving ? this->bytesReceived : this->bytesWritten - usage.unsentBytes;
   usage.requestsCompleted = this->requestsCompleted;
-  usage.copyBytes = this->copyBytes;
+  usage.copyBytes = this->copyBytes + this->heldBackBytes;
   usage.requestBytes = kConnectionBytes + this->exchangeBytes + (this->parser ? this->parser->HeldBytes() : 0);
   (serving ? usage.pipelinedBytes : usage.requestBytes) += AllocatedBytes(this->received);
   if (serving)
@@ -338,7 +348,7 @@
 ServerConnection::FinishResponse()
 {
   this->exchange.reset();
-  this->exchangeBytes = this->copyBytes = 0;
+  this->exchangeBytes = this->copyBytes = this->heldBackBytes = 0;
   ++this->requestsCompleted;
   // Close only if the response announced it: otherwise the caller may already be sending its next request.
   if (this->closeAfter) {
@@ -380,7 +390,7 @@
 {
   this->parser.reset();
   ReleaseString(this->received);
-  this->exchangeBytes = this->copyBytes = 0;
+  this->exchangeBytes = this->copyBytes = this->heldBackBytes = 0;
   this->phase = Phase::Lingering;
   this->ArmTimer(kLingerTime);
   this->Send(SerializeResponseHead(aHead, BodyFraming::Sized, aReason.size(), ConnectionUse::Close) +
--- a/Libraries/LibExchange/ServerConnection.h
+++ b/Libraries/LibExchange/ServerConnection.h
@@ -37,6 +37,10 @@
   void SendChunk(std::string_view aChunk);
   void EndStream();
 
+  /// Reports how many bytes of the response its handler holds back, in place of what it reported before. They count as
+  /// memory that the caller holds.
+  void HoldBack(std::size_t aBytes);
+
   /// Resets the connection, so that the caller cannot mistake what was sent for a complete response.
   void Abort();
 
@@ -153,6 +157,8 @@
   /// What the complete request in progress occupies, and what its copies and its handling do.
   std::size_t exchangeBytes{ 0 };
   std::size_t copyBytes{ 0 };
+  /// Bytes of the response that its handler holds back.
+  std::size_t heldBackBytes{ 0 };
   bool closeAfter{ false };
   bool continueSent{ false };
   /// Input after the request in progress is discarded.
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -341,8 +341,9 @@
   if (this->attempt.bufferedBody.size() > kMaxBufferedResponseBytes) {
     this->BeginResponse(*this->attempt.bufferedHead);
     this->exchange->SendChunk(this->attempt.bufferedBody);
-    this->attempt.bufferedBody.clear();
+    ReleaseString(this->attempt.bufferedBody);
   }
+  this->exchange->HoldBack(AllocatedBytes(this->attempt.bufferedBody));
   this->ArmStallTimer();
 }
 
--- a/Tests/LibExchange/CallerMemoryTests.cpp
+++ b/Tests/LibExchange/CallerMemoryTests.cpp
@@ -149,6 +149,20 @@
   EXPECT_EQ(world.exchanges.size(), 1U);
 }
 
+// Responses that were held back for a retry counted for nobody.
+TEST(CallerMemory, ChargesResponsesThatAreHeldBack)
+{
+  LimitedWorld world;
+  world.Connect(kGet);
+  ASSERT_TRUE(world.RunUntil([&] { return world.exchanges.size() == 1; }));
+  world.exchanges[0]->HoldBack(kLimitBytes);
+  auto const& second = world.Connect(kGet);
+  ASSERT_TRUE(world.RunUntil([&] { return second.ended; }));
+  EXPECT_TRUE(second.answer.starts_with("HTTP/1.1 503"));
+  world.exchanges[0]->Respond({ 200, {} }, "");
+  EXPECT_LT(world.memory.Budget().bytes, kBodyBytes);
+}
+
 // Open connections kept others out.
 TEST(CallerMemory, ClosesTheOldestUnusedConnection)
 {
