LibHttp: Bound the bodies of all requests together

Each body was bounded by the body limit, but any number of connections could hold one, and a rejected body kept its memory until the connection ended. A server now holds at most 64 bodies of the greatest size; a request beyond that gets 503, as not run, and the bodies of rejected requests are freed at once.

Measured: the 12 tests of HttpFixture and EndOfProcess pass on their own.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -15,6 +15,8 @@
   lws* connection{ nullptr };
   HttpRequest request;
   bool oversized{ false };
+  /// The body did not fit beside those of other requests.
+  bool crowdedOut{ false };
   bool dispatched{ false };
   bool responded{ false };
   bool streaming{ false };
@@ -28,6 +30,23 @@
   std::deque<std::string> chunks;
   std::function<void()> onCallerDisconnected;
   std::shared_ptr<HttpSessionMap> sessions;
+  std::shared_ptr<std::size_t> bodyBytes;
+
+  explicit HttpSession(std::shared_ptr<std::size_t> aBodyBytes)
+    : bodyBytes(std::move(aBodyBytes))
+  {
+  }
+  HttpSession(HttpSession const&) = delete;
+  HttpSession& operator=(HttpSession const&) = delete;
+  /// A handler may keep the request for as long as it keeps the responder.
+  ~HttpSession() { *this->bodyBytes -= this->request.body.size(); }
+
+  /// Frees the body; clear() would keep its memory.
+  void DropBody()
+  {
+    *this->bodyBytes -= this->request.body.size();
+    std::string().swap(this->request.body);
+  }
 };
 
 /// The per-connection data that libwebsockets stores. The session is replaced for each request.
@@ -125,6 +144,7 @@
   , bodyLimit(aBodyLimit)
   , clock(aContext.Loop().RuntimeClock())
   , sessions(std::make_shared<HttpSessionMap>())
+  , bodyBytes(std::make_shared<std::size_t>(0))
 {
   auto const parts = SplitAddress(aAddress);
   if (!parts)
@@ -356,7 +376,7 @@
 {
   auto* const slot = static_cast<ConnectionSlot*>(aUser);
   EndSession(aConnection, slot);
-  auto session = std::make_shared<HttpSession>();
+  auto session = std::make_shared<HttpSession>(this->bodyBytes);
   session->connection = aConnection;
   slot->session = new std::shared_ptr<HttpSession>(session);
   session->sessions = this->sessions;
@@ -382,10 +402,14 @@
 HttpServer::OnBodyChunk(HttpSession& aSession, std::string_view aChunk)
 {
   this->lastArrivalAt = this->clock.Now();
-  if (aSession.request.body.size() + aChunk.size() > this->bodyLimit)
-    aSession.oversized = true;
-  else
-    aSession.request.body += aChunk;
+  aSession.oversized = aSession.oversized || aSession.request.body.size() + aChunk.size() > this->bodyLimit;
+  aSession.crowdedOut = aSession.crowdedOut || *this->bodyBytes + aChunk.size() > kMaxBodiesHeld * this->bodyLimit;
+  if (aSession.oversized || aSession.crowdedOut) {
+    aSession.DropBody();
+    return 0;
+  }
+  aSession.request.body += aChunk;
+  *this->bodyBytes += aChunk.size();
   return 0;
 }
 
@@ -419,17 +443,26 @@
   aSession->dispatched = true;
   lws_set_timeout(aSession->connection, NO_PENDING_TIMEOUT, 0);
   HttpResponder const responder(aSession);
-  if (!aSession->oversized) {
-    this->handler(aSession->request, responder);
-    this->TrackPending(aSession);
-    return;
+  if (aSession->oversized) {
+    auto const detail = "the request body is larger than " + std::to_string(this->bodyLimit) + " bytes";
+    return this->RespondNotRun(responder, 413, "request too large", detail);
   }
-  auto const detail = "the request body is larger than " + std::to_string(this->bodyLimit) + " bytes";
-  responder.Respond(
-    { 413,
-      "application/problem+json",
-      R"({"type":"about:blank","title":"request too large","status":413,"run":"not-run","detail":")" + detail + "\"}",
-      "" });
+  if (aSession->crowdedOut)
+    return this->RespondNotRun(responder, 503, "no memory for request", "the bodies of other requests are held");
+  this->handler(aSession->request, responder);
+  this->TrackPending(aSession);
+}
+
+void
+HttpServer::RespondNotRun(HttpResponder const& aResponder,
+                          int aStatus,
+                          std::string_view aTitle,
+                          std::string_view aDetail)
+{
+  std::string body = R"({"type":"about:blank","title":")";
+  body.append(aTitle).append(R"(","status":)").append(std::to_string(aStatus));
+  body.append(R"(,"run":"not-run","detail":")").append(aDetail).append("\"}");
+  aResponder.Respond({ aStatus, "application/problem+json", std::move(body), "" });
 }
 
 }
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -32,10 +32,13 @@
   std::shared_ptr<HttpSession> session;
 };
 
+/// The number of bodies of the greatest size that a server holds together.
+inline constexpr std::size_t kMaxBodiesHeld = 64;
+
 using HttpHandler = std::function<void(HttpRequest const&, HttpResponder)>;
 
 /// An HTTP server on one listening address. Requests with a body of more than aBodyLimit bytes get a response of status
-/// 413.
+/// 413. Those whose bodies together would exceed kMaxBodiesHeld times that get one of status 503.
 class HttpServer
 {
 public:
@@ -61,6 +64,7 @@
   int OnBodyChunk(HttpSession& aSession, std::string_view aChunk);
   int OnWritable(lws* aConnection, HttpSession& aSession);
   void Dispatch(std::shared_ptr<HttpSession> const& aSession);
+  void RespondNotRun(HttpResponder const& aResponder, int aStatus, std::string_view aTitle, std::string_view aDetail);
   void TrackPending(std::shared_ptr<HttpSession> const& aSession);
   void CloseDisconnected();
 
@@ -75,6 +79,8 @@
   MonotonicTime lastArrivalAt{};
   /// Connections can be closed after this server is destroyed, so the sessions share it.
   std::shared_ptr<HttpSessionMap> sessions;
+  /// The bytes of the bodies of all sessions, which share it for the same reason.
+  std::shared_ptr<std::size_t> bodyBytes;
   /// Requests whose response has not begun.
   std::vector<std::weak_ptr<HttpSession>> pending;
 };
--- a/Tests/LibHttp/HttpTests.cpp
+++ b/Tests/LibHttp/HttpTests.cpp
@@ -77,6 +77,28 @@
   EXPECT_NE(result.body.find("not-run"), std::string::npos);
 }
 
+// Bodies were bounded one by one only, so any number of connections filled the memory.
+TEST_F(HttpFixture, BoundsTheBodiesOfAllRequestsTogether)
+{
+  ASSERT_TRUE(this->server.IsListening());
+  unsigned ended = 0;
+  for (std::size_t index = 0; index < kMaxBodiesHeld; ++index) {
+    HttpCall call{ this->address, HttpMethod::Post, "/never", std::string(kBodyLimit, 'x') };
+    call.timeout = 2s;
+    this->client.Send(std::move(call), { nullptr, nullptr, [&](HttpCallResult) { ++ended; } });
+  }
+  this->loop.RunUntil([&] { return this->server.OpenExchanges() == kMaxBodiesHeld; });
+  HttpCall const call{ this->address, HttpMethod::Post, "/echo", std::string(kBodyLimit, 'x') };
+  HttpCallResult refused;
+  // The bodies of the others may still be on their way.
+  for (unsigned attempt = 0; attempt < 20 && refused.status != 503; ++attempt)
+    refused = this->Run(call);
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_NE(refused.body.find("not-run"), std::string::npos);
+  this->loop.RunUntil([&] { return ended == kMaxBodiesHeld && this->server.OpenExchanges() == 0; });
+  EXPECT_EQ(this->Run(call).status, 200);
+}
+
 TEST_F(HttpFixture, ReportsWhetherBytesWereSent)
 {
   EXPECT_EQ(this->Run({ "127.0.0.1:18991", HttpMethod::Get, "/" }).end, HttpCallEnd::NotSent);
