--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -20,6 +20,7 @@
   , relay(aKernel.Find<RelayService>(GatewayName::kRelay))
   , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
+  , rollouts(aKernel.Find<RolloutService>(GatewayName::kRollouts))
 {
 }
 
@@ -121,6 +122,7 @@
   target.SetGauge("stage_calls", double(counts.calls));
   target.SetGauge("stage_pieces", double(counts.items));
   target.SetGauge("stage_calls_failed", double(counts.failedCalls));
+  this->rollouts.UpdateMetrics();
 }
 
 std::string
@@ -159,6 +161,8 @@
                             { "crashes", quarantine.crashes },
                             { "reporters", quarantine.reporters },
                             { "left_ms", std::max<std::int64_t>(0, Milliseconds(quarantine.until - now)) } });
+  if (this->settings.rollouts)
+    result["rollouts"] = this->rollouts.RenderState();
   auto& pools = result["stage_pools"] = json::array();
   for (auto const& [service, pool] : this->stageOwner.Pools())
     pools.push_back({ { "service", service },
--- a/Libraries/LibGateway/DirectoryService.h
+++ b/Libraries/LibGateway/DirectoryService.h
@@ -35,6 +35,7 @@
   RelayService& relay;
   CrashService& crashes;
   GatewayMetrics& metrics;
+  RolloutService& rollouts;
   bool draining{ false };
 };
 
--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -1,5 +1,6 @@
 #include "FrontPeers.h"
 #include "Gateway.capnp.h"
+#include "VersionReportWire.h"
 #include <LibRpc/LibRpc.h>
 #include <set>
 
@@ -287,6 +288,14 @@
     });
   }
 
+  kj::Promise<void> reportVersions(ReportVersionsContext aContext) override
+  {
+    aContext.getResults().setShare(
+      this->Handlers().reportVersions(ReadVersionReport(aContext.getParams().getReport())));
+    this->loop.Wake();
+    return kj::READY_NOW;
+  }
+
 private:
   /// Throws if the front has been destroyed, which fails the call.
   FrontPeerHandlers const& Handlers() const
@@ -550,4 +559,18 @@
     });
 }
 
+void
+FrontPeers::ReportVersions(std::string const& aAddress,
+                           RemoteVersionReport const& aReport,
+                           std::function<void(std::optional<double>)> aDone)
+{
+  ++this->calls;
+  auto call = [aReport](Wire::GatewayPeer::Client& aClient) {
+    auto request = aClient.reportVersionsRequest();
+    WriteVersionReport(aReport, request.initReport());
+    return request.send().then([](auto&& aResponse) { return double(aResponse.getShare()); });
+  };
+  this->implementation->connections.Run<double>(aAddress, kProbeTimeout, kj::mv(call), std::move(aDone));
+}
+
 }
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -66,6 +66,14 @@
   std::uint64_t requester{ 0 };
 };
 
+/// A front's report to the owner of a rollout order.
+struct RemoteVersionReport
+{
+  std::string front;
+  std::string service;
+  VersionReport report;
+};
+
 /// Receives the origin of a stream; nothing if it is not known.
 using OriginCallback = std::function<void(std::optional<StreamOrigin>)>;
 using FollowCallback = std::function<void(FollowResponse)>;
@@ -85,6 +93,8 @@
   std::function<void(std::vector<StreamRecord> const&)> recordStreams;
   /// Calls back exactly once.
   std::function<void(StreamQuestion const&, OriginCallback)> findStream;
+  /// Returns the share of the front's requests that may go to the target, from 0 to 1.
+  std::function<double(RemoteVersionReport const&)> reportVersions;
 };
 
 /// Cap'n Proto RPC between fronts, on the event loop. Connections with jobs in flight are probed. A connection that
@@ -135,6 +145,12 @@
   /// time.
   void FindStream(std::string const& aAddress, StreamQuestion const& aQuestion, OriginCallback aDone);
 
+  /// Reports to the owner of a rollout order. aDone receives the granted share, from 0 to 1; nothing if the owner does
+  /// not respond in time.
+  void ReportVersions(std::string const& aAddress,
+                      RemoteVersionReport const& aReport,
+                      std::function<void(std::optional<double>)> aDone);
+
   std::uint64_t Calls() const { return this->calls; }
 
 private:
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -67,6 +67,40 @@
   requester @3 :UInt64;
 }
 
+# Counts of the responses of one software version: all, failed ones, and the others by time to the first byte, of which
+# only those buckets are listed that are not empty.
+struct VersionTally {
+  responses @0 :UInt64;
+  failures @1 :UInt64;
+  buckets @2 :List(UInt8);
+  counts @3 :List(UInt64);
+}
+
+struct StratumTally {
+  route @0 :Text;
+  dataCenter @1 :Text;
+  shareThousandths @2 :UInt16;
+  target @3 :VersionTally;
+  other @4 :VersionTally;
+}
+
+struct EndpointTally {
+  endpoint @0 :Text;
+  bad @1 :UInt64;
+}
+
+# What a front counted since it learnt of a rollout order; all counts are cumulative.
+struct VersionReport {
+  front @0 :Text;
+  service @1 :Text;
+  target @2 :Text;
+  incarnation @3 :Int64;
+  ageUs @4 :Int64;
+  inProgressElsewhere @5 :UInt64;
+  strata @6 :List(StratumTally);
+  endpoints @7 :List(EndpointTally);
+}
+
 interface GatewayPeer {
   # Returns when all items are completed or the job is abandoned. Dropping the call cancels the job.
   makeStage @0 (order :StageOrder) -> (result :StageResult);
@@ -89,4 +123,7 @@
   # The record is meaningful only if it is known. If the service has only one version, as the store tells after the call
   # came, the record names it, with the requester of the call.
   findStream @7 (requestId :Text, service :Text, requester :UInt64) -> (known :Bool, record :StreamRecord);
+  # To the owner of the order. share is the part of the front's requests that may go to the target for the next 2 s from
+  # the call on; zero if the owner does not know the order.
+  reportVersions @8 (report :VersionReport) -> (share :Float64);
 }
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -34,6 +34,10 @@
 CAPNP_DECLARE_SCHEMA(f19ea63c42488bab);
 CAPNP_DECLARE_SCHEMA(fd49de7df2b14d99);
 CAPNP_DECLARE_SCHEMA(d5c9eaa6b0417d17);
+CAPNP_DECLARE_SCHEMA(b7fc38cf80f09d82);
+CAPNP_DECLARE_SCHEMA(e14f7b3e240a1328);
+CAPNP_DECLARE_SCHEMA(82a01c83e2a95f1a);
+CAPNP_DECLARE_SCHEMA(a1e977d9c1cbf57b);
 CAPNP_DECLARE_SCHEMA(fcf92d53b3c3d6a5);
 CAPNP_DECLARE_SCHEMA(ea019bd1d5f0fbbd);
 CAPNP_DECLARE_SCHEMA(8345eb2d3a527c58);
@@ -51,6 +55,8 @@
 CAPNP_DECLARE_SCHEMA(dbb40842f1efd151);
 CAPNP_DECLARE_SCHEMA(9ed949ed3dee1a5f);
 CAPNP_DECLARE_SCHEMA(d9f4da04b9777033);
+CAPNP_DECLARE_SCHEMA(d68285ab0d3d7238);
+CAPNP_DECLARE_SCHEMA(fe20010477cbe136);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -150,6 +156,66 @@
   };
 };
 
+struct VersionTally {
+  VersionTally() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7fc38cf80f09d82, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StratumTally {
+  StratumTally() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e14f7b3e240a1328, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndpointTally {
+  EndpointTally() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(82a01c83e2a95f1a, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionReport {
+  VersionReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a1e977d9c1cbf57b, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GatewayPeer {
   GatewayPeer() = delete;
 
@@ -174,6 +240,8 @@
   struct RecordStreamsResults;
   struct FindStreamParams;
   struct FindStreamResults;
+  struct ReportVersionsParams;
+  struct ReportVersionsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -423,6 +491,36 @@
   };
 };
 
+struct GatewayPeer::ReportVersionsParams {
+  ReportVersionsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d68285ab0d3d7238, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GatewayPeer::ReportVersionsResults {
+  ReportVersionsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe20010477cbe136, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class StageOrder::Reader {
@@ -1083,104 +1181,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class GatewayPeer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef GatewayPeer Calls;
-  typedef GatewayPeer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::MakeStageParams,  ::Hornbeam::Wire::GatewayPeer::MakeStageResults> makeStageRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::ReleaseResultsParams,  ::Hornbeam::Wire::GatewayPeer::ReleaseResultsResults> releaseResultsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::PingParams,  ::Hornbeam::Wire::GatewayPeer::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::KnownObjectsParams,  ::Hornbeam::Wire::GatewayPeer::KnownObjectsResults> knownObjectsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FollowParams,  ::Hornbeam::Wire::GatewayPeer::FollowResults> followRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FollowStoreParams,  ::Hornbeam::Wire::GatewayPeer::FollowStoreResults> followStoreRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams,  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults> recordStreamsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FindStreamParams,  ::Hornbeam::Wire::GatewayPeer::FindStreamResults> findStreamRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class GatewayPeer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef GatewayPeer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::Hornbeam::Wire::GatewayPeer::MakeStageParams MakeStageParams;
-  typedef  ::Hornbeam::Wire::GatewayPeer::MakeStageResults MakeStageResults;
-  typedef ::capnp::CallContext<MakeStageParams, MakeStageResults> MakeStageContext;
-  virtual ::kj::Promise<void> makeStage(MakeStageContext context);
-  typedef  ::Hornbeam::Wire::GatewayPeer::ReleaseResultsParams ReleaseResultsParams;
-  typedef  ::Hornbeam::Wire::GatewayPeer::ReleaseResultsResults ReleaseResultsResults;
-  typedef ::capnp::CallContext<ReleaseResultsParams, ReleaseResultsResults> ReleaseResultsContext;
-  virtual ::kj::Promise<void> releaseResults(ReleaseResultsContext context);
-  typedef  ::Hornbeam::Wire::GatewayPeer::PingParams PingParams;
-  typedef  ::Hornbeam::Wire::GatewayPeer::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::Hornbeam::Wire::GatewayPeer::KnownObjectsParams KnownObjectsParams;
-  typedef  ::Hornbeam::Wire::GatewayPeer::KnownObjectsResults KnownObjectsResults;
-  typedef ::capnp::CallContext<KnownObjectsParams, KnownObjectsResults> KnownObjectsContext;
-  virtual ::kj::Promise<void> knownObjects(KnownObjectsContext context);
-  typedef  ::Hornbeam::Wire::GatewayPeer::FollowParams FollowParams;
-  typedef  ::Hornbeam::Wire::GatewayPeer::FollowResults FollowResults;
-  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
-  virtual ::kj::Promise<void> follow(FollowContext context);
-  typedef  ::Hornbeam::Wire::GatewayPeer::FollowStoreParams FollowStoreParams;
-  typedef  ::Hornbeam::Wire::GatewayPeer::FollowStoreResults FollowStoreResults;
-  typedef ::capnp::CallContext<FollowStoreParams, FollowStoreResults> FollowStoreContext;
-  virtual ::kj::Promise<void> followStore(FollowStoreContext context);
-  typedef  ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams RecordStreamsParams;
-  typedef  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults RecordStreamsResults;
-  typedef ::capnp::CallContext<RecordStreamsParams, RecordStreamsResults> RecordStreamsContext;
-  virtual ::kj::Promise<void> recordStreams(RecordStreamsContext context);
-  typedef  ::Hornbeam::Wire::GatewayPeer::FindStreamParams FindStreamParams;
-  typedef  ::Hornbeam::Wire::GatewayPeer::FindStreamResults FindStreamResults;
-  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
-  virtual ::kj::Promise<void> findStream(FindStreamContext context);
-
-  inline  ::Hornbeam::Wire::GatewayPeer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Hornbeam::Wire::GatewayPeer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class GatewayPeer::MakeStageParams::Reader {
+class VersionTally::Reader {
 public:
-  typedef MakeStageParams Reads;
+  typedef VersionTally Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1195,8 +1198,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrder() const;
-  inline  ::Hornbeam::Wire::StageOrder::Reader getOrder() const;
+  inline  ::uint64_t getResponses() const;
+
+  inline  ::uint64_t getFailures() const;
+
+  inline bool hasBuckets() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCounts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1210,9 +1220,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::MakeStageParams::Builder {
+class VersionTally::Builder {
 public:
-  typedef MakeStageParams Builds;
+  typedef VersionTally Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1226,12 +1236,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrder();
-  inline  ::Hornbeam::Wire::StageOrder::Builder getOrder();
-  inline void setOrder( ::Hornbeam::Wire::StageOrder::Reader value);
-  inline  ::Hornbeam::Wire::StageOrder::Builder initOrder();
-  inline void adoptOrder(::capnp::Orphan< ::Hornbeam::Wire::StageOrder>&& value);
-  inline ::capnp::Orphan< ::Hornbeam::Wire::StageOrder> disownOrder();
+  inline  ::uint64_t getResponses();
+  inline void setResponses( ::uint64_t value);
+
+  inline  ::uint64_t getFailures();
+  inline void setFailures( ::uint64_t value);
+
+  inline bool hasBuckets();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
+  inline void setBuckets( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBuckets(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initBuckets(unsigned int size);
+  inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCounts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCounts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1243,15 +1268,14 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::MakeStageParams::Pipeline {
+class VersionTally::Pipeline {
 public:
-  typedef MakeStageParams Pipelines;
+  typedef VersionTally Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hornbeam::Wire::StageOrder::Pipeline getOrder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1260,9 +1284,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::MakeStageResults::Reader {
+class StratumTally::Reader {
 public:
-  typedef MakeStageResults Reads;
+  typedef StratumTally Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1277,8 +1301,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::Hornbeam::Wire::StageResult::Reader getResult() const;
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
+
+  inline bool hasDataCenter() const;
+  inline  ::capnp::Text::Reader getDataCenter() const;
+
+  inline  ::uint16_t getShareThousandths() const;
+
+  inline bool hasTarget() const;
+  inline  ::Hornbeam::Wire::VersionTally::Reader getTarget() const;
+
+  inline bool hasOther() const;
+  inline  ::Hornbeam::Wire::VersionTally::Reader getOther() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1292,9 +1327,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::MakeStageResults::Builder {
+class StratumTally::Builder {
 public:
-  typedef MakeStageResults Builds;
+  typedef StratumTally Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1308,12 +1343,36 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::Hornbeam::Wire::StageResult::Builder getResult();
-  inline void setResult( ::Hornbeam::Wire::StageResult::Reader value);
-  inline  ::Hornbeam::Wire::StageResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::Hornbeam::Wire::StageResult>&& value);
-  inline ::capnp::Orphan< ::Hornbeam::Wire::StageResult> disownResult();
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline bool hasDataCenter();
+  inline  ::capnp::Text::Builder getDataCenter();
+  inline void setDataCenter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCenter(unsigned int size);
+  inline void adoptDataCenter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCenter();
+
+  inline  ::uint16_t getShareThousandths();
+  inline void setShareThousandths( ::uint16_t value);
+
+  inline bool hasTarget();
+  inline  ::Hornbeam::Wire::VersionTally::Builder getTarget();
+  inline void setTarget( ::Hornbeam::Wire::VersionTally::Reader value);
+  inline  ::Hornbeam::Wire::VersionTally::Builder initTarget();
+  inline void adoptTarget(::capnp::Orphan< ::Hornbeam::Wire::VersionTally>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::VersionTally> disownTarget();
+
+  inline bool hasOther();
+  inline  ::Hornbeam::Wire::VersionTally::Builder getOther();
+  inline void setOther( ::Hornbeam::Wire::VersionTally::Reader value);
+  inline  ::Hornbeam::Wire::VersionTally::Builder initOther();
+  inline void adoptOther(::capnp::Orphan< ::Hornbeam::Wire::VersionTally>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::VersionTally> disownOther();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1325,15 +1384,16 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::MakeStageResults::Pipeline {
+class StratumTally::Pipeline {
 public:
-  typedef MakeStageResults Pipelines;
+  typedef StratumTally Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hornbeam::Wire::StageResult::Pipeline getResult();
+  inline  ::Hornbeam::Wire::VersionTally::Pipeline getTarget();
+  inline  ::Hornbeam::Wire::VersionTally::Pipeline getOther();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1342,9 +1402,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::ReleaseResultsParams::Reader {
+class EndpointTally::Reader {
 public:
-  typedef ReleaseResultsParams Reads;
+  typedef EndpointTally Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1359,11 +1419,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
-  inline bool hasHandles() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
+  inline  ::uint64_t getBad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1377,9 +1436,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::ReleaseResultsParams::Builder {
+class EndpointTally::Builder {
 public:
-  typedef ReleaseResultsParams Builds;
+  typedef EndpointTally Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1393,20 +1452,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
-  inline bool hasHandles();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
-  inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHandles(unsigned int size);
-  inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
+  inline  ::uint64_t getBad();
+  inline void setBad( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1418,9 +1472,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::ReleaseResultsParams::Pipeline {
+class EndpointTally::Pipeline {
 public:
-  typedef ReleaseResultsParams Pipelines;
+  typedef EndpointTally Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1434,9 +1488,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::ReleaseResultsResults::Reader {
+class VersionReport::Reader {
 public:
-  typedef ReleaseResultsResults Reads;
+  typedef VersionReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1451,6 +1505,27 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasFront() const;
+  inline  ::capnp::Text::Reader getFront() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::int64_t getIncarnation() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline  ::uint64_t getInProgressElsewhere() const;
+
+  inline bool hasStrata() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>::Reader getStrata() const;
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1463,9 +1538,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::ReleaseResultsResults::Builder {
+class VersionReport::Builder {
 public:
-  typedef ReleaseResultsResults Builds;
+  typedef VersionReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1479,6 +1554,50 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasFront();
+  inline  ::capnp::Text::Builder getFront();
+  inline void setFront( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFront(unsigned int size);
+  inline void adoptFront(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFront();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::int64_t getIncarnation();
+  inline void setIncarnation( ::int64_t value);
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline  ::uint64_t getInProgressElsewhere();
+  inline void setInProgressElsewhere( ::uint64_t value);
+
+  inline bool hasStrata();
+  inline  ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>::Builder getStrata();
+  inline void setStrata( ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>::Builder initStrata(unsigned int size);
+  inline void adoptStrata(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>> disownStrata();
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>> disownEndpoints();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1489,9 +1608,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::ReleaseResultsResults::Pipeline {
+class VersionReport::Pipeline {
 public:
-  typedef ReleaseResultsResults Pipelines;
+  typedef VersionReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1505,9 +1624,110 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::PingParams::Reader {
+#if !CAPNP_LITE
+class GatewayPeer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef PingParams Reads;
+  typedef GatewayPeer Calls;
+  typedef GatewayPeer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::MakeStageParams,  ::Hornbeam::Wire::GatewayPeer::MakeStageResults> makeStageRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::ReleaseResultsParams,  ::Hornbeam::Wire::GatewayPeer::ReleaseResultsResults> releaseResultsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::PingParams,  ::Hornbeam::Wire::GatewayPeer::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::KnownObjectsParams,  ::Hornbeam::Wire::GatewayPeer::KnownObjectsResults> knownObjectsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FollowParams,  ::Hornbeam::Wire::GatewayPeer::FollowResults> followRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FollowStoreParams,  ::Hornbeam::Wire::GatewayPeer::FollowStoreResults> followStoreRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams,  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults> recordStreamsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::FindStreamParams,  ::Hornbeam::Wire::GatewayPeer::FindStreamResults> findStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hornbeam::Wire::GatewayPeer::ReportVersionsParams,  ::Hornbeam::Wire::GatewayPeer::ReportVersionsResults> reportVersionsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class GatewayPeer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef GatewayPeer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::Hornbeam::Wire::GatewayPeer::MakeStageParams MakeStageParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::MakeStageResults MakeStageResults;
+  typedef ::capnp::CallContext<MakeStageParams, MakeStageResults> MakeStageContext;
+  virtual ::kj::Promise<void> makeStage(MakeStageContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::ReleaseResultsParams ReleaseResultsParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::ReleaseResultsResults ReleaseResultsResults;
+  typedef ::capnp::CallContext<ReleaseResultsParams, ReleaseResultsResults> ReleaseResultsContext;
+  virtual ::kj::Promise<void> releaseResults(ReleaseResultsContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::PingParams PingParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::KnownObjectsParams KnownObjectsParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::KnownObjectsResults KnownObjectsResults;
+  typedef ::capnp::CallContext<KnownObjectsParams, KnownObjectsResults> KnownObjectsContext;
+  virtual ::kj::Promise<void> knownObjects(KnownObjectsContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::FollowParams FollowParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::FollowResults FollowResults;
+  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
+  virtual ::kj::Promise<void> follow(FollowContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::FollowStoreParams FollowStoreParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::FollowStoreResults FollowStoreResults;
+  typedef ::capnp::CallContext<FollowStoreParams, FollowStoreResults> FollowStoreContext;
+  virtual ::kj::Promise<void> followStore(FollowStoreContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::RecordStreamsParams RecordStreamsParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::RecordStreamsResults RecordStreamsResults;
+  typedef ::capnp::CallContext<RecordStreamsParams, RecordStreamsResults> RecordStreamsContext;
+  virtual ::kj::Promise<void> recordStreams(RecordStreamsContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::FindStreamParams FindStreamParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::FindStreamResults FindStreamResults;
+  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
+  virtual ::kj::Promise<void> findStream(FindStreamContext context);
+  typedef  ::Hornbeam::Wire::GatewayPeer::ReportVersionsParams ReportVersionsParams;
+  typedef  ::Hornbeam::Wire::GatewayPeer::ReportVersionsResults ReportVersionsResults;
+  typedef ::capnp::CallContext<ReportVersionsParams, ReportVersionsResults> ReportVersionsContext;
+  virtual ::kj::Promise<void> reportVersions(ReportVersionsContext context);
+
+  inline  ::Hornbeam::Wire::GatewayPeer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::Hornbeam::Wire::GatewayPeer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::MakeStageParams::Reader {
+public:
+  typedef MakeStageParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1522,6 +1742,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrder() const;
+  inline  ::Hornbeam::Wire::StageOrder::Reader getOrder() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1534,9 +1757,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::PingParams::Builder {
+class GatewayPeer::MakeStageParams::Builder {
 public:
-  typedef PingParams Builds;
+  typedef MakeStageParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1550,6 +1773,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrder();
+  inline  ::Hornbeam::Wire::StageOrder::Builder getOrder();
+  inline void setOrder( ::Hornbeam::Wire::StageOrder::Reader value);
+  inline  ::Hornbeam::Wire::StageOrder::Builder initOrder();
+  inline void adoptOrder(::capnp::Orphan< ::Hornbeam::Wire::StageOrder>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::StageOrder> disownOrder();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1560,14 +1790,15 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::PingParams::Pipeline {
+class GatewayPeer::MakeStageParams::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef MakeStageParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Hornbeam::Wire::StageOrder::Pipeline getOrder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1576,9 +1807,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::PingResults::Reader {
+class GatewayPeer::MakeStageResults::Reader {
 public:
-  typedef PingResults Reads;
+  typedef MakeStageResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1593,11 +1824,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getIncarnation() const;
-
-  inline  ::uint64_t getTableVersion() const;
-
-  inline  ::uint64_t getStoreEra() const;
+  inline bool hasResult() const;
+  inline  ::Hornbeam::Wire::StageResult::Reader getResult() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1611,9 +1839,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::PingResults::Builder {
+class GatewayPeer::MakeStageResults::Builder {
 public:
-  typedef PingResults Builds;
+  typedef MakeStageResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1627,14 +1855,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getIncarnation();
-  inline void setIncarnation( ::int64_t value);
-
-  inline  ::uint64_t getTableVersion();
-  inline void setTableVersion( ::uint64_t value);
-
-  inline  ::uint64_t getStoreEra();
-  inline void setStoreEra( ::uint64_t value);
+  inline bool hasResult();
+  inline  ::Hornbeam::Wire::StageResult::Builder getResult();
+  inline void setResult( ::Hornbeam::Wire::StageResult::Reader value);
+  inline  ::Hornbeam::Wire::StageResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::Hornbeam::Wire::StageResult>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::StageResult> disownResult();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1646,14 +1872,15 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::PingResults::Pipeline {
+class GatewayPeer::MakeStageResults::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef MakeStageResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Hornbeam::Wire::StageResult::Pipeline getResult();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1662,9 +1889,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::KnownObjectsParams::Reader {
+class GatewayPeer::ReleaseResultsParams::Reader {
 public:
-  typedef KnownObjectsParams Reads;
+  typedef ReleaseResultsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1679,6 +1906,12 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasHandles() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1691,9 +1924,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::KnownObjectsParams::Builder {
+class GatewayPeer::ReleaseResultsParams::Builder {
 public:
-  typedef KnownObjectsParams Builds;
+  typedef ReleaseResultsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1707,6 +1940,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasHandles();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
+  inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHandles(unsigned int size);
+  inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1717,9 +1965,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::KnownObjectsParams::Pipeline {
+class GatewayPeer::ReleaseResultsParams::Pipeline {
 public:
-  typedef KnownObjectsParams Pipelines;
+  typedef ReleaseResultsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1733,9 +1981,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::KnownObjectsResults::Reader {
+class GatewayPeer::ReleaseResultsResults::Reader {
 public:
-  typedef KnownObjectsResults Reads;
+  typedef ReleaseResultsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1750,9 +1998,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasObjects() const;
-  inline  ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1765,9 +2010,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::KnownObjectsResults::Builder {
+class GatewayPeer::ReleaseResultsResults::Builder {
 public:
-  typedef KnownObjectsResults Builds;
+  typedef ReleaseResultsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1781,13 +2026,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasObjects();
-  inline  ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Builder getObjects();
-  inline void setObjects( ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Builder initObjects(unsigned int size);
-  inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>> disownObjects();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1798,9 +2036,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::KnownObjectsResults::Pipeline {
+class GatewayPeer::ReleaseResultsResults::Pipeline {
 public:
-  typedef KnownObjectsResults Pipelines;
+  typedef ReleaseResultsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1814,9 +2052,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::FollowParams::Reader {
+class GatewayPeer::PingParams::Reader {
 public:
-  typedef FollowParams Reads;
+  typedef PingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1831,13 +2069,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRevisions() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
-
-  inline  ::int64_t getWaitUs() const;
-
-  inline bool getNoticeOnly() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1850,9 +2081,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::FollowParams::Builder {
+class GatewayPeer::PingParams::Builder {
 public:
-  typedef FollowParams Builds;
+  typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1866,20 +2097,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRevisions();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
-  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
-  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
-
-  inline  ::int64_t getWaitUs();
-  inline void setWaitUs( ::int64_t value);
-
-  inline bool getNoticeOnly();
-  inline void setNoticeOnly(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1890,9 +2107,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::FollowParams::Pipeline {
+class GatewayPeer::PingParams::Pipeline {
 public:
-  typedef FollowParams Pipelines;
+  typedef PingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1906,9 +2123,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::FollowResults::Reader {
+class GatewayPeer::PingResults::Reader {
 public:
-  typedef FollowResults Reads;
+  typedef PingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1923,15 +2140,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
-
-  inline  ::int64_t getAgeUs() const;
+  inline  ::int64_t getIncarnation() const;
 
-  inline bool getWatching() const;
+  inline  ::uint64_t getTableVersion() const;
 
-  inline bool hasRevisions() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
+  inline  ::uint64_t getStoreEra() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1945,9 +2158,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::FollowResults::Builder {
+class GatewayPeer::PingResults::Builder {
 public:
-  typedef FollowResults Builds;
+  typedef PingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1961,26 +2174,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
-
-  inline  ::int64_t getAgeUs();
-  inline void setAgeUs( ::int64_t value);
+  inline  ::int64_t getIncarnation();
+  inline void setIncarnation( ::int64_t value);
 
-  inline bool getWatching();
-  inline void setWatching(bool value);
+  inline  ::uint64_t getTableVersion();
+  inline void setTableVersion( ::uint64_t value);
 
-  inline bool hasRevisions();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
-  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
-  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1992,9 +2193,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::FollowResults::Pipeline {
+class GatewayPeer::PingResults::Pipeline {
 public:
-  typedef FollowResults Pipelines;
+  typedef PingResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2008,9 +2209,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::FollowStoreParams::Reader {
+class GatewayPeer::KnownObjectsParams::Reader {
 public:
-  typedef FollowStoreParams Reads;
+  typedef KnownObjectsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2025,13 +2226,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRevisions() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
-
-  inline  ::int64_t getWaitUs() const;
-
-  inline bool getNoticeOnly() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2044,9 +2238,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::FollowStoreParams::Builder {
+class GatewayPeer::KnownObjectsParams::Builder {
 public:
-  typedef FollowStoreParams Builds;
+  typedef KnownObjectsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2060,20 +2254,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRevisions();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
-  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
-  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
-
-  inline  ::int64_t getWaitUs();
-  inline void setWaitUs( ::int64_t value);
-
-  inline bool getNoticeOnly();
-  inline void setNoticeOnly(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2084,9 +2264,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::FollowStoreParams::Pipeline {
+class GatewayPeer::KnownObjectsParams::Pipeline {
 public:
-  typedef FollowStoreParams Pipelines;
+  typedef KnownObjectsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2100,9 +2280,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::FollowStoreResults::Reader {
+class GatewayPeer::KnownObjectsResults::Reader {
 public:
-  typedef FollowStoreResults Reads;
+  typedef KnownObjectsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2117,15 +2297,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
-
-  inline  ::int64_t getAgeUs() const;
-
-  inline bool getWatching() const;
-
-  inline bool hasRevisions() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
+  inline bool hasObjects() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2139,9 +2312,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::FollowStoreResults::Builder {
+class GatewayPeer::KnownObjectsResults::Builder {
 public:
-  typedef FollowStoreResults Builds;
+  typedef KnownObjectsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2155,26 +2328,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
-
-  inline  ::int64_t getAgeUs();
-  inline void setAgeUs( ::int64_t value);
-
-  inline bool getWatching();
-  inline void setWatching(bool value);
-
-  inline bool hasRevisions();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
-  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
-  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
+  inline bool hasObjects();
+  inline  ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Builder getObjects();
+  inline void setObjects( ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Builder initObjects(unsigned int size);
+  inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>> disownObjects();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2186,9 +2345,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::FollowStoreResults::Pipeline {
+class GatewayPeer::KnownObjectsResults::Pipeline {
 public:
-  typedef FollowStoreResults Pipelines;
+  typedef KnownObjectsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2202,9 +2361,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::RecordStreamsParams::Reader {
+class GatewayPeer::FollowParams::Reader {
 public:
-  typedef RecordStreamsParams Reads;
+  typedef FollowParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2219,8 +2378,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
+
+  inline  ::int64_t getWaitUs() const;
+
+  inline bool getNoticeOnly() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2234,9 +2397,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::RecordStreamsParams::Builder {
+class GatewayPeer::FollowParams::Builder {
 public:
-  typedef RecordStreamsParams Builds;
+  typedef FollowParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2250,12 +2413,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRecords();
-  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
+
+  inline  ::int64_t getWaitUs();
+  inline void setWaitUs( ::int64_t value);
+
+  inline bool getNoticeOnly();
+  inline void setNoticeOnly(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2267,9 +2437,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::RecordStreamsParams::Pipeline {
+class GatewayPeer::FollowParams::Pipeline {
 public:
-  typedef RecordStreamsParams Pipelines;
+  typedef FollowParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2283,9 +2453,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::RecordStreamsResults::Reader {
+class GatewayPeer::FollowResults::Reader {
 public:
-  typedef RecordStreamsResults Reads;
+  typedef FollowResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2300,6 +2470,16 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline bool getWatching() const;
+
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2312,9 +2492,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::RecordStreamsResults::Builder {
+class GatewayPeer::FollowResults::Builder {
 public:
-  typedef RecordStreamsResults Builds;
+  typedef FollowResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2328,6 +2508,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline bool getWatching();
+  inline void setWatching(bool value);
+
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2338,9 +2539,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::RecordStreamsResults::Pipeline {
+class GatewayPeer::FollowResults::Pipeline {
 public:
-  typedef RecordStreamsResults Pipelines;
+  typedef FollowResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2354,9 +2555,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::FindStreamParams::Reader {
+class GatewayPeer::FollowStoreParams::Reader {
 public:
-  typedef FindStreamParams Reads;
+  typedef FollowStoreParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2371,13 +2572,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline  ::int64_t getWaitUs() const;
 
-  inline  ::uint64_t getRequester() const;
+  inline bool getNoticeOnly() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2391,9 +2591,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::FindStreamParams::Builder {
+class GatewayPeer::FollowStoreParams::Builder {
 public:
-  typedef FindStreamParams Builds;
+  typedef FollowStoreParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2407,22 +2607,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline  ::int64_t getWaitUs();
+  inline void setWaitUs( ::int64_t value);
 
-  inline  ::uint64_t getRequester();
-  inline void setRequester( ::uint64_t value);
+  inline bool getNoticeOnly();
+  inline void setNoticeOnly(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2434,9 +2631,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::FindStreamParams::Pipeline {
+class GatewayPeer::FollowStoreParams::Pipeline {
 public:
-  typedef FindStreamParams Pipelines;
+  typedef FollowStoreParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2450,9 +2647,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayPeer::FindStreamResults::Reader {
+class GatewayPeer::FollowStoreResults::Reader {
 public:
-  typedef FindStreamResults Reads;
+  typedef FollowStoreResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2467,10 +2664,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
 
-  inline bool hasRecord() const;
-  inline  ::Hornbeam::Wire::StreamRecord::Reader getRecord() const;
+  inline  ::int64_t getAgeUs() const;
+
+  inline bool getWatching() const;
+
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2484,9 +2686,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayPeer::FindStreamResults::Builder {
+class GatewayPeer::FollowStoreResults::Builder {
 public:
-  typedef FindStreamResults Builds;
+  typedef FollowStoreResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2500,15 +2702,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
 
-  inline bool hasRecord();
-  inline  ::Hornbeam::Wire::StreamRecord::Builder getRecord();
-  inline void setRecord( ::Hornbeam::Wire::StreamRecord::Reader value);
-  inline  ::Hornbeam::Wire::StreamRecord::Builder initRecord();
-  inline void adoptRecord(::capnp::Orphan< ::Hornbeam::Wire::StreamRecord>&& value);
-  inline ::capnp::Orphan< ::Hornbeam::Wire::StreamRecord> disownRecord();
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline bool getWatching();
+  inline void setWatching(bool value);
+
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2520,15 +2733,14 @@
 };
 
 #if !CAPNP_LITE
-class GatewayPeer::FindStreamResults::Pipeline {
+class GatewayPeer::FollowStoreResults::Pipeline {
 public:
-  typedef FindStreamResults Pipelines;
+  typedef FollowStoreResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hornbeam::Wire::StreamRecord::Pipeline getRecord();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2537,738 +2749,1755 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class GatewayPeer::RecordStreamsParams::Reader {
+public:
+  typedef RecordStreamsParams Reads;
 
-inline bool StageOrder::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StageOrder::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StageOrder::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StageOrder::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void StageOrder::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool StageOrder::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool StageOrder::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StageOrder::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StageOrder::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StageOrder::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void StageOrder::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint16_t StageOrder::Reader::getStage() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint16_t StageOrder::Builder::getStage() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StageOrder::Builder::setStage( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
-inline  ::uint32_t StageOrder::Reader::getPieces() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint32_t StageOrder::Builder::getPieces() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void StageOrder::Builder::setPieces( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+class GatewayPeer::RecordStreamsParams::Builder {
+public:
+  typedef RecordStreamsParams Builds;
 
-inline  ::int16_t StageOrder::Reader::getRank() const {
-  return _reader.getDataField< ::int16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::int16_t StageOrder::Builder::getRank() {
-  return _builder.getDataField< ::int16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void StageOrder::Builder::setRank( ::int16_t value) {
-  _builder.setDataField< ::int16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline  ::int64_t StageOrder::Reader::getTargetLeftUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline bool hasRecords();
+  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StreamRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
-inline  ::int64_t StageOrder::Builder::getTargetLeftUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void StageOrder::Builder::setTargetLeftUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-inline  ::int64_t StageOrder::Reader::getDeadlineLeftUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+class GatewayPeer::RecordStreamsParams::Pipeline {
+public:
+  typedef RecordStreamsParams Pipelines;
 
-inline  ::int64_t StageOrder::Builder::getDeadlineLeftUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void StageOrder::Builder::setDeadlineLeftUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-inline  ::int64_t StageOrder::Reader::getLaterUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::RecordStreamsResults::Reader {
+public:
+  typedef RecordStreamsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::RecordStreamsResults::Builder {
+public:
+  typedef RecordStreamsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::RecordStreamsResults::Pipeline {
+public:
+  typedef RecordStreamsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::FindStreamParams::Reader {
+public:
+  typedef FindStreamParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getRequester() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::FindStreamParams::Builder {
+public:
+  typedef FindStreamParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getRequester();
+  inline void setRequester( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::FindStreamParams::Pipeline {
+public:
+  typedef FindStreamParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::FindStreamResults::Reader {
+public:
+  typedef FindStreamResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown() const;
+
+  inline bool hasRecord() const;
+  inline  ::Hornbeam::Wire::StreamRecord::Reader getRecord() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::FindStreamResults::Builder {
+public:
+  typedef FindStreamResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline bool hasRecord();
+  inline  ::Hornbeam::Wire::StreamRecord::Builder getRecord();
+  inline void setRecord( ::Hornbeam::Wire::StreamRecord::Reader value);
+  inline  ::Hornbeam::Wire::StreamRecord::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::Hornbeam::Wire::StreamRecord>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::StreamRecord> disownRecord();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::FindStreamResults::Pipeline {
+public:
+  typedef FindStreamResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hornbeam::Wire::StreamRecord::Pipeline getRecord();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::ReportVersionsParams::Reader {
+public:
+  typedef ReportVersionsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::Hornbeam::Wire::VersionReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::ReportVersionsParams::Builder {
+public:
+  typedef ReportVersionsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::Hornbeam::Wire::VersionReport::Builder getReport();
+  inline void setReport( ::Hornbeam::Wire::VersionReport::Reader value);
+  inline  ::Hornbeam::Wire::VersionReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::Hornbeam::Wire::VersionReport>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::VersionReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::ReportVersionsParams::Pipeline {
+public:
+  typedef ReportVersionsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hornbeam::Wire::VersionReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GatewayPeer::ReportVersionsResults::Reader {
+public:
+  typedef ReportVersionsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline double getShare() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GatewayPeer::ReportVersionsResults::Builder {
+public:
+  typedef ReportVersionsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline double getShare();
+  inline void setShare(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GatewayPeer::ReportVersionsResults::Pipeline {
+public:
+  typedef ReportVersionsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool StageOrder::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StageOrder::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StageOrder::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StageOrder::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StageOrder::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StageOrder::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StageOrder::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StageOrder::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t StageOrder::Reader::getStage() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t StageOrder::Builder::getStage() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setStage( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StageOrder::Reader::getPieces() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StageOrder::Builder::getPieces() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setPieces( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int16_t StageOrder::Reader::getRank() const {
+  return _reader.getDataField< ::int16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int16_t StageOrder::Builder::getRank() {
+  return _builder.getDataField< ::int16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setRank( ::int16_t value) {
+  _builder.setDataField< ::int16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StageOrder::Reader::getTargetLeftUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StageOrder::Builder::getTargetLeftUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setTargetLeftUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StageOrder::Reader::getDeadlineLeftUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StageOrder::Builder::getDeadlineLeftUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setDeadlineLeftUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StageOrder::Reader::getLaterUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
 
 inline  ::int64_t StageOrder::Builder::getLaterUs() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void StageOrder::Builder::setLaterUs( ::int64_t value) {
+inline void StageOrder::Builder::setLaterUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StageOrder::Reader::getPieceBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageOrder::Builder::getPieceBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setPieceBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StageOrder::Reader::hasDataCenter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasDataCenter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StageOrder::Reader::getDataCenter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::getDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StageOrder::Builder::setDataCenter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::initDataCenter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StageOrder::Builder::adoptDataCenter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool StageOrder::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StageOrder::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void StageOrder::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StageOrder::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void StageOrder::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool StageOrder::Reader::hasInputs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageOrder::Builder::hasInputs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StageOrder::Reader::getInputs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageOrder::Builder::getInputs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void StageOrder::Builder::setInputs( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void StageOrder::Builder::setInputs(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageOrder::Builder::initInputs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void StageOrder::Builder::adoptInputs(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StageOrder::Builder::disownInputs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StageOrder::Reader::getCrossingBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageOrder::Builder::getCrossingBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StageOrder::Builder::setCrossingBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Hornbeam::Wire::StageEnd StageResult::Reader::getEnd() const {
+  return _reader.getDataField< ::Hornbeam::Wire::StageEnd>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Hornbeam::Wire::StageEnd StageResult::Builder::getEnd() {
+  return _builder.getDataField< ::Hornbeam::Wire::StageEnd>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StageResult::Builder::setEnd( ::Hornbeam::Wire::StageEnd value) {
+  _builder.setDataField< ::Hornbeam::Wire::StageEnd>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StageResult::Reader::hasHandles() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageResult::Builder::hasHandles() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StageResult::Reader::getHandles() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageResult::Builder::getHandles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StageResult::Builder::setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void StageResult::Builder::setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageResult::Builder::initHandles(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StageResult::Builder::adoptHandles(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StageResult::Builder::disownHandles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t StageResult::Reader::getRetryAfterUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StageResult::Builder::getRetryAfterUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StageResult::Builder::setRetryAfterUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StageResult::Reader::getBacklogUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StageResult::Builder::getBacklogUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StageResult::Builder::setBacklogUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StageResult::Reader::getComputingUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StageResult::Builder::getComputingUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StageResult::Builder::setComputingUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t StageOrder::Reader::getPieceBytes() const {
+inline  ::uint8_t KnownObject::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t KnownObject::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KnownObject::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KnownObject::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KnownObject::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KnownObject::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KnownObject::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KnownObject::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KnownObject::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KnownObject::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KnownObject::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayedObject::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedObject::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayedObject::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayedObject::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedObject::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayedObject::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedObject::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayedObject::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RelayedObject::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StageOrder::Builder::getPieceBytes() {
+inline  ::uint64_t RelayedObject::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StageOrder::Builder::setPieceBytes( ::uint64_t value) {
+inline void RelayedObject::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StageOrder::Reader::hasDataCenter() const {
+inline bool RelayedObject::Reader::hasDocument() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StageOrder::Builder::hasDataCenter() {
+inline bool RelayedObject::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayedObject::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayedObject::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayedObject::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayedObject::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayedObject::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayedObject::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t RelayedUpdate::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RelayedUpdate::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedUpdate::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayedUpdate::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayedUpdate::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedUpdate::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayedUpdate::Reader::getTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedUpdate::Builder::getTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedUpdate::Reader::hasObjects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedUpdate::Builder::hasObjects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Reader RelayedUpdate::Reader::getObjects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Builder RelayedUpdate::Builder::getObjects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedUpdate::Builder::setObjects( ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Builder RelayedUpdate::Builder::initObjects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedUpdate::Builder::adoptObjects(
+    ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>> RelayedUpdate::Builder::disownObjects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RelayedUpdate::Reader::getReaderLimit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedUpdate::Builder::getReaderLimit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RelayedUpdate::Builder::setReaderLimit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamRecord::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasRequestId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StageOrder::Reader::getDataCenter() const {
+inline  ::capnp::Text::Reader StreamRecord::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StageOrder::Builder::getDataCenter() {
+inline  ::capnp::Text::Builder StreamRecord::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StageOrder::Builder::setDataCenter( ::capnp::Text::Reader value) {
+inline void StreamRecord::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StageOrder::Builder::initDataCenter(unsigned int size) {
+inline  ::capnp::Text::Builder StreamRecord::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StageOrder::Builder::adoptDataCenter(
+inline void StreamRecord::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownDataCenter() {
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StageOrder::Reader::hasKey() const {
+inline bool StreamRecord::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StageOrder::Builder::hasKey() {
+inline bool StreamRecord::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StageOrder::Reader::getKey() const {
+inline  ::capnp::Text::Reader StreamRecord::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StageOrder::Builder::getKey() {
+inline  ::capnp::Text::Builder StreamRecord::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StageOrder::Builder::setKey( ::capnp::Text::Reader value) {
+inline void StreamRecord::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StageOrder::Builder::initKey(unsigned int size) {
+inline  ::capnp::Text::Builder StreamRecord::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StageOrder::Builder::adoptKey(
+inline void StreamRecord::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StageOrder::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StageOrder::Reader::hasInputs() const {
+inline bool StreamRecord::Reader::hasSoftwareVersion() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool StageOrder::Builder::hasInputs() {
+inline bool StreamRecord::Builder::hasSoftwareVersion() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StageOrder::Reader::getInputs() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageOrder::Builder::getInputs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader StreamRecord::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void StageOrder::Builder::setInputs( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder StreamRecord::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void StageOrder::Builder::setInputs(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void StreamRecord::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageOrder::Builder::initInputs(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder StreamRecord::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void StageOrder::Builder::adoptInputs(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void StreamRecord::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StageOrder::Builder::disownInputs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StageOrder::Reader::getCrossingBytes() const {
+inline  ::uint64_t StreamRecord::Reader::getRequester() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StageOrder::Builder::getCrossingBytes() {
+inline  ::uint64_t StreamRecord::Builder::getRequester() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StageOrder::Builder::setCrossingBytes( ::uint64_t value) {
+inline void StreamRecord::Builder::setRequester( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::Hornbeam::Wire::StageEnd StageResult::Reader::getEnd() const {
-  return _reader.getDataField< ::Hornbeam::Wire::StageEnd>(
+inline  ::uint64_t VersionTally::Reader::getResponses() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Hornbeam::Wire::StageEnd StageResult::Builder::getEnd() {
-  return _builder.getDataField< ::Hornbeam::Wire::StageEnd>(
+inline  ::uint64_t VersionTally::Builder::getResponses() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StageResult::Builder::setEnd( ::Hornbeam::Wire::StageEnd value) {
-  _builder.setDataField< ::Hornbeam::Wire::StageEnd>(
+inline void VersionTally::Builder::setResponses( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StageResult::Reader::hasHandles() const {
+inline  ::uint64_t VersionTally::Reader::getFailures() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionTally::Builder::getFailures() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VersionTally::Builder::setFailures( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool VersionTally::Reader::hasBuckets() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StageResult::Builder::hasHandles() {
+inline bool VersionTally::Builder::hasBuckets() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StageResult::Reader::getHandles() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader VersionTally::Reader::getBuckets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageResult::Builder::getHandles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionTally::Builder::getBuckets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StageResult::Builder::setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void VersionTally::Builder::setBuckets( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void StageResult::Builder::setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void VersionTally::Builder::setBuckets(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageResult::Builder::initHandles(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionTally::Builder::initBuckets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StageResult::Builder::adoptHandles(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void VersionTally::Builder::adoptBuckets(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StageResult::Builder::disownHandles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> VersionTally::Builder::disownBuckets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t StageResult::Reader::getRetryAfterUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t StageResult::Builder::getRetryAfterUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void StageResult::Builder::setRetryAfterUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t StageResult::Reader::getBacklogUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t StageResult::Builder::getBacklogUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void StageResult::Builder::setBacklogUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t StageResult::Reader::getComputingUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t StageResult::Builder::getComputingUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void StageResult::Builder::setComputingUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t KnownObject::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t KnownObject::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KnownObject::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KnownObject::Reader::hasDocument() const {
+inline bool VersionTally::Reader::hasCounts() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool KnownObject::Builder::hasDocument() {
+inline bool VersionTally::Builder::hasCounts() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader KnownObject::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader VersionTally::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder KnownObject::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionTally::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void KnownObject::Builder::setDocument( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void VersionTally::Builder::setCounts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder KnownObject::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void VersionTally::Builder::setCounts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void KnownObject::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionTally::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> KnownObject::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void VersionTally::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> VersionTally::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RelayedObject::Reader::hasName() const {
+inline bool StratumTally::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RelayedObject::Builder::hasName() {
+inline bool StratumTally::Builder::hasRoute() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RelayedObject::Reader::getName() const {
+inline  ::capnp::Text::Reader StratumTally::Reader::getRoute() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RelayedObject::Builder::getName() {
+inline  ::capnp::Text::Builder StratumTally::Builder::getRoute() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayedObject::Builder::setName( ::capnp::Text::Reader value) {
+inline void StratumTally::Builder::setRoute( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RelayedObject::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder StratumTally::Builder::initRoute(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RelayedObject::Builder::adoptName(
+inline void StratumTally::Builder::adoptRoute(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RelayedObject::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> StratumTally::Builder::disownRoute() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RelayedObject::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RelayedObject::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void RelayedObject::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool RelayedObject::Reader::hasDocument() const {
+inline bool StratumTally::Reader::hasDataCenter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RelayedObject::Builder::hasDocument() {
+inline bool StratumTally::Builder::hasDataCenter() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RelayedObject::Reader::getDocument() const {
+inline  ::capnp::Text::Reader StratumTally::Reader::getDataCenter() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RelayedObject::Builder::getDocument() {
+inline  ::capnp::Text::Builder StratumTally::Builder::getDataCenter() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RelayedObject::Builder::setDocument( ::capnp::Text::Reader value) {
+inline void StratumTally::Builder::setDataCenter( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RelayedObject::Builder::initDocument(unsigned int size) {
+inline  ::capnp::Text::Builder StratumTally::Builder::initDataCenter(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RelayedObject::Builder::adoptDocument(
+inline void StratumTally::Builder::adoptDataCenter(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RelayedObject::Builder::disownDocument() {
+inline ::capnp::Orphan< ::capnp::Text> StratumTally::Builder::disownDataCenter() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t RelayedUpdate::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::uint16_t StratumTally::Reader::getShareThousandths() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t RelayedUpdate::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::uint16_t StratumTally::Builder::getShareThousandths() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RelayedUpdate::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void StratumTally::Builder::setShareThousandths( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RelayedUpdate::Reader::getComplete() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool StratumTally::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool RelayedUpdate::Builder::getComplete() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool StratumTally::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void RelayedUpdate::Builder::setComplete(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::Hornbeam::Wire::VersionTally::Reader StratumTally::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RelayedUpdate::Reader::getFrom() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::Hornbeam::Wire::VersionTally::Builder StratumTally::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RelayedUpdate::Builder::getFrom() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::Hornbeam::Wire::VersionTally::Pipeline StratumTally::Pipeline::getTarget() {
+  return  ::Hornbeam::Wire::VersionTally::Pipeline(_typeless.getPointerField(2));
 }
-inline void RelayedUpdate::Builder::setFrom( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void StratumTally::Builder::setTarget( ::Hornbeam::Wire::VersionTally::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t RelayedUpdate::Reader::getTo() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::Hornbeam::Wire::VersionTally::Builder StratumTally::Builder::initTarget() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StratumTally::Builder::adoptTarget(
+    ::capnp::Orphan< ::Hornbeam::Wire::VersionTally>&& value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hornbeam::Wire::VersionTally> StratumTally::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RelayedUpdate::Builder::getTo() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool StratumTally::Reader::hasOther() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void RelayedUpdate::Builder::setTo( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool StratumTally::Builder::hasOther() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hornbeam::Wire::VersionTally::Reader StratumTally::Reader::getOther() const {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Hornbeam::Wire::VersionTally::Builder StratumTally::Builder::getOther() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hornbeam::Wire::VersionTally::Pipeline StratumTally::Pipeline::getOther() {
+  return  ::Hornbeam::Wire::VersionTally::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void StratumTally::Builder::setOther( ::Hornbeam::Wire::VersionTally::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Hornbeam::Wire::VersionTally::Builder StratumTally::Builder::initOther() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void StratumTally::Builder::adoptOther(
+    ::capnp::Orphan< ::Hornbeam::Wire::VersionTally>&& value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hornbeam::Wire::VersionTally> StratumTally::Builder::disownOther() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionTally>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool RelayedUpdate::Reader::hasObjects() const {
+inline bool EndpointTally::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RelayedUpdate::Builder::hasObjects() {
+inline bool EndpointTally::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Reader RelayedUpdate::Reader::getObjects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader EndpointTally::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Builder RelayedUpdate::Builder::getObjects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder EndpointTally::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayedUpdate::Builder::setObjects( ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EndpointTally::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>::Builder RelayedUpdate::Builder::initObjects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder EndpointTally::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RelayedUpdate::Builder::adoptObjects(
-    ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EndpointTally::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>> RelayedUpdate::Builder::disownObjects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::RelayedObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> EndpointTally::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RelayedUpdate::Reader::getReaderLimit() const {
+inline  ::uint64_t EndpointTally::Reader::getBad() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RelayedUpdate::Builder::getReaderLimit() {
+inline  ::uint64_t EndpointTally::Builder::getBad() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RelayedUpdate::Builder::setReaderLimit( ::uint64_t value) {
+inline void EndpointTally::Builder::setBad( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StreamRecord::Reader::hasRequestId() const {
+inline bool VersionReport::Reader::hasFront() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecord::Builder::hasRequestId() {
+inline bool VersionReport::Builder::hasFront() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamRecord::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader VersionReport::Reader::getFront() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::getRequestId() {
+inline  ::capnp::Text::Builder VersionReport::Builder::getFront() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StreamRecord::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void VersionReport::Builder::setFront( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder VersionReport::Builder::initFront(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StreamRecord::Builder::adoptRequestId(
+inline void VersionReport::Builder::adoptFront(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> VersionReport::Builder::disownFront() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StreamRecord::Reader::hasService() const {
+inline bool VersionReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecord::Builder::hasService() {
+inline bool VersionReport::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamRecord::Reader::getService() const {
+inline  ::capnp::Text::Reader VersionReport::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::getService() {
+inline  ::capnp::Text::Builder VersionReport::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StreamRecord::Builder::setService( ::capnp::Text::Reader value) {
+inline void VersionReport::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder VersionReport::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StreamRecord::Builder::adoptService(
+inline void VersionReport::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> VersionReport::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StreamRecord::Reader::hasSoftwareVersion() const {
+inline bool VersionReport::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecord::Builder::hasSoftwareVersion() {
+inline bool VersionReport::Builder::hasTarget() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamRecord::Reader::getSoftwareVersion() const {
+inline  ::capnp::Text::Reader VersionReport::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::getSoftwareVersion() {
+inline  ::capnp::Text::Builder VersionReport::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void StreamRecord::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+inline void VersionReport::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::initSoftwareVersion(unsigned int size) {
+inline  ::capnp::Text::Builder VersionReport::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void StreamRecord::Builder::adoptSoftwareVersion(
+inline void VersionReport::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownSoftwareVersion() {
+inline ::capnp::Orphan< ::capnp::Text> VersionReport::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StreamRecord::Reader::getRequester() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t VersionReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StreamRecord::Builder::getRequester() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t VersionReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StreamRecord::Builder::setRequester( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void VersionReport::Builder::setIncarnation( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t VersionReport::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t VersionReport::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VersionReport::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionReport::Reader::getInProgressElsewhere() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionReport::Builder::getInProgressElsewhere() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void VersionReport::Builder::setInProgressElsewhere( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool VersionReport::Reader::hasStrata() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionReport::Builder::hasStrata() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>::Reader VersionReport::Reader::getStrata() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>::Builder VersionReport::Builder::getStrata() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void VersionReport::Builder::setStrata( ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>::Builder VersionReport::Builder::initStrata(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void VersionReport::Builder::adoptStrata(
+    ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>> VersionReport::Builder::disownStrata() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::StratumTally,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool VersionReport::Reader::hasEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionReport::Builder::hasEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>::Reader VersionReport::Reader::getEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>::Builder VersionReport::Builder::getEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void VersionReport::Builder::setEndpoints( ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>::Builder VersionReport::Builder::initEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void VersionReport::Builder::adoptEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>> VersionReport::Builder::disownEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::EndpointTally,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline GatewayPeer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -4020,6 +5249,59 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayPeer::ReportVersionsParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::ReportVersionsParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hornbeam::Wire::VersionReport::Reader GatewayPeer::ReportVersionsParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Hornbeam::Wire::VersionReport::Builder GatewayPeer::ReportVersionsParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hornbeam::Wire::VersionReport::Pipeline GatewayPeer::ReportVersionsParams::Pipeline::getReport() {
+  return  ::Hornbeam::Wire::VersionReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GatewayPeer::ReportVersionsParams::Builder::setReport( ::Hornbeam::Wire::VersionReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Hornbeam::Wire::VersionReport::Builder GatewayPeer::ReportVersionsParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::ReportVersionsParams::Builder::adoptReport(
+    ::capnp::Orphan< ::Hornbeam::Wire::VersionReport>&& value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hornbeam::Wire::VersionReport> GatewayPeer::ReportVersionsParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::VersionReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double GatewayPeer::ReportVersionsResults::Reader::getShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double GatewayPeer::ReportVersionsResults::Builder::getShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::ReportVersionsResults::Builder::setShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -22,6 +22,8 @@
   this->kernel.Provide(GatewayName::kMetrics, this->metrics);
   this->stateCache = std::make_unique<StateCache>(this->kernel);
   this->kernel.Provide(GatewayName::kStateCache, *this->stateCache);
+  this->rollouts = std::make_unique<RolloutService>(this->kernel);
+  this->kernel.Provide(GatewayName::kRollouts, *this->rollouts);
   this->stageOwner = std::make_unique<StageOwnerService>(this->kernel);
   this->kernel.Provide(GatewayName::kStageOwner, *this->stageOwner);
   this->stages = std::make_unique<StageService>(this->kernel);
@@ -74,6 +76,7 @@
   handlers.findStream = [this](StreamQuestion const& aQuestion, OriginCallback aDone) {
     this->streamOrigins->FindAsKeeper(aQuestion, std::move(aDone));
   };
+  handlers.reportVersions = [this](RemoteVersionReport const& aReport) { return this->rollouts->OnReport(aReport); };
   return handlers;
 }
 
@@ -121,6 +124,7 @@
   this->presence->Start();
   this->crashes->Start();
   this->streamOrigins->Start();
+  this->rollouts->Start();
 }
 
 void
--- a/Libraries/LibGateway/GatewayNames.h
+++ b/Libraries/LibGateway/GatewayNames.h
@@ -16,6 +16,7 @@
 inline constexpr char kRelay[] = "relay";
 inline constexpr char kCrashes[] = "crashes";
 inline constexpr char kStreamOrigins[] = "stream-origins";
+inline constexpr char kRollouts[] = "rollouts";
 inline constexpr char kProxy[] = "proxy";
 inline constexpr char kDirectory[] = "directory";
 inline constexpr char kMetrics[] = "metrics";
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -42,14 +42,14 @@
   auto const preferred = view.endpoints.byId.find(this->preferredEndpoint);
   std::optional<std::string> chosen;
   bool const preferredIsUsable = preferred != view.endpoints.byId.end() && this->triedEndpoints.empty() &&
-                                 HasQueriedVersion(this->MakeQuery(), preferred->second.entry) &&
+                                 HasQueriedVersion(this->MakePreferredQuery(), preferred->second.entry) &&
                                  IsUsable(view.endpoints, preferred->second) && preferred->second.ejectedUntil <= now &&
                                  EarliestSendTo(view, preferred->second, this->proxy.settings.name) <= now &&
                                  preferred->second.coldUntil <= now;
   if (preferredIsUsable)
     chosen = this->preferredEndpoint;
   else
-    chosen = ChooseEndpoint(view, this->MakeQuery(), now);
+    chosen = this->ChoosePreferred(view, now);
   if (chosen) {
     this->SendAttempt(*chosen);
     return;
@@ -101,7 +101,8 @@
 ProxiedRequest::SendAttempt(std::string const& aEndpoint)
 {
   auto const now = this->proxy.clock.Now();
-  auto const& entry = this->proxy.stateCache.Endpoints().byId.at(aEndpoint).entry;
+  auto const& endpoint = this->proxy.stateCache.Endpoints().byId.at(aEndpoint);
+  auto const& entry = endpoint.entry;
   auto outgoing = this->MakeCall(entry);
   if (!CanSerialize(outgoing.request.fields)) {
     this->Fail(this->mayHaveExecuted ? 502 : 413, "head-too-long");
@@ -123,6 +124,7 @@
       aRequest.OnAttemptEnd(aEnd);
   });
   this->attempt.watched = this->proxy.crashes.OnAttemptSent(entry, this->crashCandidates);
+  this->attempt.counted = this->proxy.rollouts.OnAttemptSent(endpoint, this->route.name);
   OnAttemptSent(this->timeline, now);
   OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, this->proxy.stateCache.Fronts().byName.size(), now);
   this->attempt.call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
@@ -142,6 +144,12 @@
 {
   this->proxy.crashes.OnAttemptEnd(aAttempt.watched,
                                    aHealth == AttemptHealth::Healthy ? WatchedEnd::Complete : WatchedEnd::Other);
+  bool const failed = aHealth == AttemptHealth::Failed;
+  if (failed && this->proxy.rollouts.IsAvoidedAfterFailure(this->serviceName, aAttempt.softwareVersion))
+    this->avoidsTarget = true;
+  auto const outcome = failed ? ResponseOutcome::Failed : ResponseOutcome::Succeeded;
+  bool const tells = failed || aHealth == AttemptHealth::Healthy;
+  this->proxy.rollouts.OnAttemptEnd(aAttempt.counted, tells ? std::optional(outcome) : std::nullopt);
   auto& endpoints = this->proxy.stateCache.Endpoints();
   OnRequestEnded(endpoints, aAttempt.endpoint);
   auto const coldTime = RuleOf(*this->table, this->serviceName).coldTime;
@@ -153,6 +161,7 @@
 {
   aAttempt.call.Abandon();
   this->proxy.crashes.OnAttemptEnd(aAttempt.watched, WatchedEnd::Other);
+  this->proxy.rollouts.OnAttemptEnd(aAttempt.counted, std::nullopt);
   OnRequestEnded(this->proxy.stateCache.Endpoints(), aAttempt.endpoint);
 }
 
@@ -194,6 +203,8 @@
     return;
   this->ArmStallTimer();
   this->attempt.forwarding = true;
+  this->proxy.rollouts.OnAnswer(this->attempt.counted,
+                                aHead.status >= 500 ? ResponseOutcome::Failed : ResponseOutcome::Succeeded);
   bool const resumed = this->responseBegun;
   if (resumed && !this->ContinuesStream(aHead)) {
     this->attempt.call.Abandon();
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -73,12 +73,14 @@
 EndpointQuery
 ProxiedRequest::MakeQuery() const
 {
-  return { this->serviceName,
-           this->AffinityKey(),
-           this->triedEndpoints,
-           this->proxy.settings.name,
-           this->proxy.settings.dataCenter,
-           this->streamVersion };
+  EndpointQuery query{ this->serviceName,
+                       this->AffinityKey(),
+                       this->triedEndpoints,
+                       this->proxy.settings.name,
+                       this->proxy.settings.dataCenter,
+                       this->streamVersion };
+  this->Restrict(query);
+  return query;
 }
 
 void
@@ -88,9 +90,13 @@
   this->deadline = DeadlineOf(this->route, this->metadata.clientTimeout, received);
   this->targetTime = received + this->route.targetLatency;
   this->priority = this->account.priority.value_or(this->route.priority);
-  double const draw = double(this->proxy.random() - std::minstd_rand::min()) /
-                      (double(std::minstd_rand::max()) - double(std::minstd_rand::min()) + 1);
-  this->serviceName = PickService(this->route, draw);
+  auto const draw = [this] {
+    return double(this->proxy.random() - std::minstd_rand::min()) /
+           (double(std::minstd_rand::max()) - double(std::minstd_rand::min()) + 1);
+  };
+  this->serviceName = PickService(this->route, draw());
+  this->versionDraw = draw();
+  this->proxy.rollouts.OnRequest(this->serviceName);
   CountRequest(this->proxy.retryBudgets[this->serviceName], this->proxy.settings.retries, received);
   this->exchange->onCallerDisconnected = this->Callback(
     [](ProxiedRequest& aRequest) { aRequest.End(RequestOutcome::CallerDisconnected, 0, "caller-gone"); });
@@ -119,8 +125,7 @@
     return;
   }
   auto const now = this->proxy.clock.Now();
-  this->preferredEndpoint =
-    ChooseEndpoint(this->proxy.stateCache.MakeSelectionView(), this->MakeQuery(), now).value_or("");
+  this->preferredEndpoint = this->ChoosePreferred(this->proxy.stateCache.MakeSelectionView(), now).value_or("");
   this->StartStages();
 }
 
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -36,6 +36,8 @@
   CallHandle call;
   /// The attempt's number at the crash service.
   std::uint64_t watched{ 0 };
+  /// The attempt's number at the rollout service.
+  std::uint64_t counted{ 0 };
   bool headReceived{ false };
   /// Set if the head of the response was accepted, so that its body is forwarded to the caller.
   bool forwarding{ false };
@@ -106,6 +108,17 @@
   std::string AffinityKey() const;
   EndpointQuery MakeQuery() const;
 
+  // Defined in ProxiedRollout.cpp.
+
+  /// Returns the software versions that the request may use now.
+  VersionChoice ChooseVersion() const;
+  /// Restricts a query to the versions that the request may use.
+  void Restrict(EndpointQuery& aQuery) const;
+  /// Chooses an endpoint of the version that the request should use, or of another one that it may use.
+  std::optional<std::string> ChoosePreferred(SelectionView const& aView, MonotonicTime aNow) const;
+  /// Returns the query for endpoints of the version that the request should use.
+  EndpointQuery MakePreferredQuery() const;
+
   /// Whether the request goes on with a stream of which the caller has events already.
   bool TakesStreamUp() const;
   void FindStreamOrigin();
@@ -205,6 +218,10 @@
   /// What may crash endpoints: the parts of the prompt that other requests can share, and the request itself.
   std::vector<CrashCandidate> crashCandidates;
   std::string serviceName;
+  /// Decides the software version during a rollout; uniform in [0, 1).
+  double versionDraw{ 0 };
+  /// Set once an attempt at the target of a rollout failed.
+  bool avoidsTarget{ false };
   int priority{ 0 };
   MonotonicTime targetTime{};
   MonotonicTime deadline{};
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -17,6 +17,7 @@
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
   , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
   , streamOrigins(aKernel.Find<StreamOriginService>(GatewayName::kStreamOrigins))
+  , rollouts(aKernel.Find<RolloutService>(GatewayName::kRollouts))
   , random(std::random_device{}())
 {
   this->stateCache.AddChangeListener([this] { this->RetryWaiting(); });
--- a/Libraries/LibGateway/ProxyService.h
+++ b/Libraries/LibGateway/ProxyService.h
@@ -3,6 +3,7 @@
 #include "CrashService.h"
 #include "EventStream.h"
 #include "GatewayMetrics.h"
+#include "RolloutService.h"
 #include "StageService.h"
 #include "StreamOriginService.h"
 #include <random>
@@ -52,6 +53,7 @@
   GatewayMetrics& metrics;
   CrashService& crashes;
   StreamOriginService& streamOrigins;
+  RolloutService& rollouts;
   std::set<std::shared_ptr<ProxiedRequest>> activeRequests;
   std::vector<std::weak_ptr<ProxiedRequest>> waitingRequests;
   std::map<std::string, RetryQuota> retryBudgets;
--- a/Libraries/LibGateway/StageOwnerService.cpp
+++ b/Libraries/LibGateway/StageOwnerService.cpp
@@ -21,19 +21,23 @@
   , stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
   , clock(aKernel.Find<Clock>(GatewayName::kClock))
   , connections(aKernel.Find<ConnectionPool>(GatewayName::kConnections))
+  , rollouts(aKernel.Find<RolloutService>(GatewayName::kRollouts))
 {
   this->stateCache.AddChangeListener([this] { this->UpdatePools(); });
+  this->rollouts.AddShareListener([this] { this->UpdatePools(); });
 }
 
-static std::vector<EndpointEntry>
-UsableEntries(EndpointSet const& aSet, std::string const& aService)
+std::vector<EndpointEntry>
+StageOwnerService::UsableEntries(std::string const& aService) const
 {
+  auto const& set = this->stateCache.Endpoints();
   std::vector<EndpointEntry> entries;
-  auto const pool = aSet.idsByService.find(aService);
-  if (pool == aSet.idsByService.end())
+  auto const pool = set.idsByService.find(aService);
+  if (pool == set.idsByService.end())
     return entries;
   for (auto const& id : pool->second)
-    if (auto const& endpoint = aSet.byId.at(id); IsUsable(aSet, endpoint))
+    if (auto const& endpoint = set.byId.at(id);
+        IsUsable(set, endpoint) && this->rollouts.MayRunStages(aService, endpoint.entry.softwareVersion))
       entries.push_back(endpoint.entry);
   return entries;
 }
@@ -50,7 +54,7 @@
   auto const [position, added] = this->pools.try_emplace(aService);
   if (added) {
     PART_LOG("stages") << "event=pool-created service=" << aService << " table=" << table->version;
-    auto const entries = UsableEntries(this->stateCache.Endpoints(), aService);
+    auto const entries = this->UsableEntries(aService);
     this->ApplyDecisions(aService, UpdatePool(position->second, *rule.stage, entries, this->clock.Now()));
   }
   return &position->second;
@@ -65,8 +69,7 @@
   for (auto& [service, pool] : this->pools) {
     auto const& rule = RuleOf(*table, service);
     auto const limits = rule.stage.value_or(pool.limits);
-    this->ApplyDecisions(
-      service, UpdatePool(pool, limits, UsableEntries(this->stateCache.Endpoints(), service), this->clock.Now()));
+    this->ApplyDecisions(service, UpdatePool(pool, limits, this->UsableEntries(service), this->clock.Now()));
   }
 }
 
--- a/Libraries/LibGateway/StageOwnerService.h
+++ b/Libraries/LibGateway/StageOwnerService.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "FrontPeers.h"
-#include "StateCache.h"
+#include "RolloutService.h"
 
 namespace Hornbeam::Gateway {
 
@@ -41,6 +40,8 @@
   void HandOffJobs();
   StagePool* FindOrCreatePool(std::string const& aService);
   void UpdatePools();
+  /// The endpoints to which calls of the service may go.
+  std::vector<EndpointEntry> UsableEntries(std::string const& aService) const;
   void ApplyDecisions(std::string const& aService, StageDecisions aDecisions);
   void StartCall(std::string const& aService, StageCall const& aCall);
   /// Records what the answer to a call says about its endpoint.
@@ -53,6 +54,7 @@
   StateCache& stateCache;
   Clock& clock;
   ConnectionPool& connections;
+  RolloutService& rollouts;
   std::map<std::string, StagePool> pools;
   std::map<std::pair<std::string, StageJobId>, StageCallback> callbacks;
   /// Results to release, by service and address; sent in batches after kReleaseDelay.
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -87,6 +87,7 @@
   settings.cold = { 1.5, 5 };
   settings.graceTime = this->graceTime;
   settings.firstStart = this->firstStart;
+  settings.rollouts = this->rollouts;
   this->fronts.push_back(std::make_unique<GatewayFront>(settings, this->loop, [this, aFront] {
     this->stopped[aFront] = true;
     if (this->onStopped)
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -69,6 +69,8 @@
   Duration graceTime{ 8s };
   /// Whether fronts that are started from now on belong to the first start of the fleet.
   bool firstStart{ true };
+  /// The rules of rollouts of fronts that are started from now on; rollouts are not in use without them.
+  std::optional<Gateway::RolloutRules> rollouts;
   Gateway::ConnectionPool callers{ this->loop.UvLoop(), this->clock };
 
 private:
