LibGateway: Count endpoints that never answer against their version

A version that hangs gave no evidence, as an attempt that ends with its caller or its deadline said nothing about its endpoint. At the deadline it counts as a failure now, and otherwise as a response that took at least the time until then. Reports are sent half a timer step early or late, as leases of the largest fleet could have ended between two of them. A test for a second order is added.

PlatformTests have not been run.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -161,7 +161,9 @@
 {
   aAttempt.call.Abandon();
   this->proxy.crashes.OnAttemptEnd(aAttempt.watched, WatchedEnd::Other);
-  this->proxy.rollouts.OnAttemptEnd(aAttempt.counted, std::nullopt);
+  // A response that was not waited for took at least the time until now.
+  this->proxy.rollouts.OnAttemptEnd(aAttempt.counted,
+                                    aAttempt.headReceived ? std::nullopt : std::optional(ResponseOutcome::Succeeded));
   OnRequestEnded(this->proxy.stateCache.Endpoints(), aAttempt.endpoint);
 }
 
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -323,6 +323,9 @@
 {
   if (this->ended)
     return;
+  // An endpoint that never answers is a failing one to the comparison of software versions.
+  if (this->attempting && !this->attempt.headReceived)
+    this->proxy.rollouts.OnAnswer(this->attempt.counted, ResponseOutcome::Failed);
   this->DropStalledAttempt();
   if (this->attempting || this->mayHaveExecuted || this->responseBegun)
     this->Fail(504, "deadline");
--- a/Libraries/LibGateway/RolloutService.cpp
+++ b/Libraries/LibGateway/RolloutService.cpp
@@ -5,7 +5,8 @@
 
 namespace Hornbeam::Gateway {
 
-/// Reports become due at this grain; the intervals between them are at least four times as long.
+/// Reports become due at this grain, half of it early or late: the largest fleet reports every 1.85 s, and a lease ends
+/// after 2 s.
 static constexpr Duration kTickInterval = 100ms;
 /// A front that has just started may not know the orders for this time, even if the store is healthy. A store that does
 /// not know their kind must not hold a version back forever.
@@ -224,7 +225,7 @@
     bool const isFinal = entry.order.recorded && entry.order.recorded != RolloutState::Serving;
     if (isFinal && entry.order.recordedInStore != entry.order.recorded && this->IsOwner(service))
       this->WriteStatus(entry.order);
-    if (!isFinal && !entry.reporting && now >= entry.nextReport)
+    if (!isFinal && !entry.reporting && now + kTickInterval / 2 >= entry.nextReport)
       this->Report(service, entry);
   }
 }
--- a/Tests/LibGateway/RolloutServiceTests.cpp
+++ b/Tests/LibGateway/RolloutServiceTests.cpp
@@ -64,9 +64,9 @@
                 { "version", aVersion } });
   }
 
-  void PutOrder(json const& aStatus = nullptr)
+  void PutOrder(json const& aStatus = nullptr, std::string const& aTarget = "v2")
   {
-    this->Put(ObjectKind::Rollout, "s", { { "service", "s" }, { "target", "v2" }, { "duration_s", 20 } }, aStatus);
+    this->Put(ObjectKind::Rollout, "s", { { "service", "s" }, { "target", aTarget }, { "duration_s", 20 } }, aStatus);
   }
 
   /// Returns the version of the endpoint at which a request runs; empty if it may run at none.
@@ -162,6 +162,25 @@
   EXPECT_EQ(front.rollouts->ChoiceFor("s", 0, std::nullopt).restriction, VersionRestriction::None);
 }
 
+// A second order went on with the share, the counts or the final state of the first one.
+TEST(RolloutService, BeginsAnewForAnotherTarget)
+{
+  LoneFront front;
+  front.RunFor(100ms);
+  front.PutEndpoint("v2");
+  front.PutOrder();
+  EXPECT_TRUE(front.RunFor(5s).contains("v2"));
+  front.PutEndpoint("v3");
+  front.PutOrder({ { "state", "rolled_back" }, { "target", "v2" } }, "v3");
+  auto const choice = front.rollouts->ChoiceFor("s", 0, std::nullopt);
+  EXPECT_EQ(choice.target, "v3");
+  EXPECT_EQ(choice.restriction, VersionRestriction::ExcludeTarget);
+  auto const state = front.rollouts->RenderState();
+  ASSERT_EQ(state.size(), 1U);
+  EXPECT_EQ(state[0]["requests"], 0);
+  EXPECT_EQ(state[0]["state"], "serving");
+}
+
 // A version that joined others was used before its order could arrive.
 TEST(RolloutService, HoldsANewVersionBack)
 {
