--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -21,6 +21,7 @@
   , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
   , callerMemory(aKernel.Find<CallerMemory const>(GatewayName::kCallerMemory))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
+  , rollouts(aKernel.Find<RolloutService>(GatewayName::kRollouts))
 {
 }
 
@@ -133,6 +134,7 @@
   target.SetGauge("stage_calls", double(counts.calls));
   target.SetGauge("stage_pieces", double(counts.items));
   target.SetGauge("stage_calls_failed", double(counts.failedCalls));
+  this->rollouts.UpdateMetrics();
 }
 
 std::string
@@ -171,6 +173,8 @@
                             { "crashes", quarantine.crashes },
                             { "reporters", quarantine.reporters },
                             { "left_ms", std::max<std::int64_t>(0, Milliseconds(quarantine.until - now)) } });
+  if (this->settings.rollouts)
+    result["rollouts"] = this->rollouts.RenderState();
   auto& pools = result["stage_pools"] = json::array();
   for (auto const& [service, pool] : this->stageOwner.Pools())
     pools.push_back({ { "service", service },
--- a/Libraries/LibGateway/DirectoryService.h
+++ b/Libraries/LibGateway/DirectoryService.h
@@ -36,6 +36,7 @@
   CrashService& crashes;
   CallerMemory const& callerMemory;
   GatewayMetrics& metrics;
+  RolloutService& rollouts;
   bool draining{ false };
 };
 
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -28,6 +28,8 @@
   this->kernel.Provide(GatewayName::kMetrics, this->metrics);
   this->stateCache = std::make_unique<StateCache>(this->kernel);
   this->kernel.Provide(GatewayName::kStateCache, *this->stateCache);
+  this->rollouts = std::make_unique<RolloutService>(this->kernel);
+  this->kernel.Provide(GatewayName::kRollouts, *this->rollouts);
   this->stageOwner = std::make_unique<StageOwnerService>(this->kernel);
   this->kernel.Provide(GatewayName::kStageOwner, *this->stageOwner);
   this->stages = std::make_unique<StageService>(this->kernel);
@@ -88,6 +90,7 @@
     this->streamOrigins->FindAsKeeper(aQuestion, std::move(aDone));
   };
   handlers.exchangeLoads = [this](LoadReport aReport) { return this->loads->OnReport(std::move(aReport)); };
+  handlers.reportVersions = [this](RemoteVersionReport const& aReport) { return this->rollouts->OnReport(aReport); };
   return handlers;
 }
 
@@ -139,6 +142,7 @@
   this->crashes->Start();
   this->streamOrigins->Start();
   this->loads->Start();
+  this->rollouts->Start();
 }
 
 void
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -65,9 +65,10 @@
     return FromSeconds(this->Number(aPath, aMinimum, aMaximum));
   }
 
-  double OptionalNumber(std::string const& aPath, double aMinimum, double aMaximum, double aDefault)
+  bool Has(std::string const& aPath) const
   {
-    return this->Find(aPath) ? this->Number(aPath, aMinimum, aMaximum) : aDefault;
+    auto const node = this->Find(aPath);
+    return node && !node.IsNull();
   }
 
   /// False if it is missing.
@@ -181,8 +182,14 @@
   settings.retries.window = reader.Seconds("retries.window_s", 1, 600);
   settings.cold.overshoot = reader.Number("cold.overshoot", 0, 100);
   settings.cold.slack = reader.Number("cold.slack", 0, 100000);
-  settings.exchangeLoadsFrom =
-    std::size_t(reader.OptionalNumber("balancing.exchange_from_fronts", 2, 100000, double(settings.exchangeLoadsFrom)));
+  settings.exchangeLoadsFrom = std::size_t(
+    reader.OptionalNumber("balancing.exchange_from_fronts", 2, 100000).value_or(double(settings.exchangeLoadsFrom)));
+  if (reader.Has("rollouts")) {
+    settings.rollouts.emplace();
+    settings.rollouts->exposureShare = reader.Number("rollouts.exposure_share", 0.001, 1);
+    settings.rollouts->exposureSlack = reader.Number("rollouts.exposure_slack", 0, 1000000);
+    settings.rollouts->rollbackTime = FromSeconds(reader.Number("rollouts.rollback_ms", 500, 600000) / 1000);
+  }
   if (!aErrors.empty())
     return std::nullopt;
   return settings;
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -37,6 +37,8 @@
   ColdRules cold;
   /// The number of fronts from which on they exchange their loads; with fewer, the own counts show the load.
   std::size_t exchangeLoadsFrom{ 64 };
+  /// Set only where rollouts of software versions are in use.
+  std::optional<RolloutRules> rollouts;
 };
 
 /// The share of a machine that callers may hold, unless the settings state it: a quarter of its memory, so that a
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -73,22 +73,14 @@
 EndpointQuery
 ProxiedRequest::MakeQuery() const
 {
-  return { this->serviceName,
-           this->AffinityKey(),
-           this->triedEndpoints,
-           this->proxy.settings.name,
-           this->proxy.settings.dataCenter,
-           this->streamVersion };
-}
-
-std::optional<std::string>
-ProxiedRequest::ChooseEndpointNow() const
-{
-  auto view = this->proxy.stateCache.MakeSelectionView();
-  view.fleetLoads = this->proxy.loads.FleetView();
-  auto query = this->MakeQuery();
-  query.draw = this->proxy.random();
-  return ChooseEndpoint(view, query, this->proxy.clock.Now());
+  EndpointQuery query{ this->serviceName,
+                       this->AffinityKey(),
+                       this->triedEndpoints,
+                       this->proxy.settings.name,
+                       this->proxy.settings.dataCenter,
+                       this->streamVersion };
+  this->Restrict(query);
+  return query;
 }
 
 void
@@ -98,9 +90,13 @@
   this->deadline = DeadlineOf(this->route, this->metadata.clientTimeout, received);
   this->targetTime = received + this->route.targetLatency;
   this->priority = this->account.priority.value_or(this->route.priority);
-  double const draw = double(this->proxy.random() - std::minstd_rand::min()) /
-                      (double(std::minstd_rand::max()) - double(std::minstd_rand::min()) + 1);
-  this->serviceName = PickService(this->route, draw);
+  auto const draw = [this] {
+    return double(this->proxy.random() - std::minstd_rand::min()) /
+           (double(std::minstd_rand::max()) - double(std::minstd_rand::min()) + 1);
+  };
+  this->serviceName = PickService(this->route, draw());
+  this->versionDraw = draw();
+  this->proxy.rollouts.OnRequest(this->serviceName);
   CountRequest(this->proxy.retryBudgets[this->serviceName], this->proxy.settings.retries, received);
   this->exchange->onCallerDisconnected = this->Callback(
     [](ProxiedRequest& aRequest) { aRequest.End(RequestOutcome::CallerDisconnected, 0, "caller-gone"); });
@@ -128,7 +124,8 @@
     this->Fail(400, "pieces-do-not-fit-stages");
     return;
   }
-  this->preferredEndpoint = this->ChooseEndpointNow().value_or("");
+  auto const now = this->proxy.clock.Now();
+  this->preferredEndpoint = this->ChoosePreferred(this->proxy.stateCache.MakeSelectionView(), now).value_or("");
   this->StartStages();
 }
 
@@ -326,6 +323,9 @@
 {
   if (this->ended)
     return;
+  // An endpoint that never answers is a failing one to the comparison of software versions.
+  if (this->attempting && !this->attempt.headReceived)
+    this->proxy.rollouts.OnAnswer(this->attempt.counted, ResponseOutcome::Failed);
   this->DropStalledAttempt();
   if (this->attempting || this->mayHaveExecuted || this->responseBegun)
     this->Fail(504, "deadline");
--- a/Libraries/LibGateway/ProxyService.cpp
+++ b/Libraries/LibGateway/ProxyService.cpp
@@ -18,6 +18,7 @@
   , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
   , streamOrigins(aKernel.Find<StreamOriginService>(GatewayName::kStreamOrigins))
   , loads(aKernel.Find<LoadService>(GatewayName::kLoads))
+  , rollouts(aKernel.Find<RolloutService>(GatewayName::kRollouts))
   , random(std::random_device{}())
 {
   this->stateCache.AddChangeListener([this] { this->RetryWaiting(); });
--- a/Libraries/LibGateway/ProxyService.h
+++ b/Libraries/LibGateway/ProxyService.h
@@ -4,6 +4,7 @@
 #include "EventStream.h"
 #include "GatewayMetrics.h"
 #include "LoadService.h"
+#include "RolloutService.h"
 #include "StageService.h"
 #include "StreamOriginService.h"
 #include <random>
@@ -54,6 +55,7 @@
   CrashService& crashes;
   StreamOriginService& streamOrigins;
   LoadService& loads;
+  RolloutService& rollouts;
   std::set<std::shared_ptr<ProxiedRequest>> activeRequests;
   std::vector<std::weak_ptr<ProxiedRequest>> waitingRequests;
   std::map<std::string, RetryQuota> retryBudgets;
--- a/Libraries/LibServing/EndpointSelection.h
+++ b/Libraries/LibServing/EndpointSelection.h
@@ -26,6 +26,10 @@
   std::optional<std::string> softwareVersion{};
   /// Uniformly random; used to choose by the fleet's load without affinity.
   std::uint64_t draw{ 0 };
+  /// The same, as a rollout requires it.
+  std::optional<std::string> rolloutVersion{};
+  /// The software version that the endpoint must not have.
+  std::optional<std::string> excludedVersion{};
 };
 
 /// The known state that a selection is based on.
