LibServing: Explain why an endpoint is chosen

The choice and the candidates come from the code that serves requests: EligibleEndpoints() and ConnectionQuota() are declared in the header, their code is unchanged.

--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -31,8 +31,7 @@
   return recent < ColdSendQuota(aView.cold, RuleOf(aView.table, aEndpoint.entry.service).coldRate);
 }
 
-/// Maximum number of this front's requests at one endpoint: its portion of the connections that the endpoint accepts.
-static unsigned
+unsigned
 ConnectionQuota(SelectionView const& aView, std::string const& aService)
 {
   auto const fronts = std::max<std::size_t>(1, aView.fronts.byName.size());
@@ -81,7 +80,7 @@
   return earliest;
 }
 
-static std::vector<KnownEndpoint const*>
+std::vector<KnownEndpoint const*>
 EligibleEndpoints(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow)
 {
   std::vector<KnownEndpoint const*> healthy;
--- a/Libraries/LibServing/EndpointSelection.h
+++ b/Libraries/LibServing/EndpointSelection.h
@@ -49,6 +49,16 @@
 std::optional<std::string>
 ChooseEndpoint(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow);
 
+/// Returns the candidates of ChooseEndpoint(): the endpoints that may receive the query now, without the failing ones
+/// while others are available.
+std::vector<KnownEndpoint const*>
+EligibleEndpoints(SelectionView const& aView, EndpointQuery const& aQuery, MonotonicTime aNow);
+
+/// Returns the maximum number of this front's requests at one endpoint: its portion of the connections that the
+/// endpoint accepts.
+unsigned
+ConnectionQuota(SelectionView const& aView, std::string const& aService);
+
 /// Returns whether the endpoint has the software version that the query asks for. An unknown version is no version.
 bool
 HasQueriedVersion(EndpointQuery const& aQuery, EndpointEntry const& aEntry);
--- a/Libraries/LibServing/LibServing.h
+++ b/Libraries/LibServing/LibServing.h
@@ -7,6 +7,7 @@
 #include "EndpointSelection.h"
 #include "EndpointSet.h"
 #include "EndpointSignals.h"
+#include "ExplainChoice.h"
 #include "FrontSet.h"
 #include "RequestStages.h"
 #include "RequestTimeline.h"
