LibGateway, hornbeamctl: Explain where a request would go now

An operator who asks why a request went to an endpoint, or why it waits, had only /beliefs and the log lines of requests that had been sent.

GET /explain at the metrics address of a front decodes the query into the request that a caller would send, so that the same code decides as for a request, in the same order: table, route, key, stages, quarantine, and the choice by ExplainChoice() for each service of the route. Nothing is sent, counted or logged, and the response does not contain the key. Stages are shown with the owner of their pool and its backlog as last reported; asking the owner would cost a call for each question.

--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -19,6 +19,7 @@
   , proxy(aKernel.Find<ProxyService>(GatewayName::kProxy))
   , relay(aKernel.Find<RelayService>(GatewayName::kRelay))
   , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
+  , explain(aKernel.Find<ExplainService>(GatewayName::kExplain))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
 {
 }
@@ -183,8 +184,10 @@
     RespondText(*aExchange, 200, "text/plain; version=0.0.4", this->metrics.Render());
   } else if (target == "/beliefs") {
     RespondText(*aExchange, 200, "application/json", this->RenderState());
+  } else if (target.starts_with("/explain?")) {
+    this->explain.Handle(*aExchange);
   } else {
-    RespondText(*aExchange, 404, "text/plain", "try /metrics or /beliefs");
+    RespondText(*aExchange, 404, "text/plain", "try /metrics, /beliefs or /explain?host=..&path=..");
   }
 }
 
--- a/Libraries/LibGateway/DirectoryService.h
+++ b/Libraries/LibGateway/DirectoryService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ExplainService.h"
 #include "ProxyService.h"
 #include "RelayService.h"
 
@@ -34,6 +35,7 @@
   ProxyService& proxy;
   RelayService& relay;
   CrashService& crashes;
+  ExplainService& explain;
   GatewayMetrics& metrics;
   bool draining{ false };
 };
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -36,6 +36,8 @@
   this->kernel.Provide(GatewayName::kStreamOrigins, *this->streamOrigins);
   this->proxy = std::make_unique<ProxyService>(this->kernel);
   this->kernel.Provide(GatewayName::kProxy, *this->proxy);
+  this->explain = std::make_unique<ExplainService>(this->kernel);
+  this->kernel.Provide(GatewayName::kExplain, *this->explain);
   this->directory = std::make_unique<DirectoryService>(this->kernel);
   this->kernel.Provide(GatewayName::kDirectory, *this->directory);
 }
@@ -157,6 +159,7 @@
   this->stop = PlanStop(this->settings.graceTime, 3 * this->settings.directoryLifetime, now);
   PART_LOG("front") << "event=draining active=" << this->proxy->ActiveRequests()
                     << " requests_end_ms=" << Milliseconds(this->stop->requestsEnd - now);
+  this->explain->BeginDraining();
   this->directory->BeginDraining();
   this->presence->Deregister();
   this->stageOwner->HandOff(this->stop->requestsEnd);
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -53,6 +53,7 @@
   std::unique_ptr<CrashService> crashes;
   std::unique_ptr<StreamOriginService> streamOrigins;
   std::unique_ptr<ProxyService> proxy;
+  std::unique_ptr<ExplainService> explain;
   std::unique_ptr<DirectoryService> directory;
   std::vector<std::unique_ptr<HttpListener>> entries;
   HttpListener* callers{ nullptr };
--- a/Libraries/LibGateway/GatewayNames.h
+++ b/Libraries/LibGateway/GatewayNames.h
@@ -17,6 +17,7 @@
 inline constexpr char kCrashes[] = "crashes";
 inline constexpr char kStreamOrigins[] = "stream-origins";
 inline constexpr char kProxy[] = "proxy";
+inline constexpr char kExplain[] = "explain";
 inline constexpr char kDirectory[] = "directory";
 inline constexpr char kMetrics[] = "metrics";
 
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -61,20 +61,19 @@
 }
 
 std::string
-ProxiedRequest::AffinityKey() const
+AffinityKeyOf(Route const& aRoute, std::vector<std::string> const& aParts)
 {
   // The deepest part that other requests can share; the last part is specific to the request or its session.
-  auto const& parts = this->metadata.prefixHashes;
-  if (!this->route.prefixAffinity || parts.empty())
+  if (!aRoute.prefixAffinity || aParts.empty())
     return "";
-  return parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
+  return aParts.size() > 1 ? aParts[aParts.size() - 2] : aParts.back();
 }
 
 EndpointQuery
 ProxiedRequest::MakeQuery() const
 {
   return { this->serviceName,
-           this->AffinityKey(),
+           AffinityKeyOf(this->route, this->metadata.prefixHashes),
            this->triedEndpoints,
            this->proxy.settings.name,
            this->proxy.settings.dataCenter,
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -20,6 +20,10 @@
 std::string_view
 ToString(RequestOutcome aOutcome);
 
+/// Returns the part of a prompt that decides about the endpoint on a route with affinity; empty without one.
+std::string
+AffinityKeyOf(Route const& aRoute, std::vector<std::string> const& aParts);
+
 /// Returns when a request must have ended; aClientTimeout and aReceived are those of its caller.
 MonotonicTime
 DeadlineOf(Route const& aRoute, std::optional<Duration> aClientTimeout, MonotonicTime aReceived);
@@ -103,7 +107,6 @@
   void EndAfterException();
 
   bool IsRetryable() const;
-  std::string AffinityKey() const;
   EndpointQuery MakeQuery() const;
 
   /// Whether the request goes on with a stream of which the caller has events already.
--- a/Utilities/hornbeamctl/Commands.cpp
+++ b/Utilities/hornbeamctl/Commands.cpp
@@ -1,5 +1,7 @@
 #include "Commands.h"
+#include <fstream>
 #include <iostream>
+#include <kj/encoding.h>
 #include <yaml-cpp/yaml.h>
 
 namespace Hornbeam {
@@ -101,6 +103,43 @@
   return exit;
 }
 
+/// Reads the first word of a file.
+static std::optional<std::string>
+ReadKey(std::string const& aFile)
+{
+  std::ifstream stream(aFile);
+  std::string key;
+  if (!(stream >> key)) {
+    std::cerr << "hornbeamctl: " << aFile << ": no key can be read\n";
+    return std::nullopt;
+  }
+  return key;
+}
+
+ExitCode
+ExplainRequest(CommandContext const& aContext, ExplainOptions const& aOptions)
+{
+  auto const key = aOptions.keyFile.empty() ? std::optional(std::string()) : ReadKey(aOptions.keyFile);
+  if (!key)
+    return ExitCode::InvalidUse;
+  std::string target = "/explain?";
+  auto const add = [&](std::string_view aName, std::string const& aValue) {
+    auto const encoded = kj::encodeUriComponent(kj::arrayPtr(aValue.data(), aValue.size()));
+    if (!aValue.empty())
+      target.append(target.ends_with('?') ? "" : "&").append(aName).append("=").append(encoded.cStr());
+  };
+  add("host", aOptions.host);
+  add("path", aOptions.path);
+  add("key", *key);
+  add("prefix", aOptions.prefix);
+  add("items", aOptions.items);
+  auto exit = ExitCode::Success;
+  auto const body = ParseBody(aContext.client.Call(aOptions.front, HttpMethod::Get, target), exit);
+  if (body)
+    PrintExplanation(*body, aContext.format);
+  return exit;
+}
+
 ExitCode
 ShowStatus(CommandContext const& aContext)
 {
--- a/Utilities/hornbeamctl/Commands.h
+++ b/Utilities/hornbeamctl/Commands.h
@@ -31,6 +31,20 @@
   std::string key;
 };
 
+/// A request whose routing is to be explained.
+struct ExplainOptions
+{
+  /// The metrics address of the front that is asked.
+  std::string front;
+  std::string host;
+  std::string path;
+  /// A file whose first word is the account's key; empty for none.
+  std::string keyFile;
+  /// The prompt's parts and the items of each stage, as in a request's headers.
+  std::string prefix;
+  std::string items;
+};
+
 ExitCode
 ShowEntry(CommandContext const& aContext);
 
@@ -41,6 +55,10 @@
 ExitCode
 ShowKnownState(CommandContext const& aContext, std::string const& aMetricsAddress);
 
+/// Shows where a front would send a request now and why; nothing is sent.
+ExitCode
+ExplainRequest(CommandContext const& aContext, ExplainOptions const& aOptions);
+
 ExitCode
 ListRows(CommandContext const& aContext, std::string const& aKind);
 
--- a/Utilities/hornbeamctl/Output.cpp
+++ b/Utilities/hornbeamctl/Output.cpp
@@ -54,6 +54,95 @@
   PrintColumns({ "ROW", "REVISION", "CELLS" }, rows);
 }
 
+/// Returns a member of an object as text; a dash if it is missing or null.
+static std::string
+MemberText(json const& aObject, char const* aName)
+{
+  auto const found = aObject.find(aName);
+  if (found == aObject.end() || found->is_null() || *found == "")
+    return "-";
+  return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+/// Prints some members of each object of a list as columns, below an empty line.
+template<std::size_t Count>
+static void
+PrintMembers(json const& aList, std::vector<std::string> const& aHeading, std::array<char const*, Count> const& aNames)
+{
+  std::vector<std::vector<std::string>> rows;
+  for (auto const& item : aList) {
+    auto& row = rows.emplace_back();
+    for (auto const* name : aNames)
+      row.push_back(MemberText(item, name));
+  }
+  std::cout << "\n";
+  PrintColumns(aHeading, rows);
+}
+
+void
+PrintExplanation(json const& aExplanation, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::Json) {
+    std::cout << aExplanation.dump(kIndent) << "\n";
+    return;
+  }
+  auto const text = [&](char const* aName) { return MemberText(aExplanation, aName); };
+  auto const route = aExplanation.value("route", json::object());
+  PrintColumns({ "VERDICT", "STATUS", "REASON", "ROUTE", "ACCOUNT", "FRONT", "STOPPING", "TABLE", "AGE MS" },
+               { { text("verdict"),
+                   text("status"),
+                   text("reason"),
+                   MemberText(route, "name"),
+                   text("account"),
+                   text("front"),
+                   text("stopping"),
+                   text("table_version"),
+                   text("age_ms") } });
+  if (aExplanation.contains("quarantined"))
+    PrintMembers(
+      json::array({ aExplanation["quarantined"] }), { "QUARANTINED", "LEFT MS" }, std::array{ "candidate", "left_ms" });
+  if (aExplanation.contains("stages"))
+    PrintMembers(
+      aExplanation["stages"],
+      { "STAGE", "ITEMS", "OWNER", "ENDPOINTS", "BACKLOG MS", "REPORTED MS AGO", "POOL BACKLOG MS" },
+      std::array{ "service", "items", "owner", "endpoints", "backlog_ms", "backlog_age_ms", "pool_backlog_ms" });
+  auto const services = aExplanation.value("services", json::array());
+  if (!services.empty())
+    PrintMembers(services,
+                 { "SERVICE", "WEIGHT", "CHOSEN", "QUOTA" },
+                 std::array{ "service", "weight", "chosen", "connection_quota" });
+  for (auto const& service : services)
+    PrintMembers(service.value("endpoints", json::array()),
+                 { "ENDPOINT",
+                   "REASON",
+                   "DATA CENTRE",
+                   "VERSION",
+                   "OUTSTANDING",
+                   "CONNECTED",
+                   "AFFINITY",
+                   "COLD MS",
+                   "EJECTED MS",
+                   "LIMIT",
+                   "PAUSED MS",
+                   "WAIT MS",
+                   "STATE",
+                   "STATE AGE MS" },
+                 std::array{ "id",
+                             "reason",
+                             "data_center",
+                             "software",
+                             "outstanding",
+                             "connected",
+                             "affinity_rank",
+                             "cold_ms",
+                             "ejected_ms",
+                             "limit",
+                             "paused_ms",
+                             "wait_ms",
+                             "state",
+                             "state_age_ms" });
+}
+
 void
 PrintKnownState(json const& aState, OutputFormat aFormat)
 {
@@ -61,12 +150,7 @@
     std::cout << aState.dump(kIndent) << "\n";
     return;
   }
-  auto const text = [](json const& aObject, char const* aName) {
-    auto const found = aObject.find(aName);
-    if (found == aObject.end())
-      return std::string("-");
-    return found->is_string() ? found->get<std::string>() : found->dump();
-  };
+  auto const& text = MemberText;
   PrintColumns({ "FRONT", "TABLE", "AGE MS", "STORE REACHED", "LEAVING", "DATA CENTRES OUT" },
                { { text(aState, "name"),
                    text(aState, "table_version"),
@@ -75,14 +159,7 @@
                    text(aState, "leaving"),
                    text(aState, "data_centers_out") } });
   auto const print = [&](char const* aList, std::vector<std::string> const& aHeading, auto const& aNames) {
-    std::vector<std::vector<std::string>> rows;
-    for (auto const& item : aState.value(aList, json::array())) {
-      auto& row = rows.emplace_back();
-      for (auto const* name : aNames)
-        row.push_back(text(item, name));
-    }
-    std::cout << "\n";
-    PrintColumns(aHeading, rows);
+    PrintMembers(aState.value(aList, json::array()), aHeading, aNames);
   };
   print("fronts", { "FRONT", "ADDRESS", "SUSPECT MS" }, std::array{ "name", "address", "suspect_ms" });
   print("endpoints",
--- a/Utilities/hornbeamctl/Output.h
+++ b/Utilities/hornbeamctl/Output.h
@@ -24,6 +24,10 @@
 void
 PrintKnownState(nlohmann::json const& aState, OutputFormat aFormat);
 
+/// Prints where a front would send a request, and what it knows of each endpoint.
+void
+PrintExplanation(nlohmann::json const& aExplanation, OutputFormat aFormat);
+
 void
 PrintStatus(nlohmann::json const& aStatus, OutputFormat aFormat);
 
--- a/Utilities/hornbeamctl/main.cpp
+++ b/Utilities/hornbeamctl/main.cpp
@@ -23,6 +23,7 @@
   std::vector<std::string> cells;
   bool create{ false };
   RequestOptions request;
+  ExplainOptions explain;
 };
 
 using Command = std::function<ExitCode(CommandContext const&)>;
@@ -90,6 +91,26 @@
   });
 }
 
+void
+AddExplainCommand(CLI::App& aApplication, Options& aOptions, Command& aCommand)
+{
+  auto* const explain =
+    aApplication.add_subcommand("explain", "Show where a front on the platform would send a request now, and why");
+  auto& options = aOptions.explain;
+  explain->add_option("--front", options.front, "The front's metrics address")
+    ->envname("HORNBEAM_METRICS_ADDRESS")
+    ->required();
+  explain->add_option("--host", options.host, "The request's host")->required();
+  explain->add_option("--path", options.path, "The request's path")->required();
+  explain->add_option("--key-file", options.keyFile, "A file with the client account's key")->check(CLI::ExistingFile);
+  explain->add_option("--prefix", options.prefix, "The prompt's parts, as in its header: HASH:TOKENS,...");
+  explain->add_option("--items", options.items, "The number of items of each stage, as in its header: N,...");
+  explain->add_flag_callback(
+    "--json", [&] { aOptions.format = "json"; }, "The same as --output json");
+  explain->callback(
+    [&] { aCommand = [&](auto const& aContext) { return ExplainRequest(aContext, aOptions.explain); }; });
+}
+
 }
 
 int
@@ -122,6 +143,7 @@
   AddTableCommands(application, options, command);
   AddDataCenterCommands(application, options, command);
   AddRequestCommand(application, options, command);
+  AddExplainCommand(application, options, command);
   try {
     application.parse(aCount, aArguments);
   } catch (CLI::ParseError const& error) {
