--- a/Libraries/LibGateway/DirectoryService.cpp
+++ b/Libraries/LibGateway/DirectoryService.cpp
@@ -20,6 +20,7 @@
   , relay(aKernel.Find<RelayService>(GatewayName::kRelay))
   , crashes(aKernel.Find<CrashService>(GatewayName::kCrashes))
   , callerMemory(aKernel.Find<CallerMemory const>(GatewayName::kCallerMemory))
+  , explain(aKernel.Find<ExplainService>(GatewayName::kExplain))
   , metrics(aKernel.Find<GatewayMetrics>(GatewayName::kMetrics))
   , rollouts(aKernel.Find<RolloutService>(GatewayName::kRollouts))
 {
@@ -199,8 +200,10 @@
     RespondText(*aExchange, 200, "text/plain; version=0.0.4", this->metrics.Render());
   } else if (target == "/beliefs") {
     RespondText(*aExchange, 200, "application/json", this->RenderState());
+  } else if (target.starts_with("/explain?")) {
+    this->explain.Handle(*aExchange);
   } else {
-    RespondText(*aExchange, 404, "text/plain", "try /metrics or /beliefs");
+    RespondText(*aExchange, 404, "text/plain", "try /metrics, /beliefs or /explain?host=..&path=..");
   }
 }
 
--- a/Libraries/LibGateway/DirectoryService.h
+++ b/Libraries/LibGateway/DirectoryService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ExplainService.h"
 #include "ProxyService.h"
 #include "RelayService.h"
 
@@ -35,6 +36,7 @@
   RelayService& relay;
   CrashService& crashes;
   CallerMemory const& callerMemory;
+  ExplainService& explain;
   GatewayMetrics& metrics;
   RolloutService& rollouts;
   bool draining{ false };
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -46,6 +46,8 @@
   this->kernel.Provide(GatewayName::kLoads, *this->loads);
   this->proxy = std::make_unique<ProxyService>(this->kernel);
   this->kernel.Provide(GatewayName::kProxy, *this->proxy);
+  this->explain = std::make_unique<ExplainService>(this->kernel);
+  this->kernel.Provide(GatewayName::kExplain, *this->explain);
   this->directory = std::make_unique<DirectoryService>(this->kernel);
   this->kernel.Provide(GatewayName::kDirectory, *this->directory);
 }
@@ -186,6 +188,7 @@
   this->stop = PlanStop(this->settings.graceTime, 3 * this->settings.directoryLifetime, now);
   PART_LOG("front") << "event=draining active=" << this->proxy->ActiveRequests()
                     << " requests_end_ms=" << Milliseconds(this->stop->requestsEnd - now);
+  this->explain->BeginDraining();
   this->directory->BeginDraining();
   this->presence->Deregister();
   this->stageOwner->HandOff(this->stop->requestsEnd);
--- a/Libraries/LibGateway/GatewayNames.h
+++ b/Libraries/LibGateway/GatewayNames.h
@@ -20,6 +20,7 @@
 inline constexpr char kLoads[] = "loads";
 inline constexpr char kRollouts[] = "rollouts";
 inline constexpr char kProxy[] = "proxy";
+inline constexpr char kExplain[] = "explain";
 inline constexpr char kDirectory[] = "directory";
 inline constexpr char kMetrics[] = "metrics";
 
