--- a/Libraries/LibServing/StageCalls.cpp
+++ b/Libraries/LibServing/StageCalls.cpp
@@ -15,11 +15,6 @@
 static constexpr Duration kMinCallTimeout = 1200ms;
 /// An endpoint that is slower than expected by this factor receives work only if the others cannot keep up.
 static constexpr double kSlowFactor = 2;
-/// An endpoint without memory for an item gets none of its size for this time.
-static constexpr Duration kUnknownResultsPause = 150ms;
-/// After it, the memory of unknown results is counted as free again, in equal parts over this time: most requests read
-/// and release their results within a second.
-static constexpr Duration kUnknownResultsTime = 1s;
 
 static Duration
 LocalityWait(StagePool const& aPool, PendingJob const& aPending, MonotonicTime aNow)
@@ -29,23 +24,6 @@
   return std::clamp<Duration>((aPending.job.target - ready) / kLocalitySlackDivisor, Duration::zero(), bySize);
 }
 
-/// Results of which the owner does not know are released or expire gradually.
-static std::size_t
-UnknownBytes(StageEndpoint const& aEndpoint, MonotonicTime aNow)
-{
-  auto const elapsed = aNow - aEndpoint.unknownSince - kUnknownResultsPause;
-  double const left = 1 - std::clamp(Seconds(elapsed) / Seconds(kUnknownResultsTime), 0.0, 1.0);
-  return std::size_t(double(aEndpoint.unknownBytes) * left);
-}
-
-/// Returns the memory that the endpoint has for further results, as far as this owner knows.
-static std::size_t
-FreeMemory(StagePool const& aPool, StageEndpoint const& aEndpoint, MonotonicTime aNow)
-{
-  auto const taken = aEndpoint.reservedBytes + UnknownBytes(aEndpoint, aNow);
-  return aPool.limits.resultMemory - std::min(aPool.limits.resultMemory, taken);
-}
-
 static std::vector<StageItem>
 TakeItems(StagePool& aPool,
           StageEndpoint const& aEndpoint,
@@ -53,7 +31,7 @@
           MonotonicTime aNow)
 {
   std::vector<StageItem> items;
-  auto freeMemory = FreeMemory(aPool, aEndpoint, aNow);
+  auto freeMemory = aPool.limits.resultMemory - std::min(aPool.limits.resultMemory, aEndpoint.reservedBytes);
   auto const take = [&](bool aNear) {
     for (auto const id : aServiceOrder) {
       auto const found = aPool.jobs.find(id);
--- a/Libraries/LibServing/StagePool.cpp
+++ b/Libraries/LibServing/StagePool.cpp
@@ -5,8 +5,11 @@
 
 namespace Hornbeam::Gateway {
 
-/// Pause after an endpoint refused a call.
+/// Pause after an endpoint refused a call or had no memory for an item.
 static constexpr Duration kRefusedPause = 40ms;
+/// Pause after a call for which the endpoint had no memory at all. Results that this owner does not know of are
+/// released gradually.
+static constexpr Duration kNoRoomPause = 150ms;
 /// Pause after a failed call; doubles with each consecutive failure.
 static constexpr Duration kFailedPause = 500ms;
 static constexpr Duration kMaxPause = 4s;
@@ -224,6 +227,9 @@
             MonotonicTime aNow)
 {
   auto const completed = [](ItemResult const& aResult) { return aResult.end == ItemEnd::Completed; };
+  auto const noMemory = [](ItemResult const& aResult) { return aResult.end == ItemEnd::NoMemory; };
+  if (std::ranges::all_of(aResults, noMemory))
+    aEndpoint.blockedUntil = aNow + kNoRoomPause;
   if (std::ranges::none_of(aResults, completed))
     return;
   double const ratio = Seconds(aNow - aCall.started) / std::max(0.001, Seconds(aCall.expected));
@@ -302,6 +308,8 @@
     case ItemEnd::InputGone:
       return EndJob(aPool, aItem.job, StageEnd::InputsGone, Duration::zero(), aDecisions);
     case ItemEnd::NoMemory:
+      if (aEndpoint != nullptr)
+        aEndpoint->blockedUntil = std::max(aEndpoint->blockedUntil, aNow + kRefusedPause);
       break;
     default:
       ++pending.errors;
@@ -312,22 +320,6 @@
   pending.waiting.push_front(aItem.segment);
 }
 
-/// If the endpoint had no memory for an item, less than its size is free. Whatever this owner has not reserved of the
-/// rest is taken up by results that it does not know of. Smaller items may still fit.
-static void
-RecordUnknownResults(StagePool const& aPool,
-                     StageEndpoint& aEndpoint,
-                     std::vector<std::size_t> const& aRejectedBytes,
-                     MonotonicTime aNow)
-{
-  if (aRejectedBytes.empty())
-    return;
-  auto const smallest = std::ranges::min(aRejectedBytes);
-  auto const known = aEndpoint.reservedBytes + std::max<std::size_t>(smallest, 1) - 1;
-  aEndpoint.unknownBytes = aPool.limits.resultMemory - std::min(aPool.limits.resultMemory, known);
-  aEndpoint.unknownSince = aNow;
-}
-
 bool
 HasKnownResult(StagePool const& aPool, std::vector<ItemResult> const& aResults)
 {
@@ -360,22 +352,17 @@
                   aResults,
                   aNow);
   std::vector<StageJobId> affected;
-  std::vector<std::size_t> rejectedBytes;
   for (std::size_t index = 0; index < running.call.items.size(); ++index) {
     auto const& item = running.call.items[index];
     auto& pending = aPool.jobs.at(item.job);
     --pending.itemsInFlight;
     pending.lastCallTime = aNow - running.started;
     affected.push_back(item.job);
-    if (responded && aResults[index].end == ItemEnd::NoMemory)
-      rejectedBytes.push_back(pending.job.itemBytes);
     if (responded)
       OnItemEnd(aPool, item, aResults[index], endpoint, aNow, decisions);
     else if (!pending.cancelled)
       pending.waiting.push_front(item.segment);
   }
-  if (endpoint != nullptr)
-    RecordUnknownResults(aPool, *endpoint, rejectedBytes, aNow);
   for (auto const id : affected) {
     auto const left = aPool.jobs.find(id);
     if (left == aPool.jobs.end())
--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -127,9 +127,6 @@
   EndpointEntry entry;
   unsigned calls{ 0 };
   std::size_t reservedBytes{ 0 };
-  /// Memory that results unknown to this owner were found to take up, and when.
-  std::size_t unknownBytes{ 0 };
-  MonotonicTime unknownSince{};
   MonotonicTime blockedUntil{};
   /// The earliest time of the next call, and the time between two calls, as the endpoint's answers say.
   MonotonicTime nextCall{};
