--- a/Libraries/LibServing/StagePool.h
+++ b/Libraries/LibServing/StagePool.h
@@ -167,13 +167,6 @@
   MonotonicTime expires{};
 };
 
-/// When the latest overload, in which not all jobs of one priority could be on time, started and was last seen.
-struct StageOverload
-{
-  MonotonicTime started{};
-  MonotonicTime lastSeen{};
-};
-
 /// The queue and the endpoints of one stage service, at the front that owns it. A single queue collects small items
 /// from many fronts into full batches while calls run. Under overload, the most urgent jobs that can still be on time
 /// are served first, and jobs that cannot meet their deadline are abandoned at once. Memory for results is scarce, so
@@ -189,7 +182,9 @@
   StageCallId lastCall{ 0 };
   /// How long the waiting jobs that can still be on time will take, as of the last scheduling.
   Duration backlog{ 0 };
-  std::map<int, StageOverload> overloads;
+  /// When the latest overload, in which not all of those jobs could be on time, started and was last seen.
+  MonotonicTime overloadStarted{};
+  MonotonicTime overloadLastSeen{};
 };
 
 /// Sets what an endpoint's answers say about when it may be called.
--- a/Libraries/LibServing/StageQueue.cpp
+++ b/Libraries/LibServing/StageQueue.cpp
@@ -8,8 +8,6 @@
 /// Margin on a job's expected wait, as a multiple of it: later arrivals may take precedence, and later stages have
 /// queues as well.
 static constexpr int kWaitMargin = 1;
-/// Late jobs follow all others for this part of the time between their target and their deadline.
-static constexpr int kPatienceDivisor = 4;
 /// Overloads with a shorter gap between them count as one.
 static constexpr Duration kOverloadGap = 1s;
 
@@ -36,37 +34,22 @@
   return UsableEndpoints(aPool) * aPool.limits.slots * aPool.limits.batch / std::max(0.001, full);
 }
 
-/// Returns whether an overload of jobs at least as urgent as aPriority goes on.
-static bool
-IsOverloaded(StagePool const& aPool, int aPriority, MonotonicTime aNow)
-{
-  return std::ranges::any_of(aPool.overloads, [&](auto const& aEntry) {
-    return aEntry.first <= aPriority && aNow - aEntry.second.lastSeen <= kOverloadGap;
-  });
-}
-
-/// Determines the service order: by priority, then by the time at which the first response is due. Late jobs follow all
-/// that can be on time, because serving them would delay those. From a quarter of the time between their target and
-/// their deadline on, they follow only those of their own or a more urgent priority, unless these exceed the capacity:
-/// late jobs of an urgent kind must not miss their deadline for a less urgent kind.
+/// Determines the service order. Jobs that can no longer be on time come after all that can, because serving them would
+/// delay the others; then jobs are sorted by priority, then by the time at which the first response is due.
 struct ServiceKey
 {
-  bool last{ false };
-  int priority{ 0 };
   bool late{ false };
+  int priority{ 0 };
   MonotonicTime due{};
 
-  auto SortKey() const { return std::tuple(this->last, this->priority, this->late, this->due); }
+  auto SortKey() const { return std::tuple(this->late, this->priority, this->due); }
 };
 
 static ServiceKey
 KeyOf(StagePool const& aPool, StageJob const& aJob, std::size_t aItems, MonotonicTime aNow)
 {
   auto const ready = aNow + CallTime(aPool.limits, aItems) + aJob.timeAfterStage;
-  bool const late = ready > aJob.target;
-  bool const patient = ready < aJob.target + (aJob.deadline - aJob.target) / kPatienceDivisor;
-  bool const last = late && (patient || IsOverloaded(aPool, aJob.priority, aNow));
-  return { last, aJob.priority, late, aJob.target };
+  return { ready > aJob.target, aJob.priority, aJob.target };
 }
 
 Duration
@@ -88,24 +71,20 @@
 }
 
 static void
-RecordOverload(StagePool& aPool, int aPriority, MonotonicTime aNow)
+RecordOverload(StagePool& aPool, MonotonicTime aNow)
 {
-  auto& overload = aPool.overloads[aPriority];
-  if (aNow - overload.lastSeen > kOverloadGap)
-    overload.started = aNow;
-  overload.lastSeen = aNow;
+  if (aNow - aPool.overloadLastSeen > kOverloadGap)
+    aPool.overloadStarted = aNow;
+  aPool.overloadLastSeen = aNow;
 }
 
-/// Predicts the remaining duration of the overload by jobs at least as urgent as aPriority: as long as it has lasted so
-/// far.
+/// Predicts the remaining duration of an overload: as long as it has lasted so far.
 static Duration
-OverloadForecast(StagePool const& aPool, int aPriority, MonotonicTime aNow)
+OverloadForecast(StagePool const& aPool, MonotonicTime aNow)
 {
-  Duration longest{ 0 };
-  for (auto const& [priority, overload] : aPool.overloads)
-    if (priority <= aPriority && aNow - overload.lastSeen <= kOverloadGap)
-      longest = std::max<Duration>(longest, overload.lastSeen - overload.started);
-  return longest;
+  if (aNow - aPool.overloadLastSeen > kOverloadGap)
+    return Duration::zero();
+  return aPool.overloadLastSeen - aPool.overloadStarted;
 }
 
 /// Returns whether a job that is expected to be ready at aReady, or aMargin later at worst, will miss its deadline.
@@ -118,19 +97,19 @@
                    MonotonicTime aNow)
 {
   bool const late = aReady + aMargin > aJob.target;
-  return aReady + (late ? OverloadForecast(aPool, aJob.priority, aNow) : Duration::zero()) > aJob.deadline;
+  return aReady + (late ? OverloadForecast(aPool, aNow) : Duration::zero()) > aJob.deadline;
 }
 
 static Duration
-RetryAfter(StagePool const& aPool, StageJob const& aJob, Duration aExpectedWait, MonotonicTime aNow)
+RetryAfter(StagePool const& aPool, Duration aExpectedWait, MonotonicTime aNow)
 {
-  return std::max(aExpectedWait, OverloadForecast(aPool, aJob.priority, aNow));
+  return std::max(aExpectedWait, OverloadForecast(aPool, aNow));
 }
 
 Duration
 RetryAfter(StagePool const& aPool, StageJob const& aJob, MonotonicTime aNow)
 {
-  return RetryAfter(aPool, aJob, ExpectedWait(aPool, aJob, aNow), aNow);
+  return RetryAfter(aPool, ExpectedWait(aPool, aJob, aNow), aNow);
 }
 
 std::optional<Duration>
@@ -141,7 +120,7 @@
     aNow + wait + CallTime(aPool.limits, std::min(aJob.items, aPool.limits.batch)) + aJob.timeAfterStage;
   if (!CannotMeetDeadline(aPool, aJob, ready, kWaitMargin * wait, aNow))
     return std::nullopt;
-  return RetryAfter(aPool, aJob, wait, aNow);
+  return RetryAfter(aPool, wait, aNow);
 }
 
 std::vector<StageJobId>
@@ -185,16 +164,13 @@
 ArrangeForOverload(StagePool& aPool, std::vector<KeyedJob>& aJobs, MonotonicTime aNow)
 {
   double ahead = 0;
-  for (auto begin = aJobs.begin(); begin != aJobs.end() && !begin->first.last;) {
+  for (auto begin = aJobs.begin(); begin != aJobs.end() && !begin->first.late;) {
     auto const end = std::find_if(begin, aJobs.end(), [&](KeyedJob const& aJob) {
-      return aJob.first.last || aJob.first.late != begin->first.late || aJob.first.priority != begin->first.priority;
+      return aJob.first.late || aJob.first.priority != begin->first.priority;
     });
-    if (begin->first.late) {
-      for (auto job = begin; job != end; ++job)
-        ahead += double(aPool.jobs.at(job->second).waiting.size());
-    } else if (!CanAllBeOnTime(aPool, { begin, end }, ahead, aNow)) {
+    if (!CanAllBeOnTime(aPool, { begin, end }, ahead, aNow)) {
       std::reverse(begin, end);
-      RecordOverload(aPool, begin->first.priority, aNow);
+      RecordOverload(aPool, aNow);
     }
     begin = end;
   }
