--- a/Tests/LibServing/StageLoad.cpp
+++ b/Tests/LibServing/StageLoad.cpp
@@ -178,7 +178,6 @@
     this->StartStages(aRequest);
     return;
   }
-  auto const& service = stages.rules[aStage].service;
   StageJob job;
   job.requestId = aRequest->id;
   job.stage = aStage;
--- a/Tests/Platform/PlatformRolloutTests.cpp
+++ b/Tests/Platform/PlatformRolloutTests.cpp
@@ -20,11 +20,9 @@
 
   StandInEndpoint& AddEndpoint(std::string const& aVersion)
   {
-    auto& endpoint = this->world.AddEndpoint(EndpointKind::Plain, "ledger");
-    endpoint.softwareVersion = aVersion;
+    auto& endpoint = this->world.AddEndpoint(EndpointKind::Plain, "ledger", "a", aVersion);
     // Several requests are in flight at once, or all would go to an endpoint with an idle connection.
-    endpoint.workTime = 60ms;
-    this->world.Register(endpoint, "ledger", "ready");
+    endpoint.workTime = 150ms;
     return endpoint;
   }
 
@@ -60,8 +58,9 @@
     return count;
   }
 
-  std::size_t Failed() const
+  std::size_t Failed()
   {
+    this->world.RunFor(500ms);
     return std::size_t(
       std::ranges::count_if(this->responses, [](auto const& aResponse) { return aResponse->status != 200; }));
   }
@@ -153,10 +152,8 @@
 {
   PlatformWorld world(1);
   auto& old = world.AddEndpoint(EndpointKind::Plain, "ledger");
-  auto& target = world.AddEndpoint(EndpointKind::Plain, "ledger");
-  target.softwareVersion = "v2";
-  old.workTime = target.workTime = 60ms;
-  world.Register(target, "ledger", "ready");
+  auto& target = world.AddEndpoint(EndpointKind::Plain, "ledger", "a", "v2");
+  old.workTime = target.workTime = 150ms;
   world.store->Put("rollouts", "ledger", { { "service", "ledger" }, { "target", "v3" }, { "duration_s", 5 } });
   world.Start();
   EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
@@ -164,7 +161,8 @@
   EXPECT_TRUE(HappensWithin(
     world,
     [&] {
-      world.Call(0, SafeRequest());
+      world.Send(0, SafeRequest());
+      world.RunFor(10ms);
       return !old.seen.empty() && !target.seen.empty();
     },
     2s));
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -33,11 +33,15 @@
 }
 
 StandInEndpoint&
-PlatformWorld::AddEndpoint(EndpointKind aKind, std::string const& aService, std::string const& aDataCenter)
+PlatformWorld::AddEndpoint(EndpointKind aKind,
+                           std::string const& aService,
+                           std::string const& aDataCenter,
+                           std::string const& aVersion)
 {
   auto const id = "i-" + aService + "-" + std::to_string(this->endpoints.size());
   this->endpoints.push_back(
     std::make_unique<StandInEndpoint>(this->loop.UvLoop(), this->clock, aKind, id, this->NextAddress()));
+  this->endpoints.back()->softwareVersion = aVersion;
   this->Register(*this->endpoints.back(), aService, "ready", aDataCenter);
   return *this->endpoints.back();
 }
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -30,7 +30,10 @@
   void Start();
   void StartFront(unsigned aFront);
 
-  StandInEndpoint& AddEndpoint(EndpointKind aKind, std::string const& aService, std::string const& aDataCenter = "a");
+  StandInEndpoint& AddEndpoint(EndpointKind aKind,
+                               std::string const& aService,
+                               std::string const& aDataCenter = "a",
+                               std::string const& aVersion = "v1");
   void Register(StandInEndpoint const& aEndpoint,
                 std::string const& aService,
                 std::string const& aState,
