--- a/Libraries/LibServing/EndpointSelection.cpp
+++ b/Libraries/LibServing/EndpointSelection.cpp
@@ -19,8 +19,8 @@
 static constexpr double kMoveGain = 3;
 /// Range of the portion in which requests of one part go to both endpoints, so that a popular part is split.
 static constexpr double kMoveJitter = 0.1;
-/// If even the third endpoint has more load than this multiple of the mean, the part goes to further ones. A part of
-/// 28% of the requests has the load of 39 of 140 endpoints.
+/// If even the third endpoint has more load than this multiple of the mean, the part goes to further ones: a popular
+/// part may have the load of many endpoints.
 static constexpr double kHotFactor = 1.6;
 static constexpr double kHotExponent = 3;
 
