--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -135,6 +135,8 @@
     return;
   this->waiting = true;
   auto const time = this->clock.Now() - this->lastDisconnectTime < kShortWatchTime ? kShortWatchTime : kWatchTime;
+  PART_LOG("store") << "event=watch kind=" << ToString(this->kind) << ' ' << ToLogFields(this->revision)
+                    << " wait_ms=" << Milliseconds(time);
   auto const onResponse = [this, call = ++this->currentCall](Platform::ObjectEvents aResponse) {
     if (this->IsCurrentCall(call))
       this->OnEvents(std::move(aResponse));
--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -49,8 +49,14 @@
 void
 RelayService::UpdateRoles()
 {
-  this->roles =
-    AssignRoles(this->stateCache.Fronts(), this->presence.OwnEntry(), this->settings.seeds, this->clock.Now());
+  auto const former = std::exchange(
+    this->roles,
+    AssignRoles(this->stateCache.Fronts(), this->presence.OwnEntry(), this->settings.seeds, this->clock.Now()));
+  if (former.isRelay != this->roles.isRelay || former.checker != this->roles.checker)
+    PART_LOG("relay") << "event=roles relay=" << this->roles.isRelay << " checker="
+                      << (this->roles.checker             ? this->roles.checker->address
+                          : this->roles.fleetHasFollowers ? "each-relay"
+                                                          : "this-front");
 }
 
 void
