Tests: Show a table that is late after a silence that changed nothing

Callers were served by an old table for up to 1.9 s after an operator's change was confirmed, some time after the store's return from a silence.

--- a/Tests/Platform/PlatformSilenceTests.cpp
+++ b/Tests/Platform/PlatformSilenceTests.cpp
@@ -128,4 +128,28 @@
   }
 }
 
+// Tables are known this soon while the store answers (docs/PLATFORM.md).
+static constexpr Duration kKnownTime = 500ms;
+
+// The store returned unchanged from a silence, and the watch that it had not heard was kept: the next table was late.
+TEST(PlatformSilence, DISABLED_TakesATableAtOnceAfterASilenceThatChangedNothing)
+{
+  for (auto const fronts : { 1U, 3U })
+    for (auto const pause : { 2600ms, 3300ms }) {
+      PlainWorld plain(fronts);
+      auto& world = plain.world;
+      world.RunFor(4s);
+      world.PutTable(2);
+      world.RunFor(200ms);
+      world.store->behavior = StoreBehavior::Silent;
+      world.RunFor(3100ms);
+      world.store->behavior = StoreBehavior::Healthy;
+      world.RunFor(pause);
+      world.PutTable(3);
+      EXPECT_TRUE(HappensWithin(
+        world, [&] { return AllFrontsHaveVersion(world, 3); }, kKnownTime + kTolerance))
+        << fronts << " fronts, " << Milliseconds(pause) << " ms after the silence";
+    }
+}
+
 }
