LibGateway: Verify crash reports and rollout orders as well

After a silence of the store under 1.5 s, a front missed crash reports of others until its watch timed out (30 s), and sent on what crashes endpoints meanwhile.

Cause: a check that finds a revision that no object explains listed the four kinds without which a front cannot serve, but not the optional ones, whose watches are lost in the same way. Class: not having heard of something taken for its absence.

Evidence: PlatformSilence.LearnsOfACrashAfterTheWatchOfReportsWasNotHeard failed before with one front (not quarantined after 3.3 s; with three and six fronts it passed in that run), and passes since with one, three and six.

Why this works: an unexplained revision may be one of an optional kind, so these are listed with the others.

--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -27,8 +27,7 @@
   return kinds;
 }
 
-/// Whether a front can serve without the objects of a kind.
-static bool
+bool
 IsOptional(ObjectKind aKind)
 {
   return aKind == ObjectKind::EndpointCrash || aKind == ObjectKind::Rollout;
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -17,6 +17,10 @@
 /// The rollout orders, by name of the object.
 using RolloutOrders = std::map<std::string, RolloutOrder>;
 
+/// Whether a front can serve without the objects of a kind.
+bool
+IsOptional(ObjectKind aKind);
+
 /// Caches the serving table, the endpoints, the data centres out of rotation, the fronts and the reports of crashes,
 /// and tracks how old this state is. The reports are optional: a store or a front that does not know them is current.
 /// The state comes from the store, from relays, or from a seed's cache if the store is unavailable at startup.
--- a/Libraries/LibGateway/StateCacheProof.cpp
+++ b/Libraries/LibGateway/StateCacheProof.cpp
@@ -97,7 +97,14 @@
 {
   if (this->use == StoreUse::None)
     return;
-  for (auto const index : KindsToVerify(this->proof, this->clock.Now()))
+  auto const missing = KindsToVerify(this->proof, this->clock.Now());
+  if (missing.empty())
+    return;
+  // A change that was seen at no object may be one of an optional kind.
+  for (auto const& [kind, watch] : this->watches)
+    if (IsOptional(kind))
+      watch->Verify(this->proof.answer->revision);
+  for (auto const index : missing)
     this->watches.at(kProvenKinds.at(index))->Verify(this->proof.answer->revision);
 }
 
--- a/Tests/Platform/PlatformSilenceTests.cpp
+++ b/Tests/Platform/PlatformSilenceTests.cpp
@@ -152,4 +152,30 @@
     }
 }
 
+// The watch of crash reports was not heard: what crashes endpoints went on to them until the watch timed out.
+TEST(PlatformSilence, LearnsOfACrashAfterTheWatchOfReportsWasNotHeard)
+{
+  for (auto const fronts : kFleets) {
+    PlainWorld plain(fronts);
+    auto& world = plain.world;
+    auto const report = [&](std::string const& aProcess) {
+      nlohmann::json spec;
+      spec["candidates"] = { { "dead", 1U } };
+      spec["cleared"] = nlohmann::json::array();
+      spec["reporters"] = nlohmann::json::array({ "front-9" });
+      world.store->Put("endpoint-crashes", aProcess, spec);
+    };
+    world.RunFor(4s);
+    report("i-1.1");
+    report("i-2.1");
+    world.RunFor(200ms);
+    BeSilentWhileWatchesAreSent(world);
+    report("i-3.1");
+    auto const isQuarantined = [](auto const& aState) { return aState["quarantined"].size() == 1; };
+    EXPECT_TRUE(HappensWithin(
+      world, [&] { return AllFronts(world, isQuarantined); }, kCalmTime + kTolerance))
+      << fronts << " fronts";
+  }
+}
+
 }
