Tests: Show a front that loses its endpoints

Callers of a front that is cut off from all endpoints, while the store and the other fronts reach it, get refusals or wait for their deadline.

PlatformWorld cuts single fronts off from the endpoints: connections hang, or old ones live on while new ones are refused. For that, the owner of a connection pool may choose how it connects; nothing changes without.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -53,7 +53,7 @@
     std::weak_ptr<ClientConnection> const weak = this->weak_from_this();
     StreamTimeouts timeouts;
     timeouts.unacknowledged = std::max<Duration>(this->connectTimeout, timeouts.unacknowledged);
-    this->stream = TcpStream::Connect(this->pool.loop, this->address, timeouts, [weak](bool aConnected) {
+    this->stream = this->pool.connector(this->address, timeouts, [weak](bool aConnected) {
       if (auto const connection = weak.lock())
         connection->OnConnected(aConnected);
     });
@@ -303,8 +303,8 @@
     held->Stream()->ResumeReading();
 }
 
-ConnectionPool::ConnectionPool(uv_loop_t& aLoop, Clock& aClock)
-  : loop(aLoop)
+ConnectionPool::ConnectionPool(StreamConnector aConnector, Clock& aClock)
+  : connector(std::move(aConnector))
   , clock(aClock)
 {
 }
--- a/Libraries/LibExchange/ClientCall.h
+++ b/Libraries/LibExchange/ClientCall.h
@@ -92,7 +92,11 @@
 class ConnectionPool
 {
 public:
-  ConnectionPool(uv_loop_t& aLoop, Clock& aClock);
+  ConnectionPool(uv_loop_t& aLoop, Clock& aClock)
+    : ConnectionPool(TcpConnector(aLoop), aClock)
+  {
+  }
+  ConnectionPool(StreamConnector aConnector, Clock& aClock);
   ConnectionPool(ConnectionPool const&) = delete;
   ConnectionPool& operator=(ConnectionPool const&) = delete;
 
@@ -110,7 +114,7 @@
   void AddIdle(std::shared_ptr<ClientConnection> aConnection, Duration aIdleTime);
   void CloseIdle(ClientConnection* aConnection);
 
-  uv_loop_t& loop;
+  StreamConnector connector;
   Clock& clock;
   PoolUsage usage;
   std::map<std::string, std::deque<std::shared_ptr<ClientConnection>>> idle;
--- a/Libraries/LibExchange/TcpStream.cpp
+++ b/Libraries/LibExchange/TcpStream.cpp
@@ -91,6 +91,14 @@
   return nullptr;
 }
 
+StreamConnector
+TcpConnector(uv_loop_t& aLoop)
+{
+  return [&aLoop](std::string const& aAddress, StreamTimeouts aTimeouts, std::function<void(bool)> aDone) {
+    return TcpStream::Connect(aLoop, aAddress, aTimeouts, std::move(aDone));
+  };
+}
+
 std::shared_ptr<TcpStream>
 TcpStream::Accept(uv_stream_t& aListener, StreamTimeouts aTimeouts)
 {
--- a/Libraries/LibExchange/TcpStream.h
+++ b/Libraries/LibExchange/TcpStream.h
@@ -105,6 +105,14 @@
   bool resetSeenByWrite{ false };
 };
 
+/// Opens a connection to a numeric address, as TcpStream::Connect() does. Tests replace it to disturb connections.
+using StreamConnector = std::function<
+  std::shared_ptr<TcpStream>(std::string const& aAddress, StreamTimeouts aTimeouts, std::function<void(bool)> aDone)>;
+
+/// Returns a connector that opens TCP connections on an event loop.
+StreamConnector
+TcpConnector(uv_loop_t& aLoop);
+
 /// A listening socket. aAccept receives each new connection.
 class TcpListener
 {
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -9,12 +9,16 @@
 /// A chunked body occupies up to twice its size, and is encoded once more for the endpoint.
 static constexpr std::size_t kCopiesOfBody = 3;
 
-GatewayFront::GatewayFront(GatewaySettings aSettings, EventLoop& aLoop, std::function<void()> aOnStopped)
+GatewayFront::GatewayFront(GatewaySettings aSettings,
+                           EventLoop& aLoop,
+                           std::function<void()> aOnStopped,
+                           StreamConnector aConnector)
   : settings(std::move(aSettings))
   , loop(aLoop)
   , onStopped(std::move(aOnStopped))
   , callerMemory(aLoop.RuntimeClock(), this->settings.callerLimits)
-  , connections(aLoop.UvLoop(), aLoop.RuntimeClock())
+  , connector(aConnector ? std::move(aConnector) : TcpConnector(aLoop.UvLoop()))
+  , connections(this->connector, aLoop.RuntimeClock())
   , store(this->connections, this->settings.storeAddress)
   , peers(aLoop)
 {
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -8,7 +8,11 @@
 class GatewayFront
 {
 public:
-  GatewayFront(GatewaySettings aSettings, EventLoop& aLoop, std::function<void()> aOnStopped);
+  /// aConnector opens the front's connections to endpoints and to the store; TCP connections without one.
+  GatewayFront(GatewaySettings aSettings,
+               EventLoop& aLoop,
+               std::function<void()> aOnStopped,
+               StreamConnector aConnector = {});
   GatewayFront(GatewayFront const&) = delete;
   GatewayFront& operator=(GatewayFront const&) = delete;
 
@@ -42,6 +46,7 @@
   std::function<void()> onStopped;
   Kernel kernel;
   CallerMemory callerMemory;
+  StreamConnector connector;
   ConnectionPool connections;
   StoreClient store;
   FrontPeers peers;
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -92,15 +92,58 @@
   settings.graceTime = this->graceTime;
   settings.firstStart = this->firstStart;
   settings.rollouts = this->rollouts;
-  this->fronts.push_back(std::make_unique<GatewayFront>(settings, this->loop, [this, aFront] {
-    this->stopped[aFront] = true;
-    if (this->onStopped)
-      this->onStopped(aFront);
-  }));
+  this->fronts.push_back(std::make_unique<GatewayFront>(
+    settings,
+    this->loop,
+    [this, aFront] {
+      this->stopped[aFront] = true;
+      if (this->onStopped)
+        this->onStopped(aFront);
+    },
+    this->ConnectorOf(aFront)));
   VERIFY(this->fronts.back()->Open());
   this->fronts.back()->Start();
 }
 
+bool
+PlatformWorld::IsEndpoint(std::string const& aAddress) const
+{
+  return std::ranges::any_of(this->endpoints,
+                             [&](auto const& aEndpoint) { return aEndpoint->PublicAddress() == aAddress; });
+}
+
+StreamConnector
+PlatformWorld::ConnectorOf(unsigned aFront)
+{
+  return [this, aFront](std::string const& aAddress, StreamTimeouts aTimeouts, std::function<void(bool)> aDone) {
+    auto& link = this->links[aFront];
+    if (!this->IsEndpoint(aAddress))
+      return TcpStream::Connect(this->loop.UvLoop(), aAddress, aTimeouts, std::move(aDone));
+    if (link.state == LostLink::Hanging)
+      // The front never hears of the connection.
+      return TcpStream::Connect(this->loop.UvLoop(), aAddress, aTimeouts, [](bool) {});
+    if (link.state == LostLink::OldKept)
+      return TcpStream::Connect(this->loop.UvLoop(), "127.0.0.1:1", aTimeouts, std::move(aDone));
+    auto stream = TcpStream::Connect(this->loop.UvLoop(), aAddress, aTimeouts, std::move(aDone));
+    link.streams.push_back(stream);
+    return stream;
+  };
+}
+
+void
+PlatformWorld::SetLink(unsigned aFront, LostLink aLink)
+{
+  auto& link = this->links[aFront];
+  link.state = aLink;
+  for (auto const& weak : link.streams)
+    if (auto const stream = weak.lock()) {
+      if (aLink == LostLink::Hanging)
+        stream->PauseReading();
+      else if (aLink == LostLink::None)
+        stream->ResumeReading();
+    }
+}
+
 bool
 PlatformWorld::RunUntil(std::function<bool()> const& aCondition, Duration aTime)
 {
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -20,6 +20,16 @@
   Duration duration{ 0 };
 };
 
+/// What becomes of a front's connections to endpoints while it is cut off from them.
+enum class LostLink
+{
+  None,
+  /// Open connections stay open and bring nothing; new ones are never established.
+  Hanging,
+  /// Open connections live on; new ones are refused.
+  OldKept,
+};
+
 /// Fronts, a stand-in store and stand-in endpoints on loopback, all on one event loop in real time.
 class PlatformWorld
 {
@@ -50,6 +60,10 @@
   /// Sends raw bytes and returns everything received until the connection ends or aTime has passed.
   std::string SendRaw(unsigned aFront, std::string const& aBytes, Duration aTime);
 
+  /// Cuts a front off from all endpoints, or heals its link. The front, the store and the other fronts reach each
+  /// other.
+  void SetLink(unsigned aFront, LostLink aLink);
+
   /// Runs the event loop until the condition holds; returns false if it does not within aTime.
   bool RunUntil(std::function<bool()> const& aCondition, Duration aTime = 5s);
   void RunFor(Duration aTime);
@@ -77,9 +91,18 @@
   Gateway::ConnectionPool callers{ this->loop.UvLoop(), this->clock };
 
 private:
+  struct FrontLink
+  {
+    LostLink state{ LostLink::None };
+    std::vector<std::weak_ptr<Gateway::TcpStream>> streams;
+  };
+
   std::string AddressOf(unsigned aFront, unsigned aPort) const;
+  bool IsEndpoint(std::string const& aAddress) const;
+  Gateway::StreamConnector ConnectorOf(unsigned aFront);
   std::string NextAddress();
 
+  std::map<unsigned, FrontLink> links;
   unsigned basePort{ 0 };
   unsigned nextPort{ 0 };
 };
