LibServing: Doubt a link only for endpoints that other fronts reach

Callers would have waited for an endpoint that is down again and again: since each of its failures was taken for a lost link, so that it was not ejected and its crash not reported.

Cause: an endpoint that was missed lately counted as one behind a lost link, whether or not other fronts reach it. Class: the own lost link taken for the fault of others, turned round.

Evidence: PlatformLostLink.EjectsAnEndpointThatIsDown fails on the former decisions and passes; EndpointPaths.DoubtsTheLinkOnlyForEndpointsThatOthersReach is new. A call also ends once another front has missed the endpoint, instead of trying it directly a second time.

New, passes: PlatformLostLink.KeepsStagesGoingWhoseOwnerIsCutOff.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -143,7 +143,10 @@
     this->ReportPath(aOutcome);
     if (!this->busy)
       return;
-    if (this->pathsTried < kMaxPaths && this->pool.ChooseTunnel(this->address) != this->tunnel)
+    // What another front does not reach either is not tried again for this call.
+    auto const next = this->pool.ChooseTunnel(this->address);
+    bool const isOther = !next.empty() && next != this->tunnel;
+    if (isOther && this->pathsTried < kMaxPaths && aOutcome != ConnectionOutcome::EndpointUnreached)
       this->OpenPath();
     else
       this->EndCall(CallEnd::NotSent);
--- a/Libraries/LibServing/EndpointPaths.cpp
+++ b/Libraries/LibServing/EndpointPaths.cpp
@@ -60,6 +60,8 @@
 {
   if (aOutcome == PathOutcome::Connected) {
     aPaths.avoidedHelpers.erase(aTunnel);
+    if (auto const known = aPaths.missed.find(aAddress); known != aPaths.missed.end())
+      known->second.reachedThroughOthersAt = aNow;
     return;
   }
   if (aOutcome == PathOutcome::EndpointUnreached) {
@@ -85,17 +87,24 @@
 IsLinkInDoubt(EndpointPaths const& aPaths, std::string const& aAddress, MonotonicTime aNow)
 {
   auto const known = aPaths.missed.find(aAddress);
-  bool const missed = known != aPaths.missed.end() && IsMissed(known->second, aNow);
-  return missed || IsCutOff(aPaths, aNow);
+  if (known == aPaths.missed.end())
+    return IsCutOff(aPaths, aNow);
+  auto const& endpoint = known->second;
+  if (endpoint.directUntil > aNow)
+    return false;
+  bool const reached = endpoint.missedAt && endpoint.reachedThroughOthersAt >= *endpoint.missedAt - kMissedTime;
+  return (IsMissed(endpoint, aNow) && reached) || IsCutOff(aPaths, aNow);
 }
 
 std::string
 ChooseTunnel(EndpointPaths const& aPaths, PathView const& aView, std::string const& aAddress, MonotonicTime aNow)
 {
-  if (aPaths.missed.empty() || !IsLinkInDoubt(aPaths, aAddress, aNow))
+  if (aPaths.missed.empty())
     return "";
   auto const known = aPaths.missed.find(aAddress);
-  if (known != aPaths.missed.end() && known->second.directUntil > aNow)
+  bool const missed = known != aPaths.missed.end() && IsMissed(known->second, aNow);
+  bool const othersMissIt = known != aPaths.missed.end() && known->second.directUntil > aNow;
+  if (othersMissIt || (!missed && !IsCutOff(aPaths, aNow)))
     return "";
   std::pair<bool, std::uint64_t> best;
   std::string chosen;
--- a/Libraries/LibServing/EndpointPaths.h
+++ b/Libraries/LibServing/EndpointPaths.h
@@ -29,6 +29,8 @@
     std::optional<MonotonicTime> missedAt;
     /// Other fronts do not reach the endpoint either, so nothing is sent through them until this time.
     MonotonicTime directUntil{};
+    /// When a connection through another front was last established.
+    MonotonicTime reachedThroughOthersAt{};
   };
   /// Only endpoints that were missed, by address.
   std::map<std::string, Endpoint> missed;
@@ -59,7 +61,8 @@
 bool
 IsCutOff(EndpointPaths const& aPaths, MonotonicTime aNow);
 
-/// Whether what fails at an endpoint may be due to this front's link.
+/// Whether what fails at an endpoint may be due to this front's link: other fronts reach the endpoint, or this front is
+/// cut off and others have not missed the endpoint as well.
 bool
 IsLinkInDoubt(EndpointPaths const& aPaths, std::string const& aAddress, MonotonicTime aNow);
 
--- a/Tests/LibServing/EndpointPathsTests.cpp
+++ b/Tests/LibServing/EndpointPathsTests.cpp
@@ -88,6 +88,22 @@
   EXPECT_EQ(front.Choose("e-1", kStart + 500ms), "");
 }
 
+// Endpoints that are down were taken for a lost link: they were not ejected, and their crashes not reported.
+TEST(EndpointPaths, DoubtsTheLinkOnlyForEndpointsThatOthersReach)
+{
+  PathsOfFront front(7);
+  OnDirectBytes(front.paths, "e-3", kStart);
+  front.Miss("e-1", kStart);
+  EXPECT_FALSE(IsLinkInDoubt(front.paths, "e-1", kStart));
+  OnTunnelConnection(front.paths, "e-1", "t-3", PathOutcome::Connected, kStart);
+  EXPECT_TRUE(IsLinkInDoubt(front.paths, "e-1", kStart));
+  EXPECT_FALSE(IsLinkInDoubt(front.paths, "e-3", kStart));
+  front.Miss("e-2", kStart + 1s);
+  front.Miss("e-1", kStart + 1s);
+  OnTunnelConnection(front.paths, "e-1", "t-3", PathOutcome::EndpointUnreached, kStart + 1s);
+  EXPECT_FALSE(IsLinkInDoubt(front.paths, "e-1", kStart + 1s));
+}
+
 // In a data centre that is cut off as a whole, fronts relied on helpers that are cut off as well.
 TEST(EndpointPaths, AvoidsHelpersThatRefuse)
 {
@@ -127,7 +143,7 @@
         front.paths.avoidedHelpers["t-" + std::to_string(other)] = kStart + 1s;
       front.Miss("e-0", kStart);
       front.Miss("e-1", kStart);
-      for (unsigned endpoint = 0; endpoint < 600; endpoint += count > 100 ? 4 : 1) {
+      for (unsigned endpoint = 0; endpoint<600; endpoint += count> 100 ? 4 : 1) {
         ++connections[front.Choose("e-" + std::to_string(endpoint), kStart)];
         ++total;
       }
--- a/Tests/Platform/PlatformLostLinkTests.cpp
+++ b/Tests/Platform/PlatformLostLinkTests.cpp
@@ -52,16 +52,36 @@
   return std::size_t(std::ranges::count_if(runs, [](auto const& aEntry) { return aEntry.second > 1; }));
 }
 
-class PlatformLostLink : public testing::TestWithParam<LostLink>
+// An endpoint that was down was not ejected, as its front took the link for lost: each request tried it first.
+TEST(PlatformLostLink, EjectsAnEndpointThatIsDown)
+{
+  PlainWorld plain(3, 1);
+  auto& world = plain.world;
+  ServedShares(world, 500ms, UnsafeRequest);
+  auto const isEjected = [&] {
+    auto const state = CachedStateOf(world, 0);
+    return std::ranges::any_of(state.at("endpoints"),
+                               [](auto const& aEndpoint) { return aEndpoint["ejected_ms"] > 0; });
+  };
+  world.endpoints[0]->StopListening();
+  bool ejected = false;
+  for (unsigned round = 0; round < 40 && !ejected; ++round) {
+    world.Call(0, SafeRequest("down-" + std::to_string(round)));
+    ejected = isEjected();
+  }
+  EXPECT_TRUE(ejected);
+}
+
+class PlatformLostLinks : public testing::TestWithParam<LostLink>
 {};
 
 INSTANTIATE_TEST_SUITE_P(Links,
-                         PlatformLostLink,
+                         PlatformLostLinks,
                          testing::Values(LostLink::Hanging, LostLink::OldKept),
                          [](auto const& aInfo) { return aInfo.param == LostLink::Hanging ? "Hanging" : "OldKept"; });
 
 // A front that lost its endpoints failed all requests, although other fronts reached every endpoint.
-TEST_P(PlatformLostLink, ServesOverOtherFronts)
+TEST_P(PlatformLostLinks, ServesOverOtherFronts)
 {
   PlainWorld plain(4, 4);
   auto& world = plain.world;
@@ -77,4 +97,34 @@
   EXPECT_EQ(RunTwice(world), 0U);
 }
 
+// The owner of the stage pools lost its endpoints: requests with stages failed at all fronts.
+TEST(PlatformLostLink, KeepsStagesGoingWhoseOwnerIsCutOff)
+{
+  PlatformWorld world(3);
+  world.AddEndpoint(EndpointKind::Stage, "encode");
+  world.AddEndpoint(EndpointKind::Stage, "rank");
+  world.AddEndpoint(EndpointKind::Model, "model");
+  world.Start();
+  for (unsigned front = 0; front < 3; ++front)
+    EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-" + std::to_string(front)); }));
+  world.RunFor(50ms);
+  auto const makeStaged = [](std::string aId) {
+    auto request = ModelRequest("/staged/x");
+    request.id = std::move(aId);
+    return request;
+  };
+  ServedShares(world, 500ms, makeStaged);
+  std::set<unsigned> owners;
+  for (unsigned front = 0; front < 3; ++front)
+    if (!CachedStateOf(world, front).at("stage_pools").empty())
+      owners.insert(front);
+  ASSERT_LT(owners.size(), 3U);
+  for (auto const owner : owners)
+    world.SetLink(owner, LostLink::Hanging);
+  ServedShares(world, kNoticeTime - 1s, makeStaged);
+  auto const shares = ServedShares(world, 3s, makeStaged);
+  for (unsigned front = 0; front < 3; ++front)
+    EXPECT_GE(shares[front], kServedShare) << "front " << front << ", owner: " << owners.contains(front);
+}
+
 }
--- a/Tests/Platform/StandInEndpoint.h
+++ b/Tests/Platform/StandInEndpoint.h
@@ -67,6 +67,13 @@
   void SetPublicAddress(std::string aAddress) { this->publicAddress = std::move(aAddress); }
   std::string const& PublicAddress() const { return this->publicAddress; }
 
+  /// Ends all connections and refuses new ones, as after the end of the process.
+  void StopListening()
+  {
+    this->entry.Close();
+    this->entry.ResetConnections();
+  }
+
   /// Returns the fault of a request by its number, starting at 0.
   std::function<EndpointFault(std::size_t)> faultOf;
   Duration workTime{ 5ms };
