LibExchange: Report connections that cannot be opened at all

Callers at a front that is cut off would have been refused again and again, if an odd address stood in another front's entry: the failure was not reported, so that this front was chosen for ever. Class: a value from outside that nothing bounds.

Tunnel.ReportsAnAddressThatCannotBeUsed is new; before, no outcome was reported for such an address.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -112,7 +112,7 @@
     if (!this->stream) {
       this->pool.clock.Schedule(Duration::zero(), [weak] {
         if (auto const connection = weak.lock())
-          connection->EndCall(CallEnd::NotSent);
+          connection->OnPathFailed(ConnectionOutcome::NotConnected);
       });
       return;
     }
@@ -139,7 +139,8 @@
   {
     auto const protector = this->shared_from_this();
     this->pool.clock.Cancel(this->connectTimer);
-    this->stream->Reset();
+    if (this->stream)
+      this->stream->Reset();
     this->ReportPath(aOutcome);
     if (!this->busy)
       return;
--- a/Tests/LibExchange/TunnelTests.cpp
+++ b/Tests/LibExchange/TunnelTests.cpp
@@ -131,6 +131,18 @@
   EXPECT_EQ(world.seen, "");
 }
 
+// An odd address in a front's entry was chosen for ever, as its failure was not reported.
+TEST(Tunnel, ReportsAnAddressThatCannotBeUsed)
+{
+  TunnelWorld world;
+  world.pool.SetPaths(
+    { [](std::string const&) { return std::string("nowhere"); },
+      [&](std::string const&, std::string const&, ConnectionOutcome aOutcome) { world.outcome = aOutcome; },
+      {} });
+  EXPECT_EQ(world.Call().end, CallEnd::NotSent);
+  EXPECT_EQ(world.outcome, ConnectionOutcome::NotConnected);
+}
+
 // An endpoint that is down was taken for a front that refuses to help.
 TEST(Tunnel, TellsThatTheEndpointIsNotReached)
 {
