--- a/Libraries/LibServing/EndpointPaths.cpp
+++ b/Libraries/LibServing/EndpointPaths.cpp
@@ -133,6 +133,7 @@
       candidates.emplace_back(*endpoint.missedAt, address);
   std::ranges::sort(candidates);
   std::vector<std::string> addresses;
+  addresses.reserve(candidates.size());
   for (auto& [missedAt, address] : candidates)
     addresses.push_back(std::move(address));
   addresses.resize(std::min(addresses.size(), aCount));
