LibServing: Do not take endpoints that are down everywhere for a lost link

Callers at other fronts would have been refused help, and a quiet front would have passed all its requests through others, while two endpoints were down: both counted as missed by this front alone, although another front had told that it does not reach them either.

EndpointPaths.IsNotCutOffByEndpointsThatOthersMissAsWell failed before (cut off, and a tunnel chosen for a third endpoint) and passes; EndpointPaths and Tunnel, 17 tests, pass.

--- a/Libraries/LibServing/EndpointPaths.cpp
+++ b/Libraries/LibServing/EndpointPaths.cpp
@@ -78,7 +78,8 @@
   if (aNow - aPaths.lastReached <= kReachedTime)
     return false;
   auto const missed = std::ranges::count_if(aPaths.missed, [&](auto const& aEntry) {
-    return IsMissed(aEntry.second, aNow) && *aEntry.second.missedAt > aPaths.lastReached;
+    auto const& endpoint = aEntry.second;
+    return IsMissed(endpoint, aNow) && *endpoint.missedAt > aPaths.lastReached && endpoint.directUntil <= aNow;
   });
   return std::size_t(missed) >= kMissedWhenCutOff;
 }
--- a/Libraries/LibServing/EndpointPaths.h
+++ b/Libraries/LibServing/EndpointPaths.h
@@ -57,7 +57,7 @@
                    MonotonicTime aNow);
 
 /// Whether this front seems to have lost its links to all endpoints: it has not heard from any for a while, and has
-/// missed several since.
+/// missed several since that others have not missed as well.
 bool
 IsCutOff(EndpointPaths const& aPaths, MonotonicTime aNow);
 
--- a/Tests/LibServing/EndpointPathsTests.cpp
+++ b/Tests/LibServing/EndpointPathsTests.cpp
@@ -104,6 +104,18 @@
   EXPECT_FALSE(IsLinkInDoubt(front.paths, "e-1", kStart + 1s));
 }
 
+// A quiet front took two endpoints that are down everywhere for a lost link, and refused to help others.
+TEST(EndpointPaths, IsNotCutOffByEndpointsThatOthersMissAsWell)
+{
+  PathsOfFront front(7);
+  for (auto const* const address : { "e-1", "e-2" }) {
+    front.Miss(address, kStart);
+    OnTunnelConnection(front.paths, address, "t-3", PathOutcome::EndpointUnreached, kStart);
+  }
+  EXPECT_FALSE(IsCutOff(front.paths, kStart));
+  EXPECT_EQ(front.Choose("e-3", kStart), "");
+}
+
 // In a data centre that is cut off as a whole, fronts relied on helpers that are cut off as well.
 TEST(EndpointPaths, AvoidsHelpersThatRefuse)
 {
