LibExchange, LibGateway: Name outcomes of connections and the stop of tunnels

Read as a newcomer: CallHandle::Tunnel() had the name of a class and returned an address (TunnelAddress()), TunnelServer::BeginStop() is called repeatedly (ContinueStop()), the log of a connection spelled its outcome in nested conditions (ToString()), and a constant's comment did not say what it decides. No behaviour changes.

The spread over helping fronts is also tested at 195 fronts.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -34,6 +34,22 @@
   VerifyNotReached();
 }
 
+std::string_view
+ToString(ConnectionOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ConnectionOutcome::Established:
+      return "established";
+    case ConnectionOutcome::NotConnected:
+      return "not-connected";
+    case ConnectionOutcome::TunnelRefused:
+      return "refused";
+    case ConnectionOutcome::EndpointUnreached:
+      return "endpoint-unreached";
+  }
+  VerifyNotReached();
+}
+
 /// A connection to an endpoint, which carries one call at a time or is idle in the pool.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
@@ -359,7 +375,7 @@
 }
 
 std::string
-CallHandle::Tunnel() const
+CallHandle::TunnelAddress() const
 {
   auto const held = this->Find();
   return held ? held->Path().second : "";
--- a/Libraries/LibExchange/ClientCall.h
+++ b/Libraries/LibExchange/ClientCall.h
@@ -61,8 +61,9 @@
   /// Whether the call's connection carried calls before it.
   bool UsesKeptConnection() const { return this->call > 1; }
 
-  /// The tunnel through which the call in flight goes; empty for a direct connection, and once the call has ended.
-  std::string Tunnel() const;
+  /// The address of the tunnels through which the call in flight goes; empty for a direct connection, and once the call
+  /// has ended.
+  std::string TunnelAddress() const;
 
   /// Pauses or resumes reading the response, to propagate back-pressure from a slow caller.
   void PauseReading() const;
@@ -83,16 +84,21 @@
   Fresh,
 };
 
-/// What opening a connection showed, as the answer of a tunnel or for a direct connection.
+/// What opening a connection, direct or through a tunnel, showed.
 enum class ConnectionOutcome
 {
   Established,
+  /// The endpoint, or the front that was asked for a tunnel, was not reached.
   NotConnected,
-  /// Answers of the front that was asked for a tunnel.
+  /// The front that was asked for a tunnel refused it.
   TunnelRefused,
+  /// The front that was asked for a tunnel does not reach the endpoint.
   EndpointUnreached,
 };
 
+std::string_view
+ToString(ConnectionOutcome aOutcome);
+
 /// Decides how a pool reaches an address, and learns what came of it.
 struct ConnectionPaths
 {
--- a/Libraries/LibExchange/Tunnel.cpp
+++ b/Libraries/LibExchange/Tunnel.cpp
@@ -13,7 +13,7 @@
 static constexpr std::size_t kMaxRequestBytes = 1024;
 static constexpr Duration kRequestTimeout = 1s;
 static constexpr Duration kConnectTimeout = 300ms;
-/// An answer may pause for this long; the front that waits for it ends the tunnel when it gives up.
+/// An answer is taken for complete once nothing of it has arrived for this long.
 static constexpr Duration kQuietTime = 500ms;
 
 std::string
@@ -234,7 +234,7 @@
 }
 
 void
-TunnelServer::BeginStop()
+TunnelServer::ContinueStop()
 {
   if (!std::exchange(this->stopping, true))
     this->listener.Close();
--- a/Libraries/LibExchange/Tunnel.h
+++ b/Libraries/LibExchange/Tunnel.h
@@ -56,8 +56,9 @@
   /// Returns false if the address cannot be bound.
   bool Open(std::string const& aAddress) { return this->listener.Open(aAddress); }
 
-  /// Accepts no more tunnels. Those in which nothing is in progress are closed, now and whenever this is called again.
-  void BeginStop();
+  /// Accepts no more tunnels and closes those in which nothing is in progress. To be called repeatedly until all are
+  /// closed.
+  void ContinueStop();
 
   /// Whether a request or its answer is passing through any tunnel.
   bool IsBusy() const;
--- a/Libraries/LibGateway/EndpointPathService.cpp
+++ b/Libraries/LibGateway/EndpointPathService.cpp
@@ -94,11 +94,8 @@
     OnTunnelConnection(this->paths, aAddress, aTunnel, ToPathOutcome(aOutcome), now);
   if (!aTunnel.empty()) {
     this->throughOthers += aOutcome == ConnectionOutcome::Established ? 1 : 0;
-    PART_LOG("paths") << "event=tunnel endpoint=" << aAddress << " over=" << aTunnel << " outcome="
-                      << (aOutcome == ConnectionOutcome::Established     ? "established"
-                          : aOutcome == ConnectionOutcome::NotConnected  ? "not-connected"
-                          : aOutcome == ConnectionOutcome::TunnelRefused ? "refused"
-                                                                         : "endpoint-unreached");
+    PART_LOG("paths") << "event=tunnel endpoint=" << aAddress << " over=" << aTunnel
+                      << " outcome=" << ToString(aOutcome);
   }
   this->NoteState();
 }
@@ -149,7 +146,7 @@
 void
 EndpointPathService::ProbeLink(std::string const& aAddress)
 {
-  // The stream ends with the first of its outcome and the timer.
+  // The probe ends with the first of its outcome and the timer.
   auto const stream = std::make_shared<std::shared_ptr<TcpStream>>();
   auto const onEnd = [this, aAddress, stream](bool aConnected) {
     if (!*stream)
--- a/Libraries/LibGateway/EndpointPathService.h
+++ b/Libraries/LibGateway/EndpointPathService.h
@@ -17,7 +17,7 @@
   void Start();
 
   /// Serves no further connections. To be called repeatedly while the front stops.
-  void ContinueStop() { this->tunnels.BeginStop(); }
+  void ContinueStop() { this->tunnels.ContinueStop(); }
 
   /// Whether other fronts' requests are passing through this one.
   bool IsBusy() const { return this->tunnels.IsBusy(); }
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -178,7 +178,7 @@
   if (this->ended)
     return;
   this->attempt.headReceived = true;
-  this->attempt.tunnel = this->attempt.call.Tunnel();
+  this->attempt.tunnel = this->attempt.call.TunnelAddress();
   this->attempt.framed = HasBodyFraming(aHead);
   auto const response = Platform::DecodeEndpointResponse(aHead);
   // A response that names another request, or none, does not belong to this request. Only a refusal may name none, and
--- a/Tests/LibExchange/TunnelTests.cpp
+++ b/Tests/LibExchange/TunnelTests.cpp
@@ -32,7 +32,7 @@
     for (auto const& stream : this->streams)
       stream->Reset();
     this->endpoint.Close();
-    this->server.BeginStop();
+    this->server.ContinueStop();
     this->RunFor(20ms);
   }
 
@@ -176,11 +176,11 @@
 {
   TunnelWorld world;
   EXPECT_EQ(world.Call().end, CallEnd::Complete);
-  world.server.BeginStop();
+  world.server.ContinueStop();
   EXPECT_TRUE(world.server.IsBusy());
   world.RunFor(600ms);
   EXPECT_FALSE(world.server.IsBusy());
-  world.server.BeginStop();
+  world.server.ContinueStop();
   EXPECT_EQ(world.server.Count(), 0U);
 }
 
--- a/Tests/LibServing/EndpointPathsTests.cpp
+++ b/Tests/LibServing/EndpointPathsTests.cpp
@@ -145,7 +145,7 @@
 // Load: a data centre of a third of the fronts is cut off, and all its connections to 600 endpoints go through others.
 TEST(EndpointPaths, SpreadsTheConnectionsOfADataCentreOverTheOthers)
 {
-  for (auto const count : { 7U, 81U, 370U }) {
+  for (auto const count : { 7U, 81U, 195U, 370U }) {
     std::map<std::string, unsigned> connections;
     unsigned total = 0;
     for (unsigned origin = 0; origin < count; origin += 3) {
