LibGateway, LibRpc: Log how a table came, and calls to fronts that fail

Of the hypotheses of the incident, calls between builds, proofs without their state and steps that add up looked alike: a table in force did not say by which way it came nor how old the state was, and a connection between fronts was closed for a failed call without any line. Both are logged now.

--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -33,6 +33,22 @@
   return aKind == ObjectKind::EndpointCrash || aKind == ObjectKind::Rollout;
 }
 
+static std::string_view
+ToString(ChangeSource aSource)
+{
+  switch (aSource) {
+    case ChangeSource::Watch:
+      return "watch";
+    case ChangeSource::List:
+      return "list";
+    case ChangeSource::Relay:
+      return "relay";
+    case ChangeSource::PeerCache:
+      return "peer-cache";
+  }
+  VerifyNotReached();
+}
+
 StateCache::StateCache(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
   , kinds(KindsOf(this->settings))
@@ -63,7 +79,7 @@
     ObjectUpdate update{ true, 0, aRevision, {} };
     for (auto const& object : aObjects)
       update.objects.push_back({ object.name, object.revision, Platform::ToText(object.document) });
-    this->Apply(aKind, update);
+    this->Apply(aKind, update, ChangeSource::List);
     this->OnListed(aKind, aObjects, aRevision);
   };
   events.onEvents = [this, aKind](auto const& aEvents, StorePosition aFrom, StorePosition aTo) {
@@ -292,11 +308,11 @@
   ObjectUpdate update{ false, aFrom, aTo, {} };
   for (auto& [name, object] : latest)
     update.objects.push_back(std::move(object));
-  this->Apply(aKind, update);
+  this->Apply(aKind, update, ChangeSource::Watch);
 }
 
 void
-StateCache::Apply(ObjectKind aKind, ObjectUpdate const& aUpdate)
+StateCache::Apply(ObjectKind aKind, ObjectUpdate const& aUpdate, ChangeSource aSource)
 {
   // Another front may relay a kind that this one does not use.
   auto const position = this->logs.find(aKind);
@@ -319,7 +335,7 @@
     if (!object.document)
       this->OnRemoved(aKind, object.name);
     else if (auto const stored = Platform::ParseObjectDocument(*object.document, EraOf(object.revision)))
-      this->OnChanged(aKind, *stored);
+      this->OnChanged(aKind, *stored, aSource);
   }
   if (restored)
     this->MoveRevisions(aKind);
@@ -329,11 +345,11 @@
 }
 
 void
-StateCache::OnChanged(ObjectKind aKind, StoredObject const& aObject)
+StateCache::OnChanged(ObjectKind aKind, StoredObject const& aObject, ChangeSource aSource)
 {
   switch (aKind) {
     case ObjectKind::ServingTable:
-      this->UpdateTable(aObject);
+      this->UpdateTable(aObject, aSource);
       break;
     case ObjectKind::Endpoint:
       this->UpdateEndpoint(aObject);
@@ -401,7 +417,7 @@
 }
 
 void
-StateCache::UpdateTable(StoredObject const& aObject)
+StateCache::UpdateTable(StoredObject const& aObject, ChangeSource aSource)
 {
   if (aObject.name != "main")
     return;
@@ -415,7 +431,8 @@
     return;
   PART_LOG("table") << "event=in-force version=" << decoded->version << ' ' << ToLogFields(aObject.revision)
                     << " previous=" << (this->table ? this->table->version : 0)
-                    << " services=" << decoded->services.size();
+                    << " services=" << decoded->services.size() << " source=" << ToString(aSource)
+                    << " age_ms=" << Milliseconds(this->Age());
   this->table = std::make_shared<ServingTable const>(std::move(*decoded));
   this->tableDocument = Platform::ToText(aObject.document);
 }
@@ -546,7 +563,7 @@
       continue;
     // The log's revision stays zero, so that the first list or relayed update corrects these objects.
     log->second.entries[object->name] = { { object->name, object->revision, document }, 0 };
-    this->OnChanged(kind, *object);
+    this->OnChanged(kind, *object, ChangeSource::PeerCache);
     kinds.insert(kind);
   }
   this->fetchedFromSeed = kinds.contains(ObjectKind::Endpoint) && kinds.contains(ObjectKind::Front);
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -14,6 +14,19 @@
   StorePosition revision{ 0 };
 };
 
+/// How a change of the store reached this front.
+enum class ChangeSource
+{
+  /// An event of this front's own watch.
+  Watch,
+  /// A list that this front read from the store.
+  List,
+  /// A relay that this front follows.
+  Relay,
+  /// Another front's cached objects.
+  PeerCache,
+};
+
 /// The rollout orders, by name of the object.
 using RolloutOrders = std::map<std::string, RolloutOrder>;
 
@@ -47,7 +60,7 @@
   std::vector<std::pair<ObjectKind, ObjectUpdate>> UpdatesSince(std::vector<StorePosition> const& aRevisions) const;
 
   /// Applies an update from the store or from a relay; one that adds nothing is ignored.
-  void Apply(ObjectKind aKind, ObjectUpdate const& aUpdate);
+  void Apply(ObjectKind aKind, ObjectUpdate const& aUpdate, ChangeSource aSource);
 
   /// Applies an update of another front. If this front watches the store, its own watch must tell the same.
   void ApplyRelayed(ObjectKind aKind, ObjectUpdate const& aUpdate);
@@ -143,9 +156,9 @@
                 StorePosition aTo);
   /// Returns the delay before the next call after a failed one.
   Duration DelayAfterFailure(ObjectKind aKind);
-  void OnChanged(ObjectKind aKind, StoredObject const& aObject);
+  void OnChanged(ObjectKind aKind, StoredObject const& aObject, ChangeSource aSource);
   void OnRemoved(ObjectKind aKind, std::string const& aName);
-  void UpdateTable(StoredObject const& aObject);
+  void UpdateTable(StoredObject const& aObject, ChangeSource aSource);
   void UpdateEndpoint(StoredObject const& aObject);
   void UpdateDataCentersOutOfRotation(std::set<std::string> aOutOfRotation);
   void UpdateFront(StoredObject const& aObject);
--- a/Libraries/LibGateway/StateCacheProof.cpp
+++ b/Libraries/LibGateway/StateCacheProof.cpp
@@ -89,7 +89,7 @@
   }
   // An update without changes would only raise the log's revision, and be relayed to all followers.
   if (!same)
-    this->Apply(kCheckedKind, update);
+    this->Apply(kCheckedKind, update, ChangeSource::List);
 }
 
 void
@@ -111,7 +111,7 @@
 void
 StateCache::ApplyRelayed(ObjectKind aKind, ObjectUpdate const& aUpdate)
 {
-  this->Apply(aKind, aUpdate);
+  this->Apply(aKind, aUpdate, ChangeSource::Relay);
   if (this->use == StoreUse::None || aUpdate.objects.empty())
     return;
   this->clock.Schedule(kOwnWatchLag, [this, aKind, revision = aUpdate.to] {
--- a/Libraries/LibGateway/StateCacheRestore.cpp
+++ b/Libraries/LibGateway/StateCacheRestore.cpp
@@ -261,7 +261,7 @@
     auto const object =
       kind == ObjectKind::ServingTable ? Platform::ParseObjectDocument(document, 0) : std::optional<StoredObject>();
     if (object)
-      this->UpdateTable(*object);
+      this->UpdateTable(*object, ChangeSource::PeerCache);
   }
   this->NotifyListeners();
 }
--- a/Libraries/LibRpc/RpcConnections.cpp
+++ b/Libraries/LibRpc/RpcConnections.cpp
@@ -1,7 +1,19 @@
 #include "RpcConnections.h"
+#include <array>
+#include <string_view>
 
 namespace Hornbeam {
 
+void
+LogFailedCall(std::string const& aAddress, kj::Exception const& aException)
+{
+  // Cap'n Proto has no type of its own for a call that took too long.
+  static constexpr std::array<std::string_view, 4> kOutcomes{ "failed", "late", "disconnected", "unknown-method" };
+  PART_WARNING("peers") << "event=call-failed address=" << aAddress
+                        << " outcome=" << kOutcomes.at(std::size_t(aException.getType())) << " reason=\""
+                        << aException.getDescription().cStr() << "\"";
+}
+
 bool
 ListenForRpc(EventLoop& aLoop,
              std::string const& aAddress,
--- a/Libraries/LibRpc/RpcConnections.h
+++ b/Libraries/LibRpc/RpcConnections.h
@@ -10,6 +10,10 @@
 
 namespace Hornbeam {
 
+/// Logs why a call to another process failed.
+void
+LogFailedCall(std::string const& aAddress, kj::Exception const& aException);
+
 /// A pool of Cap'n Proto RPC client connections to other processes, keyed by address. A connection that fails or whose
 /// peer does not respond is closed; the next call reconnects.
 template<typename Interface>
@@ -86,6 +90,8 @@
       return;
     auto const connection = found->second;
     this->connections.erase(found);
+    PART_WARNING("peers") << "event=connection-dropped address=" << aAddress
+                          << " users=" << connection->whenDropped.size();
     auto const callbacks = std::move(connection->whenDropped);
     connection->whenDropped.clear();
     this->loop.RuntimeClock().Schedule(Duration::zero(), [&loop = this->loop, connection, callbacks] {
@@ -115,7 +121,8 @@
         (*done)(std::move(aResult));
         this->loop.Wake();
       },
-      [this, done, aAddress](kj::Exception&&) {
+      [this, done, aAddress](kj::Exception&& aException) {
+        LogFailedCall(aAddress, aException);
         this->Drop(aAddress);
         (*done)(std::nullopt);
         this->loop.Wake();
--- a/Tests/LibGateway/RolloutServiceTests.cpp
+++ b/Tests/LibGateway/RolloutServiceTests.cpp
@@ -37,7 +37,7 @@
 
   void PutList(ObjectKind aKind, std::vector<LoggedObject> aObjects)
   {
-    this->stateCache->Apply(aKind, { true, 0, ++this->revision, std::move(aObjects) });
+    this->stateCache->Apply(aKind, { true, 0, ++this->revision, std::move(aObjects) }, ChangeSource::List);
     this->clock.Advance(1ms);
   }
 
