Tests: Followers whose relays are behind, and peers that fail single calls

The part of hypothesis 3 about the first state does not hold: a front follows relays only once its state is loaded from the store or a seed, and the time of loading is taken for a proof only after lists of the store.

--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -87,7 +87,7 @@
   settings.metricsAddress = this->AddressOf(aFront, 4);
   settings.tunnelAddress = this->AddressOf(aFront, 5);
   settings.storeAddress = this->store->Address();
-  settings.seeds = { this->AddressOf(0, 3) };
+  settings.seeds = this->seeds.empty() ? std::vector{ this->AddressOf(0, 3) } : this->seeds;
   settings.retries.slack = 50;
   settings.cold = { 1.5, 5 };
   settings.graceTime = this->graceTime;
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -71,6 +71,10 @@
   CallerResponse Call(unsigned aFront, CallerRequest const& aRequest);
 
   std::string CallerAddress(unsigned aFront) const { return this->AddressOf(aFront, 0); }
+  /// Returns an address of a front: port 3 is for calls between fronts, the others are those of Get().
+  std::string AddressOf(unsigned aFront, unsigned aPort) const;
+  /// Returns an address that nothing uses yet.
+  std::string NextAddress();
   /// Sends a GET request to another address of a front. aPort is 1 for readiness, 2 for the directory, 4 for metrics.
   CallerResponse Get(unsigned aFront, unsigned aPort, std::string const& aTarget);
 
@@ -86,6 +90,8 @@
   Duration graceTime{ 8s };
   /// Whether fronts that are started from now on belong to the first start of the fleet.
   bool firstStart{ true };
+  /// The seeds of fronts that are started from now on; the first front if empty.
+  std::vector<std::string> seeds;
   /// The rules of rollouts of fronts that are started from now on; rollouts are not in use without them.
   std::optional<Gateway::RolloutRules> rollouts;
   Gateway::ConnectionPool callers{ this->loop.UvLoop(), this->clock };
@@ -97,11 +103,8 @@
     std::vector<std::weak_ptr<Gateway::TcpStream>> streams;
   };
 
-  std::string AddressOf(unsigned aFront, unsigned aPort) const;
   bool IsEndpoint(std::string const& aAddress) const;
   Gateway::StreamConnector ConnectorOf(unsigned aFront);
-  std::string NextAddress();
-
   std::map<unsigned, FrontLink> links;
   unsigned basePort{ 0 };
   unsigned nextPort{ 0 };
--- /dev/null
+++ b/Tests/Platform/StandInFront.cpp
@@ -0,0 +1,102 @@
+#include "StandInFront.h"
+#include <platform/Platform.h>
+
+namespace Hornbeam::Testing {
+
+using namespace Gateway;
+
+/// Polls are never answered at once, as a relay with news for its follower would be asked again at once.
+static constexpr Duration kMinWait = 200ms;
+
+namespace {
+
+class Server final : public Wire::GatewayPeer::Server
+{
+public:
+  Server(EventLoop& aLoop, StandInFrontState& aState)
+    : loop(aLoop)
+    , state(aState)
+  {
+  }
+
+  kj::Promise<void> ping(PingContext aContext) override
+  {
+    aContext.getResults().setIncarnation(this->state.incarnation);
+    aContext.getResults().setTableVersion(this->state.tableVersion);
+    aContext.getResults().setStoreEra(this->state.storeEra);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> knownObjects(KnownObjectsContext aContext) override
+  {
+    ++this->state.fetches;
+    if (this->state.failingFetches > 0) {
+      --this->state.failingFetches;
+      KJ_FAIL_REQUIRE("the objects are not available");
+    }
+    if (this->state.tableDocument.empty())
+      return kj::READY_NOW;
+    auto objects = aContext.getResults().initObjects(1);
+    objects[0].setKind(std::uint8_t(Platform::ObjectKind::ServingTable));
+    objects[0].setDocument(this->state.tableDocument);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> followStore(FollowStoreContext aContext) override
+  {
+    auto const wait = std::max<Duration>(kMinWait, Duration(aContext.getParams().getWaitUs()));
+    auto& timer = this->loop.Io().provider->getTimer();
+    return timer.afterDelay(wait.count() * kj::MICROSECONDS).then([this, aContext]() mutable {
+      this->AnswerPoll(aContext);
+    });
+  }
+
+private:
+  void AnswerPoll(FollowStoreContext& aContext) const
+  {
+    auto wire = aContext.getResults();
+    wire.setAgeUs(this->state.age.count());
+    wire.setWatching(true);
+    std::vector<StorePosition> revisions = this->state.revisions;
+    if (revisions.empty())
+      for (auto const revision : aContext.getParams().getRevisions())
+        revisions.push_back(revision);
+    auto wireRevisions = wire.initRevisions(unsigned(revisions.size()));
+    for (unsigned index = 0; index < revisions.size(); ++index)
+      wireRevisions.set(index, revisions[index]);
+    if (aContext.getParams().getNoticeOnly())
+      return;
+    auto updates = wire.initUpdates(unsigned(this->state.updates.size()));
+    for (unsigned index = 0; index < this->state.updates.size(); ++index)
+      WriteUpdate(this->state.updates[index], updates[index]);
+  }
+
+  static void WriteUpdate(FollowResponse::KindUpdate const& aUpdate, Wire::RelayedUpdate::Builder aWire)
+  {
+    aWire.setKind(std::uint8_t(aUpdate.kind));
+    aWire.setComplete(aUpdate.update.complete);
+    aWire.setFrom(aUpdate.update.from);
+    aWire.setTo(aUpdate.update.to);
+    aWire.setReaderLimit(aUpdate.update.readerLimit);
+    auto const& objects = aUpdate.update.objects;
+    auto wireObjects = aWire.initObjects(unsigned(objects.size()));
+    for (unsigned index = 0; index < objects.size(); ++index) {
+      wireObjects[index].setName(objects[index].name);
+      wireObjects[index].setRevision(objects[index].revision);
+      wireObjects[index].setDocument(objects[index].document.value_or(""));
+    }
+  }
+
+  EventLoop& loop;
+  StandInFrontState& state;
+};
+
+}
+
+StandInFront::StandInFront(EventLoop& aLoop, std::string const& aAddress)
+{
+  VERIFY(ListenForRpc(aLoop, aAddress, kj::heap<Server>(aLoop, this->state), this->receiver, this->server));
+  this->serving = this->server->listen(*this->receiver).eagerlyEvaluate(nullptr);
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/StandInFront.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibGateway/FrontPeers.h>
+#include <LibGateway/Gateway.capnp.h>
+#include <LibRpc/LibRpc.h>
+
+namespace Hornbeam::Testing {
+
+/// What a stand-in front answers to probes and to polls of its state.
+struct StandInFrontState
+{
+  std::int64_t incarnation{ 1 };
+  std::uint64_t tableVersion{ 0 };
+  std::uint64_t storeEra{ 1 };
+  /// The age of the state that polls are told.
+  Duration age{ 0 };
+  /// The updates that polls are told; without them the poll's own revisions are.
+  std::vector<Gateway::FollowResponse::KindUpdate> updates;
+  /// The revisions that polls are told; those of the poll if empty.
+  std::vector<Gateway::StorePosition> revisions;
+  /// The document of the table in the cached objects; none if empty.
+  std::string tableDocument;
+  /// How many of the next questions for cached objects fail.
+  unsigned failingFetches{ 0 };
+  unsigned fetches{ 0 };
+};
+
+/// A stand-in for another front, of which only the calls between fronts exist.
+class StandInFront
+{
+public:
+  StandInFront(EventLoop& aLoop, std::string const& aAddress);
+
+  StandInFrontState state;
+
+private:
+  kj::Own<kj::ConnectionReceiver> receiver;
+  kj::Own<capnp::TwoPartyServer> server;
+  kj::Promise<void> serving{ nullptr };
+};
+
+}
