LibGateway: Try the store with one call at a time in a fallback

Cause: a fallback took the last answer of the tried kind, which may date from the start of the front, for the state of the store now. It now tries with one kind until this fallback's first answer, unless the front had been watching with success until then.

Evidence: PlatformFollower.TriesTheStoreWithOneCallAtATimeInAnOutage: 6 calls in 4 s before, at most 2 now.

--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -92,7 +92,7 @@
   };
   events.onFailure = [this, aKind] { return this->DelayAfterFailure(aKind); };
   events.onResponse = [this, aKind] {
-    if (this->use == StoreUse::Fallback)
+    if (std::exchange(this->triesAlone, false))
       this->EnableWatches();
     for (auto const kind : OnStoreResponse(this->backOff, aKind))
       this->watches.at(kind)->RetryNow();
@@ -128,7 +128,11 @@
     return;
   PART_LOG("store") << "event=use watching=" << (aUse != StoreUse::None) << " fallback=" << (aUse == StoreUse::Fallback)
                     << " age_ms=" << Milliseconds(this->Age());
+  bool const watched = this->use == StoreUse::Watch;
   this->use = aUse;
+  // Without watches, nothing is known of whether the store can be reached now.
+  this->triesAlone = aUse == StoreUse::Fallback &&
+                     !(watched && this->watches.at(kFallbackKind)->Reachability() == StoreReachability::Reachable);
   this->EnableWatches();
 }
 
@@ -137,11 +141,8 @@
 {
   if (this->use == StoreUse::None)
     this->backOff = {};
-  // In a fallback, one watch tries alone whether the store is reachable from here.
-  bool const tries =
-    this->use == StoreUse::Fallback && this->watches.at(kFallbackKind)->Reachability() != StoreReachability::Reachable;
   for (auto const& [kind, watch] : this->watches)
-    watch->SetWatching(this->use != StoreUse::None && (!tries || kind == kFallbackKind));
+    watch->SetWatching(this->use != StoreUse::None && (!this->triesAlone || kind == kFallbackKind));
 }
 
 void
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -220,6 +220,8 @@
   std::minstd_rand random;
   std::map<ObjectKind, ObjectLog> logs;
   StoreUse use{ StoreUse::Watch };
+  /// Whether, in a fallback, one watch tries alone whether the store can be reached from here.
+  bool triesAlone{ false };
   /// When all kinds had been listed.
   MonotonicTime loadedAt{};
   /// The latest time at which a relay confirmed the state to be that of the store.
--- a/Tests/Platform/PlatformFollowerTests.cpp
+++ b/Tests/Platform/PlatformFollowerTests.cpp
@@ -86,6 +86,22 @@
     world, [&] { return VersionAt(world, 0) == 2; }, kCalmTime + kTolerance));
 }
 
+// In an outage, each front whose relays were behind made five calls at once, again and again, instead of one.
+TEST(PlatformFollower, TriesTheStoreWithOneCallAtATimeInAnOutage)
+{
+  FollowerWorld follower;
+  auto& world = follower.world;
+  world.Start();
+  world.RunFor(1s);
+  world.store->behavior = StoreBehavior::Silent;
+  follower.relay.state.age = 1h;
+  auto const calls = world.store->calls;
+  world.RunFor(kFallbackTime);
+  EXPECT_GE(world.store->calls - calls, 1U);
+  // The first call comes after 1.5 s or more, and each lasts 1.5 s and is repeated after 0.6 s or more.
+  EXPECT_LE(world.store->calls - calls, 2U);
+}
+
 // A relay's response with a change that the front cannot apply is no proof that the front has the newest state.
 TEST(PlatformFollower, TakesNoResponseForAProofOfWhichItLacksAChange)
 {
