--- /dev/null
+++ b/Libraries/LibGateway/RelayWire.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "FrontPeers.h"
+#include "Gateway.capnp.h"
+
+namespace Hornbeam::Gateway {
+
+void
+WriteRevisions(std::vector<StorePosition> const& aRevisions, capnp::List<std::uint64_t>::Builder aWire);
+
+void
+WriteUpdate(FollowResponse::KindUpdate const& aUpdate, Wire::RelayedUpdate::Builder aWire);
+
+FollowResponse::KindUpdate
+ReadUpdate(Wire::RelayedUpdate::Reader aWire);
+
+}
--- a/Tests/Platform/StandInFront.cpp
+++ b/Tests/Platform/StandInFront.cpp
@@ -1,4 +1,5 @@
 #include "StandInFront.h"
+#include <LibGateway/RelayWire.h>
 #include <platform/Platform.h>
 
 namespace Hornbeam::Testing {
@@ -61,9 +62,7 @@
     if (revisions.empty())
       for (auto const revision : aContext.getParams().getRevisions())
         revisions.push_back(revision);
-    auto wireRevisions = wire.initRevisions(unsigned(revisions.size()));
-    for (unsigned index = 0; index < revisions.size(); ++index)
-      wireRevisions.set(index, revisions[index]);
+    WriteRevisions(revisions, wire.initRevisions(unsigned(revisions.size())));
     if (aContext.getParams().getNoticeOnly())
       return;
     auto updates = wire.initUpdates(unsigned(this->state.updates.size()));
@@ -71,22 +70,6 @@
       WriteUpdate(this->state.updates[index], updates[index]);
   }
 
-  static void WriteUpdate(FollowResponse::KindUpdate const& aUpdate, Wire::RelayedUpdate::Builder aWire)
-  {
-    aWire.setKind(std::uint8_t(aUpdate.kind));
-    aWire.setComplete(aUpdate.update.complete);
-    aWire.setFrom(aUpdate.update.from);
-    aWire.setTo(aUpdate.update.to);
-    aWire.setReaderLimit(aUpdate.update.readerLimit);
-    auto const& objects = aUpdate.update.objects;
-    auto wireObjects = aWire.initObjects(unsigned(objects.size()));
-    for (unsigned index = 0; index < objects.size(); ++index) {
-      wireObjects[index].setName(objects[index].name);
-      wireObjects[index].setRevision(objects[index].revision);
-      wireObjects[index].setDocument(objects[index].document.value_or(""));
-    }
-  }
-
   EventLoop& loop;
   StandInFrontState& state;
 };
