LibGateway, LibRpc: Explain what begins relayed changes, and how failed calls are told apart

Comments only: a reader could not see from BeginRelayedChanges that it keeps endpoints, nor which exceptions count as late.

--- a/Libraries/LibGateway/RelayWire.h
+++ b/Libraries/LibGateway/RelayWire.h
@@ -5,6 +5,8 @@
 
 namespace Hornbeam::Gateway {
 
+// The wire format of what relays tell their followers (Gateway.capnp). A removed object has an empty document.
+
 void
 WriteRevisions(std::vector<StorePosition> const& aRevisions, capnp::List<std::uint64_t>::Builder aWire);
 
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -77,7 +77,8 @@
   /// Records what an answer of an endpoint's process says of it; aSource names the request or service in the log.
   void ApplySignals(EndpointProcess const& aProcess, AnswerSignals const& aAnswer, std::string const& aSource);
 
-  /// To be called before the changes of a relay are applied whose state was that of the store at a time.
+  /// To be called before the changes of a relay are applied, whose state was that of the store at a time. If they end a
+  /// time without recent state, endpoints that are missing in them are kept until they had time to register again.
   void BeginRelayedChanges(MonotonicTime aTime);
 
   /// Records that the state was that of the store at a time, as a relay has proven. To be called once all of the
--- a/Libraries/LibRpc/RpcConnections.h
+++ b/Libraries/LibRpc/RpcConnections.h
@@ -22,6 +22,7 @@
   Disconnected,
 };
 
+/// An exception of KJ's timers counts as late, one of the connection as disconnected, and any other as rejected.
 CallFailure
 ClassifyFailure(kj::Exception const& aException);
 
