LibExchange, LibGateway: Log how connections through other fronts end

Now both sides log the end of a tunnel, with its cause and the length of the answer, and a request's last line has answer_bytes. No decision changed; Tunnel tests pass.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -319,6 +319,8 @@
     }
     if (!this->connected)
       return this->OnPathFailed(ConnectionOutcome::NotConnected);
+    if (!this->tunnel.empty() && this->pool.paths.onTunnelEnd)
+      this->pool.paths.onTunnelEnd(this->address, this->tunnel, aEnd);
     bool const complete = aEnd == StreamEnd::Closed && this->parser->FeedEnd() == ParseState::Done;
     this->EndCall(complete ? CallEnd::Complete : CallEnd::Broken);
   }
--- a/Libraries/LibExchange/ClientCall.h
+++ b/Libraries/LibExchange/ClientCall.h
@@ -107,6 +107,8 @@
   std::function<void(std::string const& aAddress, std::string const& aTunnel, ConnectionOutcome aOutcome)> onConnection;
   /// Called when bytes arrived over a direct connection.
   std::function<void(std::string const& aAddress)> onBytes;
+  /// Called when the other side ended a tunnel during a call.
+  std::function<void(std::string const& aAddress, std::string const& aTunnel, StreamEnd aEnd)> onTunnelEnd;
 };
 
 struct PoolUsage
--- a/Libraries/LibExchange/TcpStream.cpp
+++ b/Libraries/LibExchange/TcpStream.cpp
@@ -12,6 +12,18 @@
 static constexpr int kKeepAliveProbes = 2;
 static constexpr int kListenBacklog = 511;
 
+std::string_view
+ToString(StreamEnd aEnd)
+{
+  switch (aEnd) {
+    case StreamEnd::Closed:
+      return "closed";
+    case StreamEnd::Reset:
+      return "reset";
+  }
+  VerifyNotReached();
+}
+
 static uv_stream_t*
 AsStream(uv_tcp_t* aHandle)
 {
--- a/Libraries/LibExchange/TcpStream.h
+++ b/Libraries/LibExchange/TcpStream.h
@@ -17,6 +17,9 @@
   Reset,
 };
 
+std::string_view
+ToString(StreamEnd aEnd);
+
 /// The callbacks of a stream. None of them runs after the owner has called Close() or Reset().
 struct StreamEvents
 {
--- a/Libraries/LibExchange/Tunnel.cpp
+++ b/Libraries/LibExchange/Tunnel.cpp
@@ -38,6 +38,22 @@
   return parser.get().result() == http::status::ok ? TunnelAnswer::Established : TunnelAnswer::Refused;
 }
 
+std::string_view
+ToString(TunnelEnd aEnd)
+{
+  switch (aEnd) {
+    case TunnelEnd::EndpointClosed:
+      return "endpoint-closed";
+    case TunnelEnd::EndpointReset:
+      return "endpoint-reset";
+    case TunnelEnd::FrontEnded:
+      return "front-ended";
+    case TunnelEnd::Stopped:
+      return "stopped";
+  }
+  VerifyNotReached();
+}
+
 /// A connection of another front and the connection to an endpoint for it.
 class Tunnel : public std::enable_shared_from_this<Tunnel>
 {
@@ -53,7 +69,7 @@
   {
     this->front->SetBufferSizes(kSocketBufferBytes, kSocketBufferBytes);
     this->front->SetEvents(this->EventsOf(&Tunnel::OnFrontData, &Tunnel::OnFrontEnd, &Tunnel::OnFrontDrained));
-    this->Arm(kRequestTimeout, [](Tunnel& aTunnel) { aTunnel.End(); });
+    this->Arm(kRequestTimeout, [](Tunnel& aTunnel) { aTunnel.Close(); });
   }
 
   /// Whether a request or its answer is passing.
@@ -62,7 +78,15 @@
     return !this->connected || this->awaitsAnswer || this->server.clock.Now() - this->lastAnswerBytes < kQuietTime;
   }
 
-  void End()
+  void End(TunnelEnd aEnd)
+  {
+    if (this->connected)
+      this->server.events.onEnd(this->address, aEnd, this->answerBytes);
+    this->Close();
+  }
+
+private:
+  void Close()
   {
     this->server.clock.Cancel(this->timer);
     if (!this->frontClosed)
@@ -72,7 +96,6 @@
     this->server.tunnels.erase(this->id);
   }
 
-private:
   template<typename... Arguments>
   auto Callback(void (Tunnel::*aAction)(Arguments...))
   {
@@ -154,7 +177,7 @@
   {
     this->front->Write("HTTP/1.1 " + aStatus + "\r\nContent-Length: 0\r\n\r\n");
     this->CloseFront();
-    this->End();
+    this->Close();
   }
 
   void CloseFront()
@@ -173,18 +196,19 @@
   void OnEndpointData(std::string_view aBytes)
   {
     this->awaitsAnswer = false;
+    this->answerBytes += aBytes.size();
     this->lastAnswerBytes = this->server.clock.Now();
     this->Pass(aBytes, *this->front, *this->endpoint);
   }
 
   // Whatever ends the front's side, nobody waits for the answer any more.
-  void OnFrontEnd(StreamEnd) { this->End(); }
+  void OnFrontEnd(StreamEnd) { this->End(TunnelEnd::FrontEnded); }
 
   void OnEndpointEnd(StreamEnd aEnd)
   {
     if (aEnd == StreamEnd::Closed)
       this->CloseFront();
-    this->End();
+    this->End(aEnd == StreamEnd::Closed ? TunnelEnd::EndpointClosed : TunnelEnd::EndpointReset);
   }
 
   void OnFrontDrained()
@@ -206,6 +230,7 @@
   /// Set once the front's side closes regularly, after what was written to it.
   bool frontClosed{ false };
   bool awaitsAnswer{ false };
+  std::uint64_t answerBytes{ 0 };
   MonotonicTime lastAnswerBytes{};
 };
 
@@ -221,7 +246,7 @@
 {
   auto const open = this->tunnels;
   for (auto const& [id, tunnel] : open)
-    tunnel->End();
+    tunnel->End(TunnelEnd::Stopped);
 }
 
 void
@@ -241,7 +266,7 @@
   auto const open = this->tunnels;
   for (auto const& [id, tunnel] : open)
     if (!tunnel->IsBusy())
-      tunnel->End();
+      tunnel->End(TunnelEnd::Stopped);
 }
 
 bool
--- a/Libraries/LibExchange/Tunnel.h
+++ b/Libraries/LibExchange/Tunnel.h
@@ -34,11 +34,27 @@
   LinkLost,
 };
 
+/// What ended an established tunnel.
+enum class TunnelEnd
+{
+  EndpointClosed,
+  EndpointReset,
+  /// The other front closed or reset its side.
+  FrontEnded,
+  /// This front stops.
+  Stopped,
+};
+
+std::string_view
+ToString(TunnelEnd aEnd);
+
 /// What the owner of a tunnel server decides and learns.
 struct TunnelEvents
 {
   std::function<TunnelPermission(std::string const& aAddress)> permit;
   std::function<void(std::string const& aAddress, bool aConnected)> onConnection;
+  /// aAnswerBytes is the number of bytes that the endpoint sent. Called once for each established tunnel.
+  std::function<void(std::string const& aAddress, TunnelEnd aEnd, std::uint64_t aAnswerBytes)> onEnd;
 };
 
 class Tunnel;
--- a/Libraries/LibGateway/EndpointPathService.cpp
+++ b/Libraries/LibGateway/EndpointPathService.cpp
@@ -37,6 +37,10 @@
               [this](std::string const& aAddress, bool aConnected) {
                 this->OnConnection(
                   aAddress, "", aConnected ? ConnectionOutcome::Established : ConnectionOutcome::NotConnected);
+              },
+              [](std::string const& aAddress, TunnelEnd aEnd, std::uint64_t aAnswerBytes) {
+                PART_LOG("paths") << "event=helped endpoint=" << aAddress << " end=" << ToString(aEnd)
+                                  << " answer_bytes=" << aAnswerBytes;
               } })
 {
   this->connections.SetPaths(
@@ -47,6 +51,10 @@
       [this](std::string const& aAddress) {
         if (aAddress != this->settings.storeAddress)
           OnDirectBytes(this->paths, aAddress, this->clock.Now());
+      },
+      [](std::string const& aAddress, std::string const& aTunnel, StreamEnd aEnd) {
+        PART_LOG("paths") << "event=tunnel-ended endpoint=" << aAddress << " over=" << aTunnel
+                          << " end=" << ToString(aEnd);
       } });
 }
 
--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -388,8 +388,8 @@
                       << " account=" << this->account.name << " endpoint=" << this->attempt.endpoint
                       << (this->attempt.tunnel.empty() ? "" : " over=" + this->attempt.tunnel)
                       << " attempts=" << this->endedAttempts << " framed=" << this->attempt.framed
-                      << " stage_restarts=" << this->stageRestarts << " table=" << this->table->version
-                      << " duration_ms=" << Milliseconds(took)
+                      << " answer_bytes=" << this->attempt.bytes << " stage_restarts=" << this->stageRestarts
+                      << " table=" << this->table->version << " duration_ms=" << Milliseconds(took)
                       << " target_ms=" << Milliseconds(this->route.targetLatency) << ' ' << ToLogFields(this->timeline)
                       << " beliefs_age_ms=" << Milliseconds(this->proxy.stateCache.Age());
   this->proxy.activeRequests.erase(strongSelf);
--- a/Tests/LibExchange/TunnelTests.cpp
+++ b/Tests/LibExchange/TunnelTests.cpp
@@ -13,7 +13,9 @@
     : server(this->loop.UvLoop(),
              this->clock,
              TcpConnector(this->loop.UvLoop()),
-             { [this](std::string const&) { return this->permission; }, [](std::string const&, bool) {} })
+             { [this](std::string const&) { return this->permission; },
+               [](std::string const&, bool) {},
+               [this](std::string const&, TunnelEnd aEnd, std::uint64_t) { this->tunnelEnd = aEnd; } })
     , endpoint(this->loop.UvLoop(),
                StreamTimeouts{},
                [this](std::shared_ptr<TcpStream> aStream) { this->Serve(std::move(aStream)); })
@@ -24,6 +26,7 @@
     this->pool.SetPaths(
       { [](std::string const&) { return std::string(kTunnelAddress); },
         [this](std::string const&, std::string const&, ConnectionOutcome aOutcome) { this->outcome = aOutcome; },
+        {},
         {} });
   }
 
@@ -81,6 +84,7 @@
   EventLoop loop{ clock };
   TunnelPermission permission{ TunnelPermission::Granted };
   std::optional<ConnectionOutcome> outcome;
+  std::optional<TunnelEnd> tunnelEnd;
   std::string answer{ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi" };
   bool closes{ false };
   bool resets{ false };
@@ -112,11 +116,13 @@
   world.answer = "HTTP/1.1 200 OK\r\n\r\npart";
   world.resets = true;
   EXPECT_EQ(world.Call().end, CallEnd::Broken);
+  EXPECT_EQ(world.tunnelEnd, TunnelEnd::EndpointReset);
   world.resets = false;
   world.closes = true;
   auto const response = world.Call();
   EXPECT_EQ(response.end, CallEnd::Complete);
   EXPECT_EQ(response.body, "part");
+  EXPECT_EQ(world.tunnelEnd, TunnelEnd::EndpointClosed);
 }
 
 // Anyone on the network could reach any address through a front; a request that was not sent counted as sent.
@@ -138,6 +144,7 @@
   world.pool.SetPaths(
     { [](std::string const&) { return std::string("nowhere"); },
       [&](std::string const&, std::string const&, ConnectionOutcome aOutcome) { world.outcome = aOutcome; },
+      {},
       {} });
   EXPECT_EQ(world.Call().end, CallEnd::NotSent);
   EXPECT_EQ(world.outcome, ConnectionOutcome::NotConnected);
