LibExchange: Tell the end of an answer from the end of the front that helps

Cause: since a connection to an endpoint may lead through another front, which passed the endpoint's bytes as they are. If that process is killed, or is past its grace time (quick_exit), its kernel closes its connections, regularly where nothing is unread. A response without length or chunks ends with its connection, so its part was complete. Class: an end taken for completeness.

Evidence: Tunnel.DoesNotTakeTheEndOfAKilledFrontForTheEndOfTheAnswer kills a real process with SIGKILL; the call ended as complete (0 of 1), as did the one through a front of an older build. Ruled out: a reset of the endpoint, which the helping front passed on as a reset before (TellsAResetFromAnEnd).

Change: the front asks for the endpoint's bytes in chunks; the last chunk is written only if the endpoint closed regularly. Without it, whatever ends the connection, the answer is broken off. It works in both directions between builds: a front that does not ask gets plain bytes (SendsPlainBytesToAnOlderFront), and one that does not answer in chunks is not believed at an end. A reset by the endpoint no longer discards what it sent before.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -1,6 +1,7 @@
 #include "ClientCall.h"
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace Hornbeam::Gateway {
 
@@ -50,6 +51,15 @@
   VerifyNotReached();
 }
 
+/// Bytes that arrive in chunks without the head of a message.
+struct ChunkedBytes
+{
+  ChunkedBytes() { this->parser.Feed(this->received); }
+
+  ResponseParser parser{ ResponseTo::OtherMethod, std::numeric_limits<std::uint64_t>::max() };
+  std::string received{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" };
+};
+
 /// A connection to an endpoint, which carries one call at a time or is idle in the pool.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
@@ -117,6 +127,7 @@
     ++this->pathsTried;
     this->tunnel = this->pool.ChooseTunnel(this->address);
     this->tunnelAnswer.clear();
+    this->tunnelBytes.reset();
     std::weak_ptr<ClientConnection> const weak = this->weak_from_this();
     StreamTimeouts timeouts;
     timeouts.unacknowledged = std::max<Duration>(this->connectTimeout, timeouts.unacknowledged);
@@ -181,7 +192,10 @@
     switch (ReadTunnelAnswer(this->tunnelAnswer)) {
       case TunnelAnswer::NeedMore:
         return;
-      case TunnelAnswer::Established:
+      case TunnelAnswer::EstablishedInChunks:
+        this->tunnelBytes.emplace();
+        return this->OnEstablished();
+      case TunnelAnswer::EstablishedPlain:
         return this->OnEstablished();
       case TunnelAnswer::EndpointUnreached:
         return this->OnPathFailed(ConnectionOutcome::EndpointUnreached);
@@ -245,8 +259,29 @@
     auto const protector = this->shared_from_this();
     if (!this->connected)
       return this->OnTunnelData(aBytes);
+    if (this->tunnelBytes)
+      return this->OnTunnelBytes(aBytes);
     if (this->tunnel.empty() && this->pool.paths.onBytes)
       this->pool.paths.onBytes(this->address);
+    this->OnEndpointBytes(aBytes);
+  }
+
+  /// Handles bytes that arrive over a tunnel in chunks.
+  void OnTunnelBytes(std::string_view aBytes)
+  {
+    auto& coded = *this->tunnelBytes;
+    coded.received += aBytes;
+    auto const state = coded.parser.Feed(coded.received);
+    if (auto const bytes = coded.parser.TakeBody(); !bytes.empty())
+      this->OnEndpointBytes(bytes);
+    if (state == ParseState::Done && this->IsOpen())
+      this->OnEndpointEnd(StreamEnd::Closed);
+    else if (state != ParseState::NeedMore && this->IsOpen())
+      this->OnEndpointEnd(StreamEnd::Reset);
+  }
+
+  void OnEndpointBytes(std::string_view aBytes)
+  {
     if (!this->busy) {
       // Data without a request cannot be attributed to any call.
       this->pool.CloseIdle(this);
@@ -319,6 +354,17 @@
     }
     if (!this->connected)
       return this->OnPathFailed(ConnectionOutcome::NotConnected);
+    // A connection that leads through another front may end with that front, or because of it.
+    this->OnEndpointEnd(this->tunnel.empty() ? aEnd : StreamEnd::Reset);
+  }
+
+  /// Handles the end of the endpoint's bytes.
+  void OnEndpointEnd(StreamEnd aEnd)
+  {
+    if (!this->busy) {
+      this->pool.CloseIdle(this);
+      return;
+    }
     if (!this->tunnel.empty() && this->pool.paths.onTunnelEnd)
       this->pool.paths.onTunnelEnd(this->address, this->tunnel, aEnd);
     bool const complete = aEnd == StreamEnd::Closed && this->parser->FeedEnd() == ParseState::Done;
@@ -344,6 +390,8 @@
   /// The tunnels through which the connection goes; empty for a direct one.
   std::string tunnel;
   std::string tunnelAnswer;
+  /// Only for a tunnel that passes bytes in chunks.
+  std::optional<ChunkedBytes> tunnelBytes;
   unsigned pathsTried{ 0 };
   std::shared_ptr<TcpStream> stream;
   std::unique_ptr<ResponseParser> parser;
--- a/Libraries/LibExchange/Tunnel.cpp
+++ b/Libraries/LibExchange/Tunnel.cpp
@@ -1,4 +1,5 @@
 #include "Tunnel.h"
+#include "HttpMessage.h"
 #include <boost/beast/http.hpp>
 
 namespace Hornbeam::Gateway {
@@ -16,10 +17,23 @@
 /// An answer is taken for complete once nothing of it has arrived for this long.
 static constexpr Duration kQuietTime = 500ms;
 
+/// Names the coding of the endpoint's bytes in a request and in its answer. HTTP has no transfer coding for tunnels,
+/// and fronts that do not know this field ignore it.
+static constexpr std::string_view kCodingField = "Hornbeam-Tunnel-Coding";
+static constexpr std::string_view kChunked = "chunked";
+
+template<typename Message>
+static bool
+HasChunks(Message const& aMessage)
+{
+  return aMessage[kCodingField] == kChunked;
+}
+
 std::string
 EncodeTunnelRequest(std::string const& aAddress)
 {
-  return "CONNECT " + aAddress + " HTTP/1.1\r\nHost: " + aAddress + "\r\n\r\n";
+  return "CONNECT " + aAddress + " HTTP/1.1\r\nHost: " + aAddress + "\r\n" + std::string(kCodingField) + ": " +
+         std::string(kChunked) + "\r\n\r\n";
 }
 
 TunnelAnswer
@@ -35,7 +49,9 @@
     return TunnelAnswer::Refused;
   if (parser.get().result() == http::status::bad_gateway)
     return TunnelAnswer::EndpointUnreached;
-  return parser.get().result() == http::status::ok ? TunnelAnswer::Established : TunnelAnswer::Refused;
+  if (parser.get().result() != http::status::ok)
+    return TunnelAnswer::Refused;
+  return HasChunks(parser.get()) ? TunnelAnswer::EstablishedInChunks : TunnelAnswer::EstablishedPlain;
 }
 
 std::string_view
@@ -126,7 +142,7 @@
   {
     if (this->connected) {
       this->awaitsAnswer = true;
-      this->Pass(aBytes, *this->endpoint, *this->front);
+      this->Pass(std::string(aBytes), *this->endpoint, *this->front);
       return;
     }
     this->request += aBytes;
@@ -139,6 +155,7 @@
     // The front waits for the answer before it sends anything else.
     if (failure || used != this->request.size() || parser.get().method() != http::verb::connect || this->endpoint)
       return this->Answer("400 Bad Request");
+    this->chunked = HasChunks(parser.get());
     this->Connect(std::string(parser.get().target()));
   }
 
@@ -169,7 +186,10 @@
     ++this->server.established;
     this->endpoint->SetEvents(
       this->EventsOf(&Tunnel::OnEndpointData, &Tunnel::OnEndpointEnd, &Tunnel::OnEndpointDrained));
-    this->front->Write("HTTP/1.1 200 OK\r\n\r\n");
+    std::string answer = "HTTP/1.1 200 OK\r\n";
+    if (this->chunked)
+      answer.append(kCodingField).append(": ").append(kChunked).append("\r\n");
+    this->front->Write(answer + "\r\n");
   }
 
   /// Ends the tunnel with an answer.
@@ -186,9 +206,9 @@
     this->front->Close();
   }
 
-  void Pass(std::string_view aBytes, TcpStream& aTo, TcpStream& aFrom)
+  void Pass(std::string aBytes, TcpStream& aTo, TcpStream& aFrom)
   {
-    aTo.Write(std::string(aBytes));
+    aTo.Write(std::move(aBytes));
     if (aTo.Unsent() > kMaxUnsentBytes)
       aFrom.PauseReading();
   }
@@ -198,7 +218,7 @@
     this->awaitsAnswer = false;
     this->answerBytes += aBytes.size();
     this->lastAnswerBytes = this->server.clock.Now();
-    this->Pass(aBytes, *this->front, *this->endpoint);
+    this->Pass(this->chunked ? SerializeChunk(aBytes) : std::string(aBytes), *this->front, *this->endpoint);
   }
 
   // Whatever ends the front's side, nobody waits for the answer any more.
@@ -206,7 +226,10 @@
 
   void OnEndpointEnd(StreamEnd aEnd)
   {
-    if (aEnd == StreamEnd::Closed)
+    if (aEnd == StreamEnd::Closed && this->chunked)
+      this->front->Write(SerializeLastChunk());
+    // In chunks, what arrived before a reset need not be lost: the last chunk is missing.
+    if (aEnd == StreamEnd::Closed || this->chunked)
       this->CloseFront();
     this->End(aEnd == StreamEnd::Closed ? TunnelEnd::EndpointClosed : TunnelEnd::EndpointReset);
   }
@@ -227,6 +250,8 @@
   std::string request;
   TimerId timer{ 0 };
   bool connected{ false };
+  /// Whether the front has asked for chunks.
+  bool chunked{ false };
   /// Set once the front's side closes regularly, after what was written to it.
   bool frontClosed{ false };
   bool awaitsAnswer{ false };
--- a/Libraries/LibExchange/Tunnel.h
+++ b/Libraries/LibExchange/Tunnel.h
@@ -10,13 +10,17 @@
 enum class TunnelAnswer
 {
   NeedMore,
-  Established,
+  /// The endpoint's bytes follow in chunks. The last chunk says that the endpoint has closed its side regularly.
+  EstablishedInChunks,
+  /// The endpoint's bytes follow as they are. Fronts of older builds answer so; how their connection ends says nothing
+  /// about how the endpoint's bytes ended.
+  EstablishedPlain,
   /// The front does not reach the endpoint, although it reaches others.
   EndpointUnreached,
   Refused,
 };
 
-/// Encodes the request for a connection to an address: CONNECT of HTTP/1.1 (RFC 9110, 9.3.6).
+/// Encodes the request for a connection to an address, and for chunks: CONNECT of HTTP/1.1 (RFC 9110, 9.3.6).
 std::string
 EncodeTunnelRequest(std::string const& aAddress);
 
@@ -59,8 +63,9 @@
 
 class Tunnel;
 
-/// Connects other fronts to endpoints that they do not reach themselves. Bytes pass unchanged; a reset on one side is a
-/// reset on the other one, and an end of the endpoint's bytes is passed on after them.
+/// Connects other fronts to endpoints that they do not reach themselves. Bytes pass unchanged. A front that asks for
+/// chunks gets the endpoint's bytes in chunks, as only they tell a regular end of these bytes from an end of this
+/// process.
 class TunnelServer
 {
 public:
--- a/Tests/LibExchange/TunnelTests.cpp
+++ b/Tests/LibExchange/TunnelTests.cpp
@@ -171,7 +171,7 @@
 }
 
 // The end of the helping front was taken for the end of an answer of unknown length, so a part of it looked complete.
-TEST(Tunnel, DISABLED_DoesNotTakeTheEndOfAKilledFrontForTheEndOfTheAnswer)
+TEST(Tunnel, DoesNotTakeTheEndOfAKilledFrontForTheEndOfTheAnswer)
 {
   static constexpr char kProcessAddress[] = "127.0.0.1:20963";
   TunnelProcess helper(kProcessAddress);
@@ -184,7 +184,7 @@
 }
 
 // A front of an older build that ended while it helped left a part of an answer that looked complete.
-TEST(Tunnel, DISABLED_TakesNoEndThroughAnOlderFrontForTheEndOfTheAnswer)
+TEST(Tunnel, TakesNoEndThroughAnOlderFrontForTheEndOfTheAnswer)
 {
   static constexpr char kOlderAddress[] = "127.0.0.1:20964";
   TunnelWorld world;
@@ -206,6 +206,24 @@
   older.Close();
 }
 
+// A front of an older build, which does not ask for chunks, would take them for the endpoint's bytes.
+TEST(Tunnel, SendsPlainBytesToAnOlderFront)
+{
+  TunnelWorld world;
+  std::string received;
+  auto const older = TcpStream::Connect(world.loop.UvLoop(), kTunnelAddress, {}, [](bool) {});
+  StreamEvents events;
+  events.onData = [&](std::string_view aBytes) { received += aBytes; };
+  older->SetEvents(std::move(events));
+  older->Write("CONNECT 127.0.0.1:20962 HTTP/1.1\r\nHost: 127.0.0.1:20962\r\n\r\n");
+  world.RunFor(50ms);
+  EXPECT_EQ(received, "HTTP/1.1 200 OK\r\n\r\n");
+  older->Write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  world.RunFor(50ms);
+  EXPECT_EQ(received, "HTTP/1.1 200 OK\r\n\r\n" + world.answer);
+  older->Reset();
+}
+
 // Anyone on the network could reach any address through a front; a request that was not sent counted as sent.
 TEST(Tunnel, RefusesAddressesThatAreNoEndpoints)
 {
