Tests: Kill the front that helps, in front of a whole front

PlatformLostLink.DoesNotEndAnswersThroughAKilledFront: a front that lost its link gets an answer without length through a process that is killed (SIGKILL). Links can be lost to raw endpoints too.

--- a/Tests/LibExchange/TunnelTests.cpp
+++ b/Tests/LibExchange/TunnelTests.cpp
@@ -1,56 +1,11 @@
-#include <LibExchange/LibExchange.h>
-#include <csignal>
+#include "TunnelProcess.h"
 #include <gtest/gtest.h>
-#include <sys/wait.h>
-#include <thread>
 
 namespace Hornbeam::Gateway {
 
 static constexpr char kTunnelAddress[] = "127.0.0.1:20961";
 static constexpr char kEndpointAddress[] = "127.0.0.1:20962";
 
-/// A tunnel server in a process of its own. Its kernel closes its connections when the process is killed.
-class TunnelProcess
-{
-public:
-  explicit TunnelProcess(std::string const& aAddress)
-    : process(fork())
-  {
-    if (this->process == 0)
-      Run(aAddress);
-    std::this_thread::sleep_for(100ms);
-  }
-  TunnelProcess(TunnelProcess const&) = delete;
-  TunnelProcess& operator=(TunnelProcess const&) = delete;
-  ~TunnelProcess() { this->Kill(); }
-
-  void Kill()
-  {
-    if (this->process <= 0)
-      return;
-    kill(this->process, SIGKILL);
-    waitpid(std::exchange(this->process, 0), nullptr, 0);
-  }
-
-private:
-  [[noreturn]] static void Run(std::string const& aAddress)
-  {
-    Clock clock{ ClockMode::Running };
-    EventLoop loop{ clock };
-    TunnelServer server(loop.UvLoop(),
-                        clock,
-                        TcpConnector(loop.UvLoop()),
-                        { [](std::string const&) { return TunnelPermission::Granted; },
-                          [](std::string const&, bool) {},
-                          [](std::string const&, TunnelEnd, std::uint64_t) {} });
-    if (server.Open(aAddress))
-      loop.RunUntil([] { return false; });
-    std::_Exit(1);
-  }
-
-  pid_t process;
-};
-
 /// A pool whose connections to the endpoint go through a tunnel server, and an endpoint that sends fixed bytes.
 struct TunnelWorld
 {
@@ -174,7 +129,7 @@
 TEST(Tunnel, DoesNotTakeTheEndOfAKilledFrontForTheEndOfTheAnswer)
 {
   static constexpr char kProcessAddress[] = "127.0.0.1:20963";
-  TunnelProcess helper(kProcessAddress);
+  Testing::TunnelProcess helper(kProcessAddress);
   TunnelWorld world;
   world.pool.SetPaths({ [](std::string const&) { return std::string(kProcessAddress); }, {}, {}, {} });
   world.answer = "HTTP/1.1 200 OK\r\n\r\npart";
--- a/Tests/Platform/PlatformLostLinkTests.cpp
+++ b/Tests/Platform/PlatformLostLinkTests.cpp
@@ -1,4 +1,7 @@
 #include "PlatformFixtures.h"
+#include "RawEndpoint.h"
+#include "StandInFront.h"
+#include <Tests/LibExchange/TunnelProcess.h>
 
 // Fronts that are cut off from all endpoints, while callers, the store and the other fronts reach them.
 
@@ -72,6 +75,41 @@
   EXPECT_TRUE(ejected);
 }
 
+// The front that helped was killed, and what had arrived of an answer without length reached the caller as a whole one.
+TEST(PlatformLostLink, DoesNotEndAnswersThroughAKilledFront)
+{
+  auto const helperAddress = "127.0.0.1:20985";
+  for (std::string const target : { "/safe/x", "/model/x" }) {
+    TunnelProcess helper(helperAddress);
+    PlatformWorld world(1);
+    RawEndpoint endpoint(world, target == "/safe/x" ? "ledger" : "model", 20981);
+    endpoint.answerOf = [](auto const& aRequest, std::size_t) {
+      return RawAnswer{ RawHead(aRequest) + "id: 1\ndata: t1\n\n", RawAnswer::Ending::Keep };
+    };
+    auto const peerAddress = world.NextAddress();
+    StandInFront const peer(world.loop, peerAddress);
+    world.store->Put("fronts",
+                     "helper",
+                     { { "caller_address", peerAddress },
+                       { "peer_address", peerAddress },
+                       { "data_center", "a" },
+                       { "incarnation", 1 },
+                       { "cores", 1 },
+                       { "region", "r" },
+                       { "tunnel_address", helperAddress } });
+    world.SetLink(0, LostLink::OldKept);
+    world.Start();
+    ASSERT_TRUE(world.RunUntil([&] { return world.store->Has("fronts", "front-0"); }));
+    world.RunFor(100ms);
+    auto const response = world.Send(0, target == "/safe/x" ? SafeRequest() : ModelRequest(target));
+    ASSERT_TRUE(world.RunUntil([&] { return !endpoint.seen.empty(); }));
+    world.RunFor(100ms);
+    helper.Kill();
+    ASSERT_TRUE(world.RunUntil([&] { return response->ended; }));
+    EXPECT_FALSE(response->end == CallEnd::Complete && response->status == 200) << target;
+  }
+}
+
 class PlatformLostLinks : public testing::TestWithParam<LostLink>
 {};
 
--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -109,8 +109,9 @@
 bool
 PlatformWorld::IsEndpoint(std::string const& aAddress) const
 {
-  return std::ranges::any_of(this->endpoints,
-                             [&](auto const& aEndpoint) { return aEndpoint->PublicAddress() == aAddress; });
+  return this->otherEndpoints.contains(aAddress) || std::ranges::any_of(this->endpoints, [&](auto const& aEndpoint) {
+           return aEndpoint->PublicAddress() == aAddress;
+         });
 }
 
 StreamConnector
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -6,6 +6,7 @@
 #include "StandInTable.h"
 #include <LibGateway/LibGateway.h>
 #include <LibGateway/ProxyService.h>
+#include <set>
 
 namespace Hornbeam::Testing {
 
@@ -94,6 +95,8 @@
   std::vector<std::string> seeds;
   /// The rules of rollouts of fronts that are started from now on; rollouts are not in use without them.
   std::optional<Gateway::RolloutRules> rollouts;
+  /// Addresses of endpoints besides those in `endpoints`, to which links can be lost as well.
+  std::set<std::string> otherEndpoints;
   Gateway::ConnectionPool callers{ this->loop.UvLoop(), this->clock };
 
 private:
--- a/Tests/Platform/RawEndpoint.cpp
+++ b/Tests/Platform/RawEndpoint.cpp
@@ -15,6 +15,7 @@
 {
   auto const address = "127.0.0.1:" + std::to_string(aPort);
   VERIFY(this->listener.Open(address));
+  aWorld.otherEndpoints.insert(address);
   aWorld.store->Put("servers", "i-raw-" + std::to_string(aPort), StandInEntry(aService, address, "ready", "a"));
 }
 
