--- a/Tests/Soak/SoakFront.cpp
+++ b/Tests/Soak/SoakFront.cpp
@@ -65,8 +65,10 @@
            << aLimits << "addresses:\n"
            << "  callers: " << this->addresses.callers << "\n  readiness: " << this->addresses.readiness
            << "\n  directory: " << this->addresses.directory << "\n  peers: " << this->addresses.peers
-           << "\n  metrics: " << this->addresses.metrics << "\nstore:\n  address: " << this->addresses.store
-           << "\nseeds: [";
+           << "\n  metrics: " << this->addresses.metrics;
+  if (!this->addresses.tunnels.empty())
+    settings << "\n  tunnels: " << this->addresses.tunnels;
+  settings << "\nstore:\n  address: " << this->addresses.store << "\nseeds: [";
   for (auto const& seed : this->addresses.seeds)
     settings << (seed == this->addresses.seeds.front() ? "" : ", ") << '"' << seed << '"';
   settings << "]\nshutdown:\n  grace_s: " << Milliseconds(aGraceTime) / 1000
--- a/Tests/Soak/SoakFront.h
+++ b/Tests/Soak/SoakFront.h
@@ -16,6 +16,7 @@
   std::string peers;
   std::string metrics;
   std::string store;
+  std::string tunnels;
   /// Peer addresses of other fronts.
   std::vector<std::string> seeds;
 };
--- a/Tests/Soak/SoakProxy.cpp
+++ b/Tests/Soak/SoakProxy.cpp
@@ -31,6 +31,8 @@
 SoakProxy::StartForwarding(LinkPointer const& aLink)
 {
   this->links.push_back(aLink);
+  if (this->removesFraming)
+    aLink->response = std::make_unique<ResponseParser>(ResponseTo::OtherMethod);
   this->Forward(aLink, Direction::ToTarget);
   this->Forward(aLink, Direction::FromTarget);
   aLink->caller->ResumeReading();
@@ -47,6 +49,8 @@
     auto const known = link.lock();
     if (!known || known->silent)
       return;
+    if (aDirection == Direction::FromTarget && known->response)
+      return this->ForwardUnframed(known, aData);
     auto write = [to, data = std::string(aData)] {
       if (auto const stream = to.lock(); stream && stream->IsOpen())
         stream->Write(data);
@@ -60,12 +64,42 @@
   from->SetEvents(std::move(events));
 }
 
+void
+SoakProxy::ForwardUnframed(LinkPointer const& aLink, std::string_view aData)
+{
+  aLink->unreadResponse += aData;
+  auto const state = aLink->response->Feed(aLink->unreadResponse);
+  std::string bytes;
+  if (aLink->response->HeadComplete()) {
+    auto const head = aLink->response->Head();
+    if (!std::exchange(aLink->headForwarded, true)) {
+      bytes = "HTTP/1.1 " + std::to_string(head.status) + " Unframed\r\n";
+      for (auto const& [name, value] : head.fields)
+        if (!IsHopByHop(name, ""))
+          bytes.append(name).append(": ").append(value).append("\r\n");
+      bytes += "Connection: close\r\n\r\n";
+    }
+    bytes += aLink->response->TakeBody();
+  }
+  this->Deliver(aLink, Direction::FromTarget, [to = aLink->caller, bytes] {
+    if (to->IsOpen())
+      to->Write(bytes);
+  });
+  if (state == ParseState::NeedMore)
+    return;
+  aLink->target->Reset();
+  this->End(aLink, Direction::FromTarget, state == ParseState::Done ? StreamEnd::Closed : StreamEnd::Reset);
+}
+
 void
 SoakProxy::End(LinkPointer const& aLink, Direction aDirection, StreamEnd aEnd)
 {
   this->links.remove(aLink);
   if (aLink->silent)
     return;
+  // An unframed response that is not whole must not end regularly.
+  if (aDirection == Direction::FromTarget && aLink->response && aLink->target->IsOpen())
+    aEnd = StreamEnd::Reset;
   auto const other = aDirection == Direction::ToTarget ? aLink->target : aLink->caller;
   this->Deliver(aLink, aDirection, [other, aEnd] {
     if (!other->IsOpen())
@@ -121,7 +155,7 @@
 SoakProxy::ClearFaults()
 {
   this->delay = {};
-  this->cutToTarget = this->cutFromTarget = false;
+  this->cutToTarget = this->cutFromTarget = this->removesFraming = false;
   auto const known = this->links;
   for (auto const& link : known) {
     link->caller->ResumeReading();
@@ -140,6 +174,13 @@
   }
 }
 
+void
+SoakProxy::RemoveFraming()
+{
+  this->removesFraming = true;
+  this->ResetAll();
+}
+
 void
 SoakProxy::SilenceAll()
 {
--- a/Tests/Soak/SoakProxy.h
+++ b/Tests/Soak/SoakProxy.h
@@ -26,6 +26,10 @@
   /// Blocks one direction until ClearFaults(), on new connections as well.
   void Cut(Direction aDirection);
 
+  /// Resets all open connections. On new ones, removes the length and the chunks of the first response, and ends the
+  /// connection with it: regularly if the response is whole, with a reset if not.
+  void RemoveFraming();
+
   void ClearFaults();
 
   /// Resets all open connections.
@@ -40,6 +44,10 @@
     std::shared_ptr<Gateway::TcpStream> caller;
     std::shared_ptr<Gateway::TcpStream> target;
     bool silent{ false };
+    /// Reads the response whose framing is removed.
+    std::unique_ptr<Gateway::ResponseParser> response;
+    std::string unreadResponse;
+    bool headForwarded{ false };
     /// What is due in each direction, in order. Timers for the same moment run in any order, so each takes the first.
     std::deque<std::function<void()>> toTarget;
     std::deque<std::function<void()>> fromTarget;
@@ -56,6 +64,8 @@
   void Deliver(LinkPointer const& aLink, Direction aDirection, std::function<void()> aAction);
   /// The delay until bytes that arrive now are forwarded.
   Duration DeliveryDelay(Link& aLink, Direction aDirection) const;
+  /// Forwards what arrived of a response without its framing.
+  void ForwardUnframed(LinkPointer const& aLink, std::string_view aData);
   void PauseIfCut(LinkPointer const& aLink);
   void End(LinkPointer const& aLink, Direction aDirection, Gateway::StreamEnd aEnd);
 
@@ -67,6 +77,7 @@
   Duration delay{ 0 };
   bool cutToTarget{ false };
   bool cutFromTarget{ false };
+  bool removesFraming{ false };
 };
 
 }
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -54,7 +54,8 @@
                            &addresses.directory,
                            &addresses.peers,
                            &addresses.metrics,
-                           &addresses.store })
+                           &addresses.store,
+                           &addresses.tunnels })
       *address = this->NextAddress();
     this->storeLinks.push_back(
       std::make_unique<SoakProxy>(uvLoop, this->clock, addresses.store, this->store->Address()));
@@ -386,7 +387,12 @@
       };
       auto const fault = kFaults[aFault.randomValue % std::size(kFaults)];
       endpoint.standIn->faultOf = [fault](std::size_t aNumber) { return aNumber % 2 ? fault : EndpointFault::None; };
-      this->RunAfter(aFault.length, [&endpoint] { endpoint.standIn->faultOf = nullptr; });
+      if (aFault.randomValue / std::size(kFaults) % 2 == 0)
+        endpoint.proxy->RemoveFraming();
+      this->RunAfter(aFault.length, [&endpoint] {
+        endpoint.standIn->faultOf = nullptr;
+        endpoint.proxy->ClearFaults();
+      });
       return;
     }
     case SoakFaultKind::EndpointSignals: {
