LibRpc: Bound the reason of a failed call

The reason comes from the other front. Now 256 bytes in one line. Class: a value from outside that nothing bounds.

--- a/Libraries/LibRpc/RpcConnections.cpp
+++ b/Libraries/LibRpc/RpcConnections.cpp
@@ -1,10 +1,12 @@
 #include "RpcConnections.h"
+#include <algorithm>
 #include <string_view>
 
 namespace Hornbeam {
 
 /// Bounds the memory of the log; beyond it, methods may be logged again.
 static constexpr std::size_t kMaxUnknownMethods = 1024;
+static constexpr std::size_t kMaxDescriptionBytes = 256;
 
 CallFailure
 ClassifyFailure(kj::Exception const& aException)
@@ -36,10 +38,21 @@
   VerifyNotReached();
 }
 
+std::string
+DescribeFailure(kj::Exception const& aException)
+{
+  auto const whole = aException.getDescription();
+  std::string description(whole.cStr(), std::min(whole.size(), kMaxDescriptionBytes));
+  // A line end would begin another line of the log, and a quote would end the field.
+  std::ranges::replace_if(
+    description, [](unsigned char aByte) { return aByte < ' ' || aByte == 0x7f || aByte == '"'; }, ' ');
+  return description;
+}
+
 void
 FailedCallLog::Add(std::string const& aAddress, kj::Exception const& aException)
 {
-  std::string const reason = aException.getDescription().cStr();
+  auto const reason = DescribeFailure(aException);
   if (aException.getType() == kj::Exception::Type::UNIMPLEMENTED) {
     if (this->unknownMethods.size() >= kMaxUnknownMethods)
       this->unknownMethods.clear();
--- a/Libraries/LibRpc/RpcConnections.h
+++ b/Libraries/LibRpc/RpcConnections.h
@@ -26,6 +26,11 @@
 CallFailure
 ClassifyFailure(kj::Exception const& aException);
 
+/// Returns the description of a failure for the log, in one line of at most 256 bytes. The other process may have
+/// written it.
+std::string
+DescribeFailure(kj::Exception const& aException);
+
 /// Logs a failed call. A method that a peer does not know is logged once for each peer.
 class FailedCallLog
 {
