LibExchange: Keep the coding of tunnels in one place

TunnelDecoder stands beside the side that encodes; the connection only feeds it. Tunnel.CarriesLongAnswersUnchanged plays 3 MB whose bytes look like the coding, with and without a length.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -1,7 +1,6 @@
 #include "ClientCall.h"
 #include <algorithm>
 #include <charconv>
-#include <limits>
 
 namespace Hornbeam::Gateway {
 
@@ -51,15 +50,6 @@
   VerifyNotReached();
 }
 
-/// Bytes that arrive in chunks without the head of a message.
-struct ChunkedBytes
-{
-  ChunkedBytes() { this->parser.Feed(this->received); }
-
-  ResponseParser parser{ ResponseTo::OtherMethod, std::numeric_limits<std::uint64_t>::max() };
-  std::string received{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" };
-};
-
 /// A connection to an endpoint, which carries one call at a time or is idle in the pool.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
@@ -127,7 +117,7 @@
     ++this->pathsTried;
     this->tunnel = this->pool.ChooseTunnel(this->address);
     this->tunnelAnswer.clear();
-    this->tunnelBytes.reset();
+    this->tunnelDecoder.reset();
     std::weak_ptr<ClientConnection> const weak = this->weak_from_this();
     StreamTimeouts timeouts;
     timeouts.unacknowledged = std::max<Duration>(this->connectTimeout, timeouts.unacknowledged);
@@ -193,7 +183,7 @@
       case TunnelAnswer::NeedMore:
         return;
       case TunnelAnswer::EstablishedInChunks:
-        this->tunnelBytes.emplace();
+        this->tunnelDecoder.emplace();
         return this->OnEstablished();
       case TunnelAnswer::EstablishedPlain:
         return this->OnEstablished();
@@ -259,7 +249,7 @@
     auto const protector = this->shared_from_this();
     if (!this->connected)
       return this->OnTunnelData(aBytes);
-    if (this->tunnelBytes)
+    if (this->tunnelDecoder)
       return this->OnTunnelBytes(aBytes);
     if (this->tunnel.empty() && this->pool.paths.onBytes)
       this->pool.paths.onBytes(this->address);
@@ -269,10 +259,8 @@
   /// Handles bytes that arrive over a tunnel in chunks.
   void OnTunnelBytes(std::string_view aBytes)
   {
-    auto& coded = *this->tunnelBytes;
-    coded.received += aBytes;
-    auto const state = coded.parser.Feed(coded.received);
-    if (auto const bytes = coded.parser.TakeBody(); !bytes.empty())
+    auto const state = this->tunnelDecoder->Feed(aBytes);
+    if (auto const bytes = this->tunnelDecoder->TakeBytes(); !bytes.empty())
       this->OnEndpointBytes(bytes);
     if (state == ParseState::Done && this->IsOpen())
       this->OnEndpointEnd(StreamEnd::Closed);
@@ -391,7 +379,7 @@
   std::string tunnel;
   std::string tunnelAnswer;
   /// Only for a tunnel that passes bytes in chunks.
-  std::optional<ChunkedBytes> tunnelBytes;
+  std::optional<TunnelDecoder> tunnelDecoder;
   unsigned pathsTried{ 0 };
   std::shared_ptr<TcpStream> stream;
   std::unique_ptr<ResponseParser> parser;
--- a/Libraries/LibExchange/Tunnel.cpp
+++ b/Libraries/LibExchange/Tunnel.cpp
@@ -1,6 +1,7 @@
 #include "Tunnel.h"
 #include "HttpMessage.h"
 #include <boost/beast/http.hpp>
+#include <limits>
 
 namespace Hornbeam::Gateway {
 
@@ -54,6 +55,20 @@
   return HasChunks(parser.get()) ? TunnelAnswer::EstablishedInChunks : TunnelAnswer::EstablishedPlain;
 }
 
+TunnelDecoder::TunnelDecoder()
+  : parser(ResponseTo::OtherMethod, std::numeric_limits<std::uint64_t>::max())
+{
+  // Chunks follow without the head of a message, which the parser expects.
+  this->Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+}
+
+ParseState
+TunnelDecoder::Feed(std::string_view aBytes)
+{
+  this->received += aBytes;
+  return this->parser.Feed(this->received);
+}
+
 std::string_view
 ToString(TunnelEnd aEnd)
 {
--- a/Libraries/LibExchange/Tunnel.h
+++ b/Libraries/LibExchange/Tunnel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "HttpParsers.h"
 #include "TcpStream.h"
 #include <LibCore/LibCore.h>
 #include <map>
@@ -28,6 +29,23 @@
 TunnelAnswer
 ReadTunnelAnswer(std::string const& aBytes);
 
+/// Decodes the endpoint's bytes that follow TunnelAnswer::EstablishedInChunks.
+class TunnelDecoder
+{
+public:
+  TunnelDecoder();
+
+  /// Returns ParseState::Done after the last chunk: the endpoint has closed its side regularly.
+  ParseState Feed(std::string_view aBytes);
+
+  /// Returns the endpoint's bytes that were received since the last call.
+  std::string TakeBytes() { return this->parser.TakeBody(); }
+
+private:
+  ResponseParser parser;
+  std::string received;
+};
+
 /// Whether this front may connect to an address for another front.
 enum class TunnelPermission
 {
--- a/Tests/LibExchange/TunnelTests.cpp
+++ b/Tests/LibExchange/TunnelTests.cpp
@@ -109,6 +109,23 @@
   EXPECT_EQ(world.server.Established(), 1U);
 }
 
+// A long answer was cut, or its bytes were taken for those of the coding between fronts.
+TEST(Tunnel, CarriesLongAnswersUnchanged)
+{
+  TunnelWorld world;
+  std::string body;
+  for (unsigned line = 0; body.size() < 3000000; ++line)
+    body += std::to_string(line) + "\r\n0\r\n\r\n";
+  auto const length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  for (bool const framed : { true, false }) {
+    world.answer = "HTTP/1.1 200 OK\r\n" + (framed ? length : "") + "\r\n" + body;
+    world.closes = !framed;
+    auto const response = world.Call();
+    EXPECT_EQ(response.end, CallEnd::Complete) << framed;
+    EXPECT_TRUE(response.body == body) << framed << ' ' << response.body.size();
+  }
+}
+
 // An answer of unknown length that was reset on the way looked complete.
 TEST(Tunnel, TellsAResetFromAnEnd)
 {
