LibGateway: Check that an endpoint lives before its unframed answer counts

Cause: the system of a process that ends closes its connections, regularly where nothing is unread. A response without length and chunks ends with its connection, so a part of it, or a stream that stops between two events, looked whole. The same class as the tunnels.

Change: before such a response counts as complete, the front opens a connection to the endpoint, which it keeps for the next call. If that is refused, and no other front reaches the endpoint, its process has ended: the attempt failed (cause=endpoint-gone), and is retried or resumed where that is allowed.

Evidence: PlatformEndCheck, 3 of 4 tests fail without the check (200 with a part, plain, once-only and streamed), the fourth is the planned stop; all 4 pass with it. PlatformAnswers one by one, PlatformSignals, PlatformLostLink, PlatformStream, PlatformStop pass.

--- a/Libraries/LibExchange/ClientCall.cpp
+++ b/Libraries/LibExchange/ClientCall.cpp
@@ -72,6 +72,14 @@
     this->OpenPath();
   }
 
+  void CheckListening(Duration aConnectTimeout, std::function<void(bool)> aDone)
+  {
+    this->self = this->shared_from_this();
+    this->connectTimeout = aConnectTimeout;
+    this->onChecked = std::move(aDone);
+    this->OpenPath();
+  }
+
   void Reuse(OutgoingCall aCall, CallEvents aEvents)
   {
     this->Begin(std::move(aCall), std::move(aEvents));
@@ -148,7 +156,11 @@
     this->connected = true;
     this->ReportPath(ConnectionOutcome::Established);
     if (this->busy)
-      this->SendRequest();
+      return this->SendRequest();
+    if (auto const checked = std::exchange(this->onChecked, nullptr)) {
+      this->pool.AddIdle(std::move(this->self), kDefaultIdleTimeout);
+      checked(true);
+    }
   }
 
   /// No byte of the request has been sent, so another path may be tried.
@@ -156,18 +168,23 @@
   {
     auto const protector = this->shared_from_this();
     this->pool.clock.Cancel(this->connectTimer);
-    if (this->stream)
+    if (this->stream) {
+      this->refused = this->refused || this->stream->WasRefused();
       this->stream->Reset();
+    }
     this->ReportPath(aOutcome);
-    if (!this->busy)
+    if (!this->busy && !this->onChecked)
       return;
     // What another front does not reach either is not tried again for this call.
     auto const next = this->pool.ChooseTunnel(this->address);
     bool const isOther = !next.empty() && next != this->tunnel;
     if (isOther && this->pathsTried < kMaxPaths && aOutcome != ConnectionOutcome::EndpointUnreached)
-      this->OpenPath();
-    else
-      this->EndCall(CallEnd::NotSent);
+      return this->OpenPath();
+    if (auto const checked = std::exchange(this->onChecked, nullptr)) {
+      this->self.reset();
+      return checked(!this->refused);
+    }
+    this->EndCall(CallEnd::NotSent);
   }
 
   void ReportPath(ConnectionOutcome aOutcome)
@@ -336,10 +353,6 @@
   void OnStreamEnd(StreamEnd aEnd)
   {
     auto const protector = this->shared_from_this();
-    if (!this->busy) {
-      this->pool.CloseIdle(this);
-      return;
-    }
     if (!this->connected)
       return this->OnPathFailed(ConnectionOutcome::NotConnected);
     // A connection that leads through another front may end with that front, or because of it.
@@ -390,6 +403,9 @@
   std::string received;
   std::uint64_t callCount{ 0 };
   Duration connectTimeout{};
+  /// Set while the connection is opened only to check that the endpoint listens.
+  std::function<void(bool)> onChecked;
+  bool refused{ false };
   TimerId timer{ 0 };
   TimerId connectTimer{ 0 };
   bool busy{ false };
@@ -457,6 +473,14 @@
   return { connection, connection->LastCall() };
 }
 
+void
+ConnectionPool::CheckListening(std::string aAddress, Duration aConnectTimeout, std::function<void(bool)> aDone)
+{
+  ++this->usage.connectionsMade;
+  auto const connection = std::make_shared<ClientConnection>(*this, std::move(aAddress));
+  connection->CheckListening(aConnectTimeout, std::move(aDone));
+}
+
 bool
 ConnectionPool::HasIdle(std::string const& aAddress) const
 {
--- a/Libraries/LibExchange/ClientCall.h
+++ b/Libraries/LibExchange/ClientCall.h
@@ -136,6 +136,11 @@
 
   CallHandle Send(OutgoingCall aCall, CallEvents aEvents, Reuse aReuse = Reuse::Kept);
 
+  /// Opens a connection without a call, on the paths that a call would take, and keeps it as an idle one. aDone runs
+  /// exactly once, later. It receives false if a connection was refused and no other path led to the endpoint, so that
+  /// nothing seems to listen at the address.
+  void CheckListening(std::string aAddress, Duration aConnectTimeout, std::function<void(bool)> aDone);
+
   /// Closes the idle connections to an address, for example after its endpoint was removed.
   void CloseIdleConnections(std::string const& aAddress);
 
--- a/Libraries/LibExchange/TcpStream.cpp
+++ b/Libraries/LibExchange/TcpStream.cpp
@@ -93,6 +93,7 @@
     auto const done = std::move(stream->onConnected);
     if (stream->closing)
       return;
+    stream->refused = aStatus == UV_ECONNREFUSED;
     if (aStatus == 0)
       stream->StartReading();
     RunGuarded("connect", [&] { done(aStatus == 0); });
--- a/Libraries/LibExchange/TcpStream.h
+++ b/Libraries/LibExchange/TcpStream.h
@@ -81,6 +81,9 @@
 
   bool IsOpen() const { return !this->closing; }
 
+  /// Whether the system of the peer refused the connection, as nothing listens at the address.
+  bool WasRefused() const { return this->refused; }
+
 private:
   TcpStream();
   void ConfigureSocket(StreamTimeouts aTimeouts);
@@ -108,6 +111,7 @@
   bool closing{ false };
   bool closeWhenSent{ false };
   bool writeFailed{ false };
+  bool refused{ false };
 };
 
 /// Opens a connection to a numeric address, as TcpStream::Connect() does. Tests replace it to disturb connections.
--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -410,18 +410,30 @@
 bool
 ProxiedRequest::EndsPrematurely() const
 {
+  if (this->attempt.endpointGone)
+    return true;
   if (!this->ForwardsEvents())
     return false;
   // An endpoint that crashes before its first event may close the connection regularly.
   return EndsInsideEvent(this->eventStream) || (!this->attempt.framed && !this->eventStream.hasEvent);
 }
 
+std::string_view
+ProxiedRequest::PrematureEnd() const
+{
+  if (this->attempt.endpointGone)
+    return "endpoint-gone";
+  return EndsInsideEvent(this->eventStream) ? "ended-inside-event" : "ended-without-event";
+}
+
 void
 ProxiedRequest::OnAttemptEnd(CallEnd aEnd)
 {
   if (this->ended || !this->attempting)
     return;
   bool const premature = aEnd == CallEnd::Complete && this->EndsPrematurely();
+  if (aEnd == CallEnd::Complete && !premature && this->MustCheckEnd())
+    return this->CheckEnd();
   if (aEnd == CallEnd::Complete && this->attempt.forwarding && !premature) {
     bool const healthy = !this->attempt.bufferedHead || this->attempt.bufferedHead->status < 500;
     this->RecordAttemptHealth(healthy ? AttemptHealth::Healthy : AttemptHealth::Failed);
@@ -447,8 +459,7 @@
   }
   this->mayHaveExecuted = true;
   ++this->endedAttempts;
-  auto const* const where = EndsInsideEvent(this->eventStream) ? "ended-inside-event" : "ended-without-event";
-  this->HandleFailedAttempt(premature ? where : ToString(aEnd));
+  this->HandleFailedAttempt(premature ? this->PrematureEnd() : ToString(aEnd));
 }
 
 void
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -53,6 +53,9 @@
   bool framed{ false };
   /// Bytes of the response that the attempt has delivered.
   std::size_t bytes{ 0 };
+  /// Set once it was checked whether the endpoint still listens after the end of its response.
+  bool endChecked{ false };
+  bool endpointGone{ false };
   std::optional<ResponseHead> bufferedHead;
   std::string bufferedBody;
 };
@@ -202,8 +205,18 @@
   void ForwardEvents(std::string_view aBytes);
   /// Binds the stream to the software version of the endpoint that began it.
   void OnFirstEvent();
-  /// Whether the stream of events that is being forwarded was broken off, although its response ended regularly.
+  /// Whether the response was broken off, although it ended regularly.
   bool EndsPrematurely() const;
+  std::string_view PrematureEnd() const;
+
+  // Defined in ProxiedEnd.cpp.
+
+  /// Whether the end of the response may be that of its endpoint's process.
+  bool MustCheckEnd() const;
+  /// Checks whether the endpoint still listens, before its response counts as complete.
+  void CheckEnd();
+  void OnEndChecked(bool aListens);
+
   void FinishResponse();
 
   void OnDeadline();
--- a/Tests/Platform/RawEndpoint.h
+++ b/Tests/Platform/RawEndpoint.h
@@ -33,6 +33,9 @@
   RawEndpoint& operator=(RawEndpoint const&) = delete;
   ~RawEndpoint();
 
+  /// Refuses new connections, as after the end of the process.
+  void StopListening() { this->listener.Close(); }
+
   /// Returns the answer to a request by its number, starting at 0.
   std::function<RawAnswer(Gateway::RequestMessage const&, std::size_t)> answerOf;
   std::vector<Gateway::RequestMessage> seen;
