LibRpc: Log what a connection brought before a call failed

ReceivingStream counts what arrives on a connection, also within a message, and call-failed tells received_bytes and silence_ms; the line of a table in force tells its size.

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -397,7 +397,7 @@
   auto const inFlight = self->connections.BeginCall(aAddress);
   auto promise = kj::evalNow([&] {
     return self->connections.Connect(aAddress).then([=](auto aConnection) {
-      inFlight->connection = aConnection;
+      self->connections.Assign(*inFlight, aConnection);
       auto request = self->connections.ClientOf(*aConnection).makeStageRequest();
       aConnection->whenDropped[id] = [finish] { finish(std::nullopt); };
       self->Probe(aAddress);
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -436,12 +436,13 @@
   }
   if (this->table && decoded->version <= this->table->version)
     return;
+  auto document = Platform::ToText(aObject.document);
   PART_LOG("table") << "event=in-force version=" << decoded->version << ' ' << ToLogFields(aObject.revision)
                     << " previous=" << (this->table ? this->table->version : 0)
                     << " services=" << decoded->services.size() << " source=" << ToString(aSource)
-                    << " age_ms=" << Milliseconds(this->Age());
+                    << " age_ms=" << Milliseconds(this->Age()) << " bytes=" << document.size();
   this->table = std::make_shared<ServingTable const>(std::move(*decoded));
-  this->tableDocument = Platform::ToText(aObject.document);
+  this->tableDocument = std::move(document);
 }
 
 void
--- a/Libraries/LibRpc/RpcConnections.cpp
+++ b/Libraries/LibRpc/RpcConnections.cpp
@@ -50,7 +50,7 @@
 }
 
 void
-FailedCallLog::Add(std::string const& aAddress, kj::Exception const& aException)
+FailedCallLog::Add(std::string const& aAddress, kj::Exception const& aException, CallReceipt const& aReceipt)
 {
   auto const reason = DescribeFailure(aException);
   if (aException.getType() == kj::Exception::Type::UNIMPLEMENTED) {
@@ -61,7 +61,9 @@
     return;
   }
   PART_WARNING("peers") << "event=call-failed address=" << aAddress
-                        << " outcome=" << ToString(ClassifyFailure(aException)) << " reason=\"" << reason << "\"";
+                        << " outcome=" << ToString(ClassifyFailure(aException)) << " reason=\"" << reason
+                        << "\" received_bytes=" << aReceipt.bytes << " silence_ms="
+                        << (aReceipt.silence ? std::to_string(Milliseconds(*aReceipt.silence)) : "none");
 }
 
 bool
--- a/Libraries/LibRpc/RpcConnections.h
+++ b/Libraries/LibRpc/RpcConnections.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/LibCore.h>
+#include "ReceivingStream.h"
 #include <capnp/rpc-twoparty.h>
 #include <map>
 #include <memory>
@@ -31,11 +31,20 @@
 std::string
 DescribeFailure(kj::Exception const& aException);
 
+/// What a call's connection had brought when the call failed.
+struct CallReceipt
+{
+  /// Bytes that arrived since the call was made.
+  std::uint64_t bytes{ 0 };
+  /// Time since the last of them arrived; nothing without any.
+  std::optional<Duration> silence;
+};
+
 /// Logs a failed call. A method that a peer does not know is logged once for each peer.
 class FailedCallLog
 {
 public:
-  void Add(std::string const& aAddress, kj::Exception const& aException);
+  void Add(std::string const& aAddress, kj::Exception const& aException, CallReceipt const& aReceipt);
 
 private:
   std::set<std::string> unknownMethods;
@@ -58,7 +67,7 @@
 public:
   struct Connection
   {
-    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<ReceivingStream> stream;
     kj::Own<capnp::TwoPartyClient> client;
     /// Requested once per connection: a request on a connection that the peer has just closed ends the process, as
     /// Cap'n Proto then throws in a destructor. Calls on the capability of a closed connection merely fail.
@@ -75,6 +84,8 @@
     std::string address;
     MonotonicTime sentAt{};
     std::weak_ptr<Connection> connection;
+    /// How many bytes the connection had brought when it got the call.
+    std::uint64_t receivedBefore{ 0 };
   };
 
   explicit RpcConnections(EventLoop& aLoop)
@@ -110,7 +121,7 @@
         auto& connection = this->connections[aAddress];
         if (!connection) {
           connection = std::make_shared<Connection>();
-          connection->stream = kj::mv(aStream);
+          connection->stream = kj::heap<ReceivingStream>(kj::mv(aStream), this->loop.RuntimeClock());
           SetUpStream(*connection->stream);
           connection->client = kj::heap<capnp::TwoPartyClient>(*connection->stream);
           connection->server = connection->client->bootstrap().template castAs<Interface>();
@@ -130,7 +141,13 @@
 
   std::shared_ptr<CallInFlight> BeginCall(std::string const& aAddress) const
   {
-    return std::make_shared<CallInFlight>(CallInFlight{ aAddress, this->loop.RuntimeClock().Now(), {} });
+    return std::make_shared<CallInFlight>(CallInFlight{ aAddress, this->loop.RuntimeClock().Now(), {}, 0 });
+  }
+
+  static void Assign(CallInFlight& aCall, std::shared_ptr<Connection> const& aConnection)
+  {
+    aCall.connection = aConnection;
+    aCall.receivedBefore = aConnection->stream->Received().count;
   }
 
   void OnAnswer(CallInFlight const& aCall)
@@ -142,8 +159,8 @@
   /// Logs a failed call, and closes its connection if the failure is that of the connection or of the whole peer.
   void OnFailure(CallInFlight const& aCall, kj::Exception const& aException, WhenLate aWhenLate)
   {
-    this->failedCalls.Add(aCall.address, aException);
     auto const connection = aCall.connection.lock();
+    this->failedCalls.Add(aCall.address, aException, connection ? this->ReceiptOf(aCall, *connection) : CallReceipt());
     if (!connection)
       return;
     switch (ClassifyFailure(aException)) {
@@ -196,7 +213,7 @@
     auto result = kj::evalNow([&] {
       return this->Connect(aAddress).then(
         [aCall = kj::mv(aCall), inFlight](std::shared_ptr<Connection> aConnection) mutable {
-          inFlight->connection = aConnection;
+          Assign(*inFlight, aConnection);
           auto client = ClientOf(*aConnection);
           return aCall(client);
         });
@@ -226,6 +243,16 @@
 
   kj::Timer& Timer() { return this->loop.Io().provider->getTimer(); }
 
+  CallReceipt ReceiptOf(CallInFlight const& aCall, Connection const& aConnection) const
+  {
+    if (aConnection.stream == nullptr)
+      return {};
+    auto const& received = aConnection.stream->Received();
+    if (received.count == aCall.receivedBefore)
+      return {};
+    return { received.count - aCall.receivedBefore, this->loop.RuntimeClock().Now() - received.lastAt };
+  }
+
   static void SetUpStream(kj::AsyncIoStream& aStream)
   {
     int const on = 1;
