Tests: Take a large table over a slow link

Two tests that fail: a table that takes 2 s on the link is not in force after 3 s, neither from a relay (the poll ends after 0.7 s, 185888 bytes in) nor from the store (the list ends after 1.5 s).

--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -86,7 +86,7 @@
   settings.peerAddress = this->AddressOf(aFront, 3);
   settings.metricsAddress = this->AddressOf(aFront, 4);
   settings.tunnelAddress = this->AddressOf(aFront, 5);
-  settings.storeAddress = this->store->Address();
+  settings.storeAddress = this->storeAddress.empty() ? this->store->Address() : this->storeAddress;
   settings.seeds = this->seeds.empty() ? std::vector{ this->AddressOf(0, 3) } : this->seeds;
   settings.retries.slack = 50;
   settings.cold = { 1.5, 5 };
--- a/Tests/Platform/PlatformWorld.h
+++ b/Tests/Platform/PlatformWorld.h
@@ -93,6 +93,8 @@
   bool firstStart{ true };
   /// The seeds of fronts that are started from now on; the first front if empty.
   std::vector<std::string> seeds;
+  /// The address at which fronts that are started from now on find the store; that of `store` if empty.
+  std::string storeAddress;
   /// The rules of rollouts of fronts that are started from now on; rollouts are not in use without them.
   std::optional<Gateway::RolloutRules> rollouts;
   /// Addresses of endpoints besides those in `endpoints`, to which links can be lost as well.
--- a/Tests/Platform/StandInTable.cpp
+++ b/Tests/Platform/StandInTable.cpp
@@ -54,6 +54,17 @@
            { "tenants", json::array({ { { "name", "account-1" }, { "api_keys", json::array({ "key-1" }) } } }) } };
 }
 
+json
+WithUnusedRoutes(json aTable, unsigned aCount)
+{
+  for (unsigned index = 0; index < aCount; ++index) {
+    auto route = RouteOf("/unused-" + std::to_string(index) + "/", "safe", "ledger", 3s);
+    route["host"] = "host-" + std::to_string(index) + std::string(80, 'h') + ".example";
+    aTable["route_table"].push_back(std::move(route));
+  }
+  return aTable;
+}
+
 json
 StandInEntry(std::string const& aService,
              std::string const& aAddress,
--- a/Tests/Platform/StandInTable.h
+++ b/Tests/Platform/StandInTable.h
@@ -10,6 +10,10 @@
 nlohmann::json
 StandInTable(std::uint64_t aVersion, Duration aTimeout = 3s);
 
+/// Adds routes that no request uses, of about 300 bytes each.
+nlohmann::json
+WithUnusedRoutes(nlohmann::json aTable, unsigned aCount);
+
 /// Returns an endpoint's entry in the store.
 nlohmann::json
 StandInEntry(std::string const& aService,
