LibRelay: Relay large documents as differences

A poll now names the hashes of the last states of large documents that the follower has; a relay that has one of them sends the differences. The follower checks the hash of the result and, if it does not fit, asks for whole documents.

Between builds: an earlier build names no hashes and gets whole documents; an earlier relay ignores the new field. RelayedObject and the parameters of followStore only got fields at their ends.

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -207,6 +207,8 @@
       request.revisions.push_back(revision);
     request.wait = Duration(aContext.getParams().getWaitUs());
     request.kind = aContext.getParams().getNoticeOnly() ? PollKind::Notice : PollKind::Changes;
+    for (auto const base : aContext.getParams().getBases())
+      request.bases.push_back(base);
     aContext.releaseParams();
     aContext.allowCancellation();
     CallResult<FollowResponse> result;
@@ -217,7 +219,7 @@
         auto wire = aContext.getResults();
         wire.setAgeUs(aResponse.age.count());
         wire.setWatching(aResponse.watchesStore);
-        WriteRevisions(aResponse.revisions, wire.initRevisions(unsigned(aResponse.revisions.size())));
+        WriteNumbers(aResponse.revisions, wire.initRevisions(unsigned(aResponse.revisions.size())));
         auto updates = wire.initUpdates(unsigned(aResponse.updates.size()));
         for (unsigned index = 0; index < aResponse.updates.size(); ++index)
           WriteUpdate(aResponse.updates[index], updates[index]);
@@ -488,7 +490,8 @@
     auto request = aClient.followStoreRequest();
     request.setWaitUs(aRequest.wait.count());
     request.setNoticeOnly(aRequest.kind == PollKind::Notice);
-    WriteRevisions(aRequest.revisions, request.initRevisions(unsigned(aRequest.revisions.size())));
+    WriteNumbers(aRequest.revisions, request.initRevisions(unsigned(aRequest.revisions.size())));
+    WriteNumbers(aRequest.bases, request.initBases(unsigned(aRequest.bases.size())));
     return request.send().then([](auto&& aResponse) {
       FollowResponse response;
       response.age = Duration(aResponse.getAgeUs());
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -39,6 +39,8 @@
   /// How long to wait for a change.
   Duration wait{ 0 };
   PollKind kind{ PollKind::Changes };
+  /// The hashes of the large documents from whose differences the follower can tell others.
+  std::vector<std::uint64_t> bases;
 };
 
 struct FollowResponse
@@ -47,6 +49,8 @@
   {
     unsigned kind{ 0 };
     ObjectUpdate update;
+    /// Differences that stand for the documents of objects in the update, by name. Never null.
+    std::map<std::string, std::shared_ptr<DocumentDelta const>> deltas;
   };
   std::vector<KindUpdate> updates;
   /// The relay's revision of each kind of object, in the order of the kinds.
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -42,11 +42,27 @@
   document @1 :Text;
 }
 
-# The state of an object of the store. An empty document means that the object does not exist.
+# Bytes of the base document or, if size is zero, new ones.
+struct DeltaPiece {
+  offset @0 :UInt64;
+  size @1 :UInt64;
+  bytes @2 :Data;
+}
+
+# A large document as its differences from the one with the hash base (DocumentDelta.h).
+struct RelayedDelta {
+  base @0 :UInt64;
+  result @1 :UInt64;
+  pieces @2 :List(DeltaPiece);
+}
+
+# The state of an object of the store. An empty document without a delta means that the object does not exist.
 struct RelayedObject {
   name @0 :Text;
   revision @1 :UInt64;
   document @2 :Text;
+  # Only for readers that have told the hash of its base.
+  delta @3 :RelayedDelta;
 }
 
 # How the objects of one kind changed from one revision of the store to another.
@@ -127,8 +143,8 @@
   # Returns what is newer than the caller's revision of each kind, as soon as there is anything, or nothing after waitUs.
   # ageUs is the age of the relay's state; watching is whether the relay itself watches the store.
   # With noticeOnly, the changes themselves are left out, and the response comes a little later. revisions are the
-  # relay's.
-  followStore @5 (revisions :List(UInt64), waitUs :Int64, noticeOnly :Bool)
+  # relay's. bases are the hashes of large documents that the caller has: documents may be told as differences from them.
+  followStore @5 (revisions :List(UInt64), waitUs :Int64, noticeOnly :Bool, bases :List(UInt64))
       -> (updates :List(RelayedUpdate), ageUs :Int64, watching :Bool, revisions :List(UInt64));
   # To the keeper of the requests' records.
   recordStreams @6 (records :List(StreamRecord)) -> ();
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -31,6 +31,8 @@
 CAPNP_DECLARE_ENUM(StageEnd, cc4fab35fa2d5159);
 CAPNP_DECLARE_SCHEMA(db4ac14a1a2326d3);
 CAPNP_DECLARE_SCHEMA(eb7f429b426794df);
+CAPNP_DECLARE_SCHEMA(ad8915bed7521f48);
+CAPNP_DECLARE_SCHEMA(e9eb612f383d37e7);
 CAPNP_DECLARE_SCHEMA(f19ea63c42488bab);
 CAPNP_DECLARE_SCHEMA(fd49de7df2b14d99);
 CAPNP_DECLARE_SCHEMA(d5c9eaa6b0417d17);
@@ -114,6 +116,36 @@
   };
 };
 
+struct DeltaPiece {
+  DeltaPiece() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad8915bed7521f48, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayedDelta {
+  RelayedDelta() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e9eb612f383d37e7, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RelayedObject {
   RelayedObject() = delete;
 
@@ -122,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f19ea63c42488bab, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f19ea63c42488bab, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -429,7 +461,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9dda94b65b61965e, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9dda94b65b61965e, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -923,6 +955,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class DeltaPiece::Reader {
+public:
+  typedef DeltaPiece Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset() const;
+
+  inline  ::uint64_t getSize() const;
+
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DeltaPiece::Builder {
+public:
+  typedef DeltaPiece Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline  ::uint64_t getSize();
+  inline void setSize( ::uint64_t value);
+
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DeltaPiece::Pipeline {
+public:
+  typedef DeltaPiece Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayedDelta::Reader {
+public:
+  typedef RelayedDelta Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBase() const;
+
+  inline  ::uint64_t getResult() const;
+
+  inline bool hasPieces() const;
+  inline  ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>::Reader getPieces() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedDelta::Builder {
+public:
+  typedef RelayedDelta Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline  ::uint64_t getResult();
+  inline void setResult( ::uint64_t value);
+
+  inline bool hasPieces();
+  inline  ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>::Builder getPieces();
+  inline void setPieces( ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>::Builder initPieces(unsigned int size);
+  inline void adoptPieces(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>> disownPieces();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedDelta::Pipeline {
+public:
+  typedef RelayedDelta Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RelayedObject::Reader {
 public:
   typedef RelayedObject Reads;
@@ -948,6 +1162,9 @@
   inline bool hasDocument() const;
   inline  ::capnp::Text::Reader getDocument() const;
 
+  inline bool hasDelta() const;
+  inline  ::Hornbeam::Wire::RelayedDelta::Reader getDelta() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -993,6 +1210,13 @@
   inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDocument();
 
+  inline bool hasDelta();
+  inline  ::Hornbeam::Wire::RelayedDelta::Builder getDelta();
+  inline void setDelta( ::Hornbeam::Wire::RelayedDelta::Reader value);
+  inline  ::Hornbeam::Wire::RelayedDelta::Builder initDelta();
+  inline void adoptDelta(::capnp::Orphan< ::Hornbeam::Wire::RelayedDelta>&& value);
+  inline ::capnp::Orphan< ::Hornbeam::Wire::RelayedDelta> disownDelta();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1011,6 +1235,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Hornbeam::Wire::RelayedDelta::Pipeline getDelta();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2761,6 +2986,9 @@
 
   inline bool getNoticeOnly() const;
 
+  inline bool hasBases() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBases() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2803,6 +3031,14 @@
   inline bool getNoticeOnly();
   inline void setNoticeOnly(bool value);
 
+  inline bool hasBases();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBases();
+  inline void setBases( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBases(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBases(unsigned int size);
+  inline void adoptBases(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBases();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4018,6 +4254,130 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t DeltaPiece::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DeltaPiece::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DeltaPiece::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t DeltaPiece::Reader::getSize() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DeltaPiece::Builder::getSize() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void DeltaPiece::Builder::setSize( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DeltaPiece::Reader::hasBytes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DeltaPiece::Builder::hasBytes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader DeltaPiece::Reader::getBytes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder DeltaPiece::Builder::getBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DeltaPiece::Builder::setBytes( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder DeltaPiece::Builder::initBytes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DeltaPiece::Builder::adoptBytes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> DeltaPiece::Builder::disownBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RelayedDelta::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedDelta::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedDelta::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayedDelta::Reader::getResult() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedDelta::Builder::getResult() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayedDelta::Builder::setResult( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedDelta::Reader::hasPieces() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedDelta::Builder::hasPieces() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>::Reader RelayedDelta::Reader::getPieces() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>::Builder RelayedDelta::Builder::getPieces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedDelta::Builder::setPieces( ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>::Builder RelayedDelta::Builder::initPieces(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedDelta::Builder::adoptPieces(
+    ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>> RelayedDelta::Builder::disownPieces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Hornbeam::Wire::DeltaPiece,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool RelayedObject::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4100,6 +4460,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool RelayedObject::Reader::hasDelta() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedObject::Builder::hasDelta() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hornbeam::Wire::RelayedDelta::Reader RelayedObject::Reader::getDelta() const {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::RelayedDelta>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::Hornbeam::Wire::RelayedDelta::Builder RelayedObject::Builder::getDelta() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::RelayedDelta>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hornbeam::Wire::RelayedDelta::Pipeline RelayedObject::Pipeline::getDelta() {
+  return  ::Hornbeam::Wire::RelayedDelta::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void RelayedObject::Builder::setDelta( ::Hornbeam::Wire::RelayedDelta::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::RelayedDelta>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::Hornbeam::Wire::RelayedDelta::Builder RelayedObject::Builder::initDelta() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::RelayedDelta>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RelayedObject::Builder::adoptDelta(
+    ::capnp::Orphan< ::Hornbeam::Wire::RelayedDelta>&& value) {
+  ::capnp::_::PointerHelpers< ::Hornbeam::Wire::RelayedDelta>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hornbeam::Wire::RelayedDelta> RelayedObject::Builder::disownDelta() {
+  return ::capnp::_::PointerHelpers< ::Hornbeam::Wire::RelayedDelta>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t RelayedUpdate::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5498,6 +5897,44 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GatewayPeer::FollowStoreParams::Reader::hasBases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayPeer::FollowStoreParams::Builder::hasBases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GatewayPeer::FollowStoreParams::Reader::getBases() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayPeer::FollowStoreParams::Builder::getBases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GatewayPeer::FollowStoreParams::Builder::setBases( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void GatewayPeer::FollowStoreParams::Builder::setBases(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GatewayPeer::FollowStoreParams::Builder::initBases(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GatewayPeer::FollowStoreParams::Builder::adoptBases(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GatewayPeer::FollowStoreParams::Builder::disownBases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool GatewayPeer::FollowStoreResults::Reader::hasUpdates() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -35,6 +35,12 @@
                              [&](StorePosition aRevision) { return aRevision != 0 && EraOf(aRevision) < aEra; });
 }
 
+static std::string
+NameInHistory(unsigned aKind, LoggedObject const& aObject)
+{
+  return std::to_string(aKind) + "/" + aObject.name;
+}
+
 RelayService::RelayService(Kernel& aKernel)
   : settings(aKernel.Find<GatewaySettings const>(GatewayName::kSettings))
   , stateCache(aKernel.Find<StateCache>(GatewayName::kStateCache))
@@ -81,6 +87,7 @@
 void
 RelayService::OnStateChanged()
 {
+  this->RememberDocuments();
   if (!this->answersScheduled) {
     this->answersScheduled = true;
     this->clock.Schedule(kAnswerDelay, [this] { this->AnswerPolls(); });
@@ -108,10 +115,14 @@
 void
 RelayService::Poll(RelayPoll const& aPoll)
 {
-  FollowRequest const request{ this->stateCache.Revisions(), aPoll.wait, aPoll.kind };
+  FollowRequest request{ this->stateCache.Revisions(), aPoll.wait, aPoll.kind, {} };
+  this->RememberDocuments();
+  if (!std::exchange(this->needsWholeDocuments, false))
+    for (auto const& entry : this->documents.entries)
+      request.bases.push_back(entry.hash);
   this->peers.Follow(aPoll.address, request, [this, address = aPoll.address](std::optional<FollowResponse> aResponse) {
     if (aResponse) {
-      this->OnResponse(address, *aResponse);
+      this->OnResponse(address, std::move(*aResponse));
     } else {
       PART_WARNING("relay") << "event=no-response address=" << address
                             << " age_ms=" << Milliseconds(this->stateCache.Age());
@@ -122,7 +133,7 @@
 }
 
 void
-RelayService::OnResponse(std::string const& aAddress, FollowResponse const& aResponse)
+RelayService::OnResponse(std::string const& aAddress, FollowResponse aResponse)
 {
   auto const now = this->clock.Now();
   // What was recent in a former era of the store says nothing about the restored one.
@@ -138,8 +149,14 @@
   auto const provenAt = now - aResponse.age;
   if (!missesChanges && !formerEra)
     this->stateCache.BeginRelayedChanges(provenAt);
-  for (auto const& [kind, update] : aResponse.updates)
-    this->stateCache.ApplyRelayed(static_cast<ObjectKind>(kind), update);
+  for (auto& update : aResponse.updates) {
+    if (this->RestoreDocuments(update)) {
+      this->stateCache.ApplyRelayed(static_cast<ObjectKind>(update.kind), update.update);
+      continue;
+    }
+    PART_WARNING("relay") << "event=unusable-differences address=" << aAddress << " kind=" << update.kind;
+    this->needsWholeDocuments = true;
+  }
   // An update that does not continue this front's state is not applied.
   bool const hasNews = HasNewerRevision(aResponse.revisions, this->stateCache.Revisions());
   if (!hasNews && !formerEra)
@@ -148,8 +165,46 @@
   OnRelayResponse(this->subscription, aAddress, status, now);
 }
 
+void
+RelayService::RememberDocuments()
+{
+  this->stateCache.ForEachDocument([this](ObjectKind aKind, LoggedObject const& aObject) {
+    if (aObject.document->size() >= kLargeDocument)
+      Remember(this->documents, NameInHistory(unsigned(aKind), aObject), aObject.revision, *aObject.document);
+  });
+}
+
+void
+RelayService::ShortenDocuments(FollowResponse::KindUpdate& aUpdate, std::vector<std::uint64_t> const& aBases)
+{
+  for (auto& object : aUpdate.update.objects) {
+    if (!object.document || object.document->size() < kLargeDocument)
+      continue;
+    auto delta = FindDelta(this->documents, NameInHistory(aUpdate.kind, object), object.revision, aBases);
+    if (!delta)
+      continue;
+    aUpdate.deltas[object.name] = std::move(delta);
+    object.document.reset();
+  }
+}
+
+bool
+RelayService::RestoreDocuments(FollowResponse::KindUpdate& aUpdate) const
+{
+  for (auto& object : aUpdate.update.objects) {
+    auto const delta = aUpdate.deltas.find(object.name);
+    if (delta == aUpdate.deltas.end())
+      continue;
+    auto const base = FindDocument(this->documents, delta->second->base);
+    object.document = base ? ApplyDelta(*base, *delta->second) : std::nullopt;
+    if (!object.document)
+      return false;
+  }
+  return true;
+}
+
 FollowResponse
-RelayService::MakeResponse(FollowRequest const& aRequest) const
+RelayService::MakeResponse(FollowRequest const& aRequest)
 {
   FollowResponse response;
   response.revisions = this->stateCache.Revisions();
@@ -157,8 +212,11 @@
   response.watchesStore = this->subscription.use != StoreUse::None;
   if (aRequest.kind == PollKind::Notice)
     return response;
-  for (auto& [kind, update] : this->stateCache.UpdatesSince(aRequest.revisions))
-    response.updates.push_back({ unsigned(kind), std::move(update) });
+  this->RememberDocuments();
+  for (auto& [kind, update] : this->stateCache.UpdatesSince(aRequest.revisions)) {
+    response.updates.push_back({ unsigned(kind), std::move(update), {} });
+    this->ShortenDocuments(response.updates.back(), aRequest.bases);
+  }
   return response;
 }
 
--- a/Libraries/LibGateway/RelayService.h
+++ b/Libraries/LibGateway/RelayService.h
@@ -30,11 +30,16 @@
   void Tick();
   void Update();
   void Poll(RelayPoll const& aPoll);
-  void OnResponse(std::string const& aAddress, FollowResponse const& aResponse);
+  void OnResponse(std::string const& aAddress, FollowResponse aResponse);
   void OnStateChanged();
   void AnswerPolls();
   void AnswerPoll(std::uint64_t aPoll);
-  FollowResponse MakeResponse(FollowRequest const& aRequest) const;
+  FollowResponse MakeResponse(FollowRequest const& aRequest);
+  void RememberDocuments();
+  /// Leaves only differences of documents in an update, where the reader has told a base for them.
+  void ShortenDocuments(FollowResponse::KindUpdate& aUpdate, std::vector<std::uint64_t> const& aBases);
+  /// Returns false if the update has differences that cannot be used.
+  bool RestoreDocuments(FollowResponse::KindUpdate& aUpdate) const;
   void UpdateRoles();
 
   GatewaySettings const& settings;
@@ -49,6 +54,9 @@
   /// Relays whose last response had old state.
   std::set<std::string> oldRelays;
   bool following{ false };
+  DocumentHistory documents;
+  /// Set after differences could not be used: the next poll asks for whole documents.
+  bool needsWholeDocuments{ false };
   std::map<std::uint64_t, PendingPoll> polls;
   std::uint64_t lastPoll{ 0 };
   bool answersScheduled{ false };
--- a/Libraries/LibGateway/RelayWire.h
+++ b/Libraries/LibGateway/RelayWire.h
@@ -5,10 +5,11 @@
 
 namespace Hornbeam::Gateway {
 
-// The wire format of what relays tell their followers (Gateway.capnp). A removed object has an empty document.
+// The wire format of what relays tell their followers (Gateway.capnp). A removed object has an empty document and
+// no differences.
 
 void
-WriteRevisions(std::vector<StorePosition> const& aRevisions, capnp::List<std::uint64_t>::Builder aWire);
+WriteNumbers(std::vector<std::uint64_t> const& aNumbers, capnp::List<std::uint64_t>::Builder aWire);
 
 void
 WriteUpdate(FollowResponse::KindUpdate const& aUpdate, Wire::RelayedUpdate::Builder aWire);
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -270,6 +270,15 @@
   return updates;
 }
 
+void
+StateCache::ForEachDocument(std::function<void(ObjectKind, LoggedObject const&)> const& aVisit) const
+{
+  for (auto const& [kind, log] : this->logs)
+    for (auto const& [name, entry] : log.entries)
+      if (entry.object.document)
+        aVisit(kind, entry.object);
+}
+
 StorePosition
 StateCache::OwnRevision() const
 {
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -59,6 +59,9 @@
   /// Returns the kinds that changed since a reader's revisions; empty if the reader has the latest.
   std::vector<std::pair<ObjectKind, ObjectUpdate>> UpdatesSince(std::vector<StorePosition> const& aRevisions) const;
 
+  /// Calls aVisit with each object that exists.
+  void ForEachDocument(std::function<void(ObjectKind, LoggedObject const&)> const& aVisit) const;
+
   /// Applies an update from the store or from a relay; one that adds nothing is ignored.
   void Apply(ObjectKind aKind, ObjectUpdate const& aUpdate, ChangeSource aSource);
 
--- a/Tests/Platform/StandInFront.cpp
+++ b/Tests/Platform/StandInFront.cpp
@@ -62,9 +62,12 @@
     if (revisions.empty())
       for (auto const revision : aContext.getParams().getRevisions())
         revisions.push_back(revision);
-    WriteRevisions(revisions, wire.initRevisions(unsigned(revisions.size())));
+    WriteNumbers(revisions, wire.initRevisions(unsigned(revisions.size())));
     if (aContext.getParams().getNoticeOnly())
       return;
+    this->state.bases.clear();
+    for (auto const base : aContext.getParams().getBases())
+      this->state.bases.push_back(base);
     auto updates = wire.initUpdates(unsigned(this->state.updates.size()));
     for (unsigned index = 0; index < this->state.updates.size(); ++index)
       WriteUpdate(this->state.updates[index], updates[index]);
--- a/Tests/Platform/StandInFront.h
+++ b/Tests/Platform/StandInFront.h
@@ -18,6 +18,8 @@
   std::vector<Gateway::FollowResponse::KindUpdate> updates;
   /// The revisions that polls are told; those of the poll if empty.
   std::vector<Gateway::StorePosition> revisions;
+  /// The hashes of documents that the last poll for changes told.
+  std::vector<std::uint64_t> bases;
   /// The document of the table in the cached objects; none if empty.
   std::string tableDocument;
   /// How many of the next questions for cached objects fail.
