LibRpc: Do not read a connection that was dropped while a call began

Found while reading again: a call looked at the stream of its connection, which is gone if the connection was dropped between the lookup and the call's turn; the front would have ended with a memory fault.

--- a/Libraries/LibRpc/RpcConnections.h
+++ b/Libraries/LibRpc/RpcConnections.h
@@ -147,7 +147,9 @@
   static void Assign(CallInFlight& aCall, std::shared_ptr<Connection> const& aConnection)
   {
     aCall.connection = aConnection;
-    aCall.receivedBefore = aConnection->stream->Received().count;
+    // The connection may have been dropped since it was looked up.
+    if (aConnection->stream.get() != nullptr)
+      aCall.receivedBefore = aConnection->stream->Received().count;
   }
 
   void OnAnswer(CallInFlight const& aCall)
