LibGateway: Date a proof by when the relay sent it

A response of a relay counted from its arrival, less the age that the relay had told: a front took its state for as recent as if the response had needed no time, and turned to the store too late by that time if the relay then failed.

A relay sends no later than the wait of the poll after it was asked, so the response was on its way for at least the rest of the time. That works with relays of every build.

--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -120,20 +120,24 @@
   if (!std::exchange(this->needsWholeDocuments, false))
     for (auto const& entry : this->documents.entries)
       request.bases.push_back(entry.hash);
-  this->peers.Follow(aPoll.address, request, [this, address = aPoll.address](std::optional<FollowResponse> aResponse) {
+  // A relay responds no later than after the wait.
+  auto const sentBefore = this->clock.Now() + aPoll.wait;
+  auto const onResponse = [this, address = aPoll.address, sentBefore](std::optional<FollowResponse> aResponse) {
     if (aResponse) {
-      this->OnResponse(address, std::move(*aResponse));
+      auto const delay = std::max<Duration>(this->clock.Now() - sentBefore, Duration::zero());
+      this->OnResponse(address, std::move(*aResponse), delay);
     } else {
       PART_WARNING("relay") << "event=no-response address=" << address
                             << " age_ms=" << Milliseconds(this->stateCache.Age());
       OnRelayFailure(this->subscription, address, this->clock.Now());
     }
     this->Update();
-  });
+  };
+  this->peers.Follow(aPoll.address, request, onResponse);
 }
 
 void
-RelayService::OnResponse(std::string const& aAddress, FollowResponse aResponse)
+RelayService::OnResponse(std::string const& aAddress, FollowResponse aResponse, Duration aDelay)
 {
   auto const now = this->clock.Now();
   // What was recent in a former era of the store says nothing about the restored one.
@@ -146,7 +150,7 @@
                       << " age_ms=" << Milliseconds(this->stateCache.Age());
   bool const missesChanges =
     aResponse.updates.empty() && HasNewerRevision(aResponse.revisions, this->stateCache.Revisions());
-  auto const provenAt = now - aResponse.age;
+  auto const provenAt = now - aDelay - aResponse.age;
   if (!missesChanges && !formerEra)
     this->stateCache.BeginRelayedChanges(provenAt);
   for (auto& update : aResponse.updates) {
@@ -161,7 +165,7 @@
   bool const hasNews = HasNewerRevision(aResponse.revisions, this->stateCache.Revisions());
   if (!hasNews && !formerEra)
     this->stateCache.Confirm(provenAt);
-  RelayStatus const status{ formerEra ? Duration::max() : aResponse.age, aResponse.watchesStore, hasNews };
+  RelayStatus const status{ formerEra ? Duration::max() : aResponse.age, aResponse.watchesStore, hasNews, aDelay };
   OnRelayResponse(this->subscription, aAddress, status, now);
 }
 
--- a/Libraries/LibGateway/RelayService.h
+++ b/Libraries/LibGateway/RelayService.h
@@ -30,7 +30,8 @@
   void Tick();
   void Update();
   void Poll(RelayPoll const& aPoll);
-  void OnResponse(std::string const& aAddress, FollowResponse aResponse);
+  /// aDelay is how long the response was on its way at least.
+  void OnResponse(std::string const& aAddress, FollowResponse aResponse, Duration aDelay);
   void OnStateChanged();
   void AnswerPolls();
   void AnswerPoll(std::uint64_t aPoll);
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -150,7 +150,7 @@
   if (relay.avoidedUntil > aNow && aNow - relay.lastPolled < kQuickAnswerTime)
     relay.pausedUntil = aNow + kQuickAnswerPause;
   if (!aStatus.hasNews)
-    aSubscription.confirmed = std::max<MonotonicTime>(aSubscription.confirmed, aNow - aStatus.age);
+    aSubscription.confirmed = std::max<MonotonicTime>(aSubscription.confirmed, aNow - aStatus.delay - aStatus.age);
 }
 
 void
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -84,6 +84,8 @@
   bool watchesStore{ false };
   /// Whether the relay has changes that this front does not have, after the response was applied.
   bool hasNews{ false };
+  /// How long the response was on its way at least.
+  Duration delay{ 0 };
 };
 
 void
--- a/Tests/Platform/PlatformSlowLinkTests.cpp
+++ b/Tests/Platform/PlatformSlowLinkTests.cpp
@@ -18,33 +18,65 @@
   return WithUnusedRoutes(StandInTable(aVersion), kUnusedRoutes);
 }
 
+namespace {
+
+/// A front whose only relay is a stand-in behind a slow link.
+struct SlowRelayWorld
+{
+  SlowRelayWorld()
+  {
+    this->world.AddEndpoint(EndpointKind::Plain, "ledger");
+    this->world.seeds = { this->linkAddress };
+    this->world.Start();
+    EXPECT_TRUE(HappensWithin(
+      this->world, [&] { return VersionAt(this->world, 0) == 1; }, 2s));
+  }
+
+  /// Writes a table that can only come from the relay.
+  void PutLargeTable()
+  {
+    this->world.store->behavior = StoreBehavior::Silent;
+    nlohmann::json const document{ { "metadata", { { "name", "main" }, { "revision", 1000 } } },
+                                   { "spec", LargeTable(2) },
+                                   { "status", nullptr } };
+    auto const position = MakePosition(1, 1000);
+    this->relay.state.updates = {
+      { unsigned(ObjectKind::ServingTable), { true, 0, position, { { "main", position, document.dump() } } }, {} },
+    };
+    this->relay.state.revisions = { position, 0, 0, 0, 0 };
+  }
+
+  PlatformWorld world{ 1 };
+  std::string relayAddress{ this->world.NextAddress() };
+  std::string linkAddress{ this->world.NextAddress() };
+  StandInFront relay{ this->world.loop, this->relayAddress };
+  SlowLink link{ this->world.loop, this->linkAddress, this->relayAddress, kBytesPerSecond };
+};
+
+}
+
 // A table that a relay was still sending was given up as if the relay were silent, and asked for again from the start.
 TEST(PlatformSlowLink, TakesALargeTableFromARelay)
 {
-  PlatformWorld world{ 1 };
-  world.AddEndpoint(EndpointKind::Plain, "ledger");
-  auto const relayAddress = world.NextAddress();
-  auto const linkAddress = world.NextAddress();
-  StandInFront relay(world.loop, relayAddress);
-  SlowLink const link(world.loop, linkAddress, relayAddress, kBytesPerSecond);
-  world.seeds = { linkAddress };
-  world.Start();
-  ASSERT_TRUE(HappensWithin(
-    world, [&] { return VersionAt(world, 0) == 1; }, 2s));
-  // The table can only come from the relay.
-  world.store->behavior = StoreBehavior::Silent;
-  nlohmann::json const document{ { "metadata", { { "name", "main" }, { "revision", 1000 } } },
-                                 { "spec", LargeTable(2) },
-                                 { "status", nullptr } };
-  auto const position = MakePosition(1, 1000);
-  relay.state.updates = {
-    { unsigned(ObjectKind::ServingTable), { true, 0, position, { { "main", position, document.dump() } } } },
-  };
-  relay.state.revisions = { position, 0, 0, 0, 0 };
+  SlowRelayWorld slow;
+  auto& world = slow.world;
+  slow.PutLargeTable();
   EXPECT_TRUE(HappensWithin(
     world, [&] { return VersionAt(world, 0) == 2; }, kLargeFleetApplyBound));
 }
 
+// A state counted as proven when the relay's response had arrived, whatever time that took since the relay had sent it.
+TEST(PlatformSlowLink, DatesAProofByWhenTheRelaySentIt)
+{
+  SlowRelayWorld slow;
+  auto& world = slow.world;
+  slow.PutLargeTable();
+  ASSERT_TRUE(HappensWithin(
+    world, [&] { return VersionAt(world, 0) == 2; }, kLargeFleetApplyBound));
+  // The table took 2 s, and the relay sent it within 0.6 s after it was asked.
+  EXPECT_GE(CachedStateOf(world, 0)["age_ms"], 1000);
+}
+
 // A table that the store was still sending was given up as if the store were silent, and asked for again from the
 // start.
 TEST(PlatformSlowLink, ReadsALargeTableFromTheStore)
