--- a/Libraries/LibRelay/DocumentDelta.cpp
+++ b/Libraries/LibRelay/DocumentDelta.cpp
@@ -7,10 +7,10 @@
 /// Shorter chunks make smaller differences, but longer lists of pieces.
 static constexpr std::size_t kMinChunk = 48;
 static constexpr std::size_t kMaxDocuments = 8;
-static constexpr std::size_t kMaxBytes = 4 * 1024 * 1024;
+static constexpr std::size_t kMaxBytes = 4U << 20;
 static constexpr std::size_t kMaxDeltas = 16;
 /// More than the store accepts as a document.
-static constexpr std::size_t kMaxResult = 16 * 1024 * 1024;
+static constexpr std::size_t kMaxResult = 16U << 20;
 
 /// Splits a JSON text after the ends of objects, so that a change in one object leaves the chunks of the others alike.
 static std::vector<std::string_view>
--- a/Libraries/LibRelay/DocumentDelta.h
+++ b/Libraries/LibRelay/DocumentDelta.h
@@ -39,7 +39,7 @@
 ApplyDelta(std::string_view aBase, DocumentDelta const& aDelta);
 
 /// Documents of at least this size are told as differences, if possible.
-inline constexpr std::size_t kLargeDocument = 16 * 1024;
+inline constexpr std::size_t kLargeDocument = 16U << 10;
 
 /// The latest states of large documents, as bases of differences.
 struct DocumentHistory
--- a/Tests/Platform/PlatformDocumentDeltaTests.cpp
+++ b/Tests/Platform/PlatformDocumentDeltaTests.cpp
@@ -11,6 +11,12 @@
 static constexpr unsigned kUnusedRoutes = 500;
 static constexpr Duration kPollTime = 2s;
 
+static nlohmann::json
+LargeTable(std::uint64_t aVersion)
+{
+  return WithUnusedRoutes(StandInTable(aVersion), kUnusedRoutes);
+}
+
 namespace {
 
 /// A front, and what a follower's polls of it are answered.
@@ -25,10 +31,7 @@
       this->world, [&] { return VersionAt(this->world, 0) == 1; }, 2s));
   }
 
-  void PutTable(std::uint64_t aVersion)
-  {
-    this->world.store->Put("config", "main", WithUnusedRoutes(StandInTable(aVersion), kUnusedRoutes));
-  }
+  void PutTable(std::uint64_t aVersion) { this->world.store->Put("config", "main", LargeTable(aVersion)); }
 
   FollowResponse Poll(FollowRequest aRequest)
   {
@@ -62,16 +65,6 @@
   return aUpdate.update.objects.at(0).document.value_or("");
 }
 
-/// A table as an object of the store.
-std::string
-TableDocument(std::uint64_t aVersion)
-{
-  nlohmann::json const document{ { "metadata", { { "name", "main" }, { "revision", aVersion } } },
-                                 { "spec", WithUnusedRoutes(StandInTable(aVersion), kUnusedRoutes) },
-                                 { "status", nullptr } };
-  return document.dump();
-}
-
 }
 
 // A relay sent the whole table for each change, more than the links of its followers carry.
@@ -111,7 +104,7 @@
 {
   PlatformWorld world{ 1 };
   world.AddEndpoint(EndpointKind::Plain, "ledger");
-  world.store->Put("config", "main", WithUnusedRoutes(StandInTable(1), kUnusedRoutes));
+  world.store->Put("config", "main", LargeTable(1));
   auto const relayAddress = world.NextAddress();
   StandInFront relay(world.loop, relayAddress);
   world.seeds = { relayAddress };
@@ -125,9 +118,10 @@
   auto const position = MakePosition(1, 1000);
   auto delta = std::make_shared<Gateway::DocumentDelta>();
   delta->base = relay.state.bases.front();
-  delta->pieces.push_back({ 0, 0, TableDocument(2) });
+  auto const document = TableDocument(LargeTable(2), 1000);
+  delta->pieces.push_back({ 0, 0, document });
   FollowResponse::KindUpdate const whole{ unsigned(ObjectKind::ServingTable),
-                                          { true, 0, position, { { "main", position, TableDocument(2) } } },
+                                          { true, 0, position, { { "main", position, document } } },
                                           {} };
   auto differing = whole;
   differing.deltas["main"] = delta;
--- a/Tests/Platform/PlatformFollowerTests.cpp
+++ b/Tests/Platform/PlatformFollowerTests.cpp
@@ -36,16 +36,6 @@
   StandInFront relay{ this->world.loop, relayAddress };
 };
 
-/// A table as an object of the store.
-std::string
-TableDocument(std::uint64_t aVersion)
-{
-  nlohmann::json const document{ { "metadata", { { "name", "main" }, { "revision", 9 } } },
-                                 { "spec", StandInTable(aVersion) },
-                                 { "status", nullptr } };
-  return document.dump();
-}
-
 }
 
 // The watch that follows a change was not heard, and a front whose relays did not reach the store never checked it.
@@ -130,7 +120,7 @@
   auto const address = world.NextAddress();
   StandInFront other(world.loop, address);
   other.state.tableVersion = 9;
-  other.state.tableDocument = TableDocument(9);
+  other.state.tableDocument = TableDocument(StandInTable(9), 9);
   other.state.failingFetches = 1;
   world.store->Put("fronts",
                    "front-9",
--- a/Tests/Platform/PlatformSlowLinkTests.cpp
+++ b/Tests/Platform/PlatformSlowLinkTests.cpp
@@ -36,12 +36,10 @@
   void PutLargeTable()
   {
     this->world.store->behavior = StoreBehavior::Silent;
-    nlohmann::json const document{ { "metadata", { { "name", "main" }, { "revision", 1000 } } },
-                                   { "spec", LargeTable(2) },
-                                   { "status", nullptr } };
     auto const position = MakePosition(1, 1000);
+    auto const document = TableDocument(LargeTable(2), 1000);
     this->relay.state.updates = {
-      { unsigned(ObjectKind::ServingTable), { true, 0, position, { { "main", position, document.dump() } } }, {} },
+      { unsigned(ObjectKind::ServingTable), { true, 0, position, { { "main", position, document } } }, {} },
     };
     this->relay.state.revisions = { position, 0, 0, 0, 0 };
   }
--- a/Tests/Platform/StandInTable.cpp
+++ b/Tests/Platform/StandInTable.cpp
@@ -65,6 +65,15 @@
   return aTable;
 }
 
+std::string
+TableDocument(json const& aTable, std::uint64_t aRevision)
+{
+  json const document{ { "metadata", { { "name", "main" }, { "revision", aRevision } } },
+                       { "spec", aTable },
+                       { "status", nullptr } };
+  return document.dump();
+}
+
 json
 StandInEntry(std::string const& aService,
              std::string const& aAddress,
--- a/Tests/Platform/StandInTable.h
+++ b/Tests/Platform/StandInTable.h
@@ -14,6 +14,10 @@
 nlohmann::json
 WithUnusedRoutes(nlohmann::json aTable, unsigned aCount);
 
+/// Returns a table as the document of an object of the store.
+std::string
+TableDocument(nlohmann::json const& aTable, std::uint64_t aRevision);
+
 /// Returns an endpoint's entry in the store.
 nlohmann::json
 StandInEntry(std::string const& aService,
