LibGateway: Remember large documents once for each change

Each poll and each response went over all objects for it, at a relay of a large fleet some 100,000 entries a second by estimate. The change listener does it already; a document of the same moment is then told as a whole, or from an older base. No behaviour that a test shows changes.

--- a/Libraries/LibGateway/RelayService.cpp
+++ b/Libraries/LibGateway/RelayService.cpp
@@ -116,7 +116,6 @@
 RelayService::Poll(RelayPoll const& aPoll)
 {
   FollowRequest request{ this->stateCache.Revisions(), aPoll.wait, aPoll.kind, {} };
-  this->RememberDocuments();
   if (!std::exchange(this->needsWholeDocuments, false))
     for (auto const& entry : this->documents.entries)
       request.bases.push_back(entry.hash);
@@ -216,7 +215,6 @@
   response.watchesStore = this->subscription.use != StoreUse::None;
   if (aRequest.kind == PollKind::Notice)
     return response;
-  this->RememberDocuments();
   for (auto& [kind, update] : this->stateCache.UpdatesSince(aRequest.revisions)) {
     response.updates.push_back({ unsigned(kind), std::move(update), {} });
     this->ShortenDocuments(response.updates.back(), aRequest.bases);
