--- /dev/null
+++ b/Tests/Platform/PlatformListTests.cpp
@@ -0,0 +1,121 @@
+#include "PlatformFixtures.h"
+
+namespace Hornbeam::Testing {
+
+using Platform::ObjectKind;
+using Platform::ObjectList;
+using Platform::StoreClient;
+
+/// The time within which a front must know all endpoints after its start.
+static constexpr Duration kStartBound = 3s;
+
+/// Names of entries that hold characters which a query reserves or a target must not hold.
+static std::vector<std::string> const kReservedNames{ "!00%#",
+                                                      "!02&b=",
+                                                      "!03+",
+                                                      "%7A",
+                                                      "!&after=zzz",
+                                                      "!7?watch=1",
+                                                      "!x",
+                                                      "z#",
+                                                      "zz%",
+                                                      "!&watch=1&wait_ms=9000",
+                                                      "!\xc3\xa9",
+                                                      "!04%C3%A9",
+                                                      "!;charset=utf-8,*$()'" };
+
+/// Names that a front does not use for any object.
+static std::vector<std::string> const kUnusableNames{ "!5 5", "!6/6", "!\"=\n\x7f", "z\t", std::string(300, 'n') };
+
+static ObjectList
+ListAll(PlatformWorld& aWorld, StoreClient& aClient, ObjectKind aKind = ObjectKind::Endpoint)
+{
+  auto const result = std::make_shared<std::optional<ObjectList>>();
+  aClient.List(aKind, [result](ObjectList aList) { *result = std::move(aList); });
+  EXPECT_TRUE(aWorld.RunUntil([&] { return result->has_value(); }, 2s));
+  return result->value_or(ObjectList{});
+}
+
+static std::set<std::string>
+NamesOf(ObjectList const& aList)
+{
+  std::set<std::string> names;
+  for (auto const& object : aList.objects)
+    names.insert(object.name);
+  return names;
+}
+
+/// Lists four sound endpoints beside an entry with the name, on pages of one to four entries.
+static void
+ExpectSoundEndpointsBeside(std::string const& aOddName)
+{
+  std::set<std::string> const sound{ "e1", "e2", "e3", "e4" };
+  PlatformWorld world(0);
+  StoreClient client(world.callers, world.store->Address());
+  for (auto const& name : sound)
+    world.store->Put("servers", name, StandInEntry("ledger", "127.0.0.1:1", "ready", "a"));
+  world.store->Put("servers", aOddName, { { "note", 1 } });
+  for (std::size_t pageSize = 1; pageSize <= 4; ++pageSize) {
+    SCOPED_TRACE(aOddName + " on pages of " + std::to_string(pageSize));
+    world.store->pageSize = pageSize;
+    auto const callsBefore = world.store->calls;
+    auto const list = ListAll(world, client);
+    EXPECT_EQ(list.outcome, Platform::StoreOutcome::Done);
+    auto names = NamesOf(list);
+    names.erase(aOddName);
+    EXPECT_EQ(names, sound);
+    EXPECT_LE(world.store->calls - callsBefore, 5U);
+  }
+}
+
+// The cursor of the next page was not encoded: the list failed, ended early or began again without end.
+TEST(PlatformList, ContinuesAfterANameWithReservedCharacters)
+{
+  for (auto const& name : kReservedNames)
+    ExpectSoundEndpointsBeside(name);
+}
+
+// While such an entry stood, fronts that started knew no endpoint and served nothing.
+TEST(PlatformList, LetsAFrontServeBesideANameWithReservedCharacters)
+{
+  for (std::string const oddName : { "!00%#", "!02&b=", "!03+", "%7A" }) {
+    SCOPED_TRACE(oddName);
+    PlatformWorld world(1);
+    for (int count = 0; count < 4; ++count)
+      world.AddEndpoint(EndpointKind::Plain, "ledger");
+    world.store->Put("servers", oddName, { { "note", 1 } });
+    world.store->pageSize = 1;
+    world.Start();
+    auto const knowsAll = [&] {
+      return CachedStateOf(world, 0).value("endpoints", nlohmann::json::array()).size() == 4;
+    };
+    EXPECT_TRUE(HappensWithin(world, knowsAll, kStartBound));
+    EXPECT_EQ(world.Call(0, {}).status, 200U);
+  }
+}
+
+// The names of objects were put into paths as they are: calls reached other objects, or none.
+TEST(PlatformList, ReadsAndRemovesObjectsWithReservedCharactersInTheirNames)
+{
+  PlatformWorld world(0);
+  StoreClient client(world.callers, world.store->Address());
+  world.store->Put("fronts", "a", { { "n", 0 } });
+  for (auto const& name : kReservedNames) {
+    SCOPED_TRACE(name);
+    world.store->Put("fronts", name, { { "n", 1 } });
+    auto const read = std::make_shared<std::optional<Platform::ObjectRead>>();
+    client.Get(ObjectKind::Front, name, [read](Platform::ObjectRead aRead) { *read = std::move(aRead); });
+    ASSERT_TRUE(world.RunUntil([&] { return read->has_value(); }));
+    ASSERT_EQ((*read)->outcome, Platform::StoreOutcome::Done);
+    auto const removed = std::make_shared<std::optional<Platform::WriteResult>>();
+    client.Remove(ObjectKind::Front, name, (*read)->object->revision, [removed](Platform::WriteResult aResult) {
+      *removed = std::move(aResult);
+    });
+    ASSERT_TRUE(world.RunUntil([&] { return removed->has_value(); }));
+    EXPECT_EQ((*removed)->outcome, Platform::StoreOutcome::Done);
+    EXPECT_FALSE(world.store->Has("fronts", name));
+  }
+  EXPECT_TRUE(world.store->Has("fronts", "a"));
+}
+
+}
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -228,32 +228,22 @@
       break;
   }
   auto const& request = aExchange->Request();
-  auto const question = request.target.find('?');
-  auto path = request.target.substr(0, question).substr(std::string("/objects/").size());
-  std::map<std::string, std::string> query;
-  auto rest = question == std::string::npos ? std::string() : request.target.substr(question + 1);
-  while (!rest.empty()) {
-    auto const end = std::min(rest.find('&'), rest.size());
-    auto const item = rest.substr(0, end);
-    rest.erase(0, end + 1);
-    query[item.substr(0, item.find('='))] = item.substr(item.find('=') + 1);
-  }
-  auto const slash = path.find('/');
-  auto const kind = path.substr(0, slash);
-  auto const name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  auto const target = ParseStandInTarget(request.target);
+  if (!target)
+    return this->Respond(*aExchange, 400, json::object());
+  auto const& [kind, name, isStatus, query] = *target;
   if (!this->unknownKind.empty() && kind == this->unknownKind)
     return this->Respond(*aExchange, 404, json::object());
-  static constexpr std::string_view kStatus = "/status";
-  if (request.method == "PUT" && name.ends_with(kStatus))
-    return this->HandleStatusWrite(*aExchange, kind, name.substr(0, name.size() - kStatus.size()));
+  if (request.method == "PUT" && isStatus)
+    return this->HandleStatusWrite(*aExchange, kind, name);
   if (request.method != "GET")
-    return this->HandleWrite(*aExchange, kind, name);
+    return this->HandleWrite(*aExchange, *target);
   if (query.contains("watch"))
     return this->HandleWatch(
-      aExchange, kind, std::stoull(query["watch"]), std::chrono::milliseconds(std::stoull(query["wait_ms"])));
+      aExchange, kind, std::stoull(query.at("watch")), std::chrono::milliseconds(std::stoull(query.at("wait_ms"))));
   if (!name.empty())
     return this->HandleGet(*aExchange, kind, name);
-  this->HandleList(*aExchange, kind, query["after"]);
+  this->HandleList(*aExchange, kind, query.contains("after") ? query.at("after") : "");
 }
 
 void
@@ -301,16 +291,17 @@
 }
 
 void
-StandInStore::HandleWrite(Exchange& aExchange, std::string const& aKind, std::string const& aName)
+StandInStore::HandleWrite(Exchange& aExchange, StandInTarget const& aTarget)
 {
   auto const& request = aExchange.Request();
+  auto const& kind = aTarget.kind;
   auto const body = json::parse(request.body, nullptr, false);
-  auto const name = aName.empty() ? body["metadata"]["name"].get<std::string>() : aName;
-  auto const existing = this->state.objects[aKind].find(name);
-  bool const exists = existing != this->state.objects[aKind].end();
+  auto const name = aTarget.name.empty() ? body["metadata"]["name"].get<std::string>() : aTarget.name;
+  auto const existing = this->state.objects[kind].find(name);
+  bool const exists = existing != this->state.objects[kind].end();
   std::uint64_t expected = 0;
-  if (auto const position = request.target.find("revision="); position != std::string::npos)
-    expected = std::stoull(request.target.substr(position + 9));
+  if (auto const revision = aTarget.query.find("revision"); revision != aTarget.query.end())
+    expected = std::stoull(revision->second);
   else if (body.is_object() && body["metadata"].contains("revision"))
     expected = body["metadata"]["revision"].get<std::uint64_t>();
   if (request.method == "POST" ? exists : (exists && expected != 0 && existing->second.revision != expected))
@@ -321,9 +312,9 @@
     ++this->creations;
   if (request.method == "DELETE") {
     ++this->removals;
-    this->Erase(aKind, name);
+    this->Erase(kind, name);
   } else
-    this->Change(aKind, name, body["spec"]);
+    this->Change(kind, name, body["spec"]);
   bool const lost = this->responsesToLose > 0;
   if (lost) {
     --this->responsesToLose;
@@ -331,7 +322,7 @@
   } else if (request.method == "DELETE") {
     this->Respond(aExchange, 200, json::object());
   } else {
-    this->Respond(aExchange, 200, ToDocument(name, this->state.objects[aKind][name]));
+    this->Respond(aExchange, 200, ToDocument(name, this->state.objects[kind][name]));
   }
   this->NotifyWatches();
 }
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "StandInTarget.h"
 #include <LibExchange/LibExchange.h>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -134,7 +135,7 @@
                    std::string const& aKind,
                    std::uint64_t aSince,
                    Duration aWait);
-  void HandleWrite(Gateway::Exchange& aExchange, std::string const& aKind, std::string const& aName);
+  void HandleWrite(Gateway::Exchange& aExchange, StandInTarget const& aTarget);
   void HandleStatusWrite(Gateway::Exchange& aExchange, std::string const& aKind, std::string const& aName);
   bool TryCompleteWatch(PendingWatch const& aWatch);
   void NotifyWatches();
