--- a/Tests/Platform/PlatformListTests.cpp
+++ b/Tests/Platform/PlatformListTests.cpp
@@ -25,7 +25,9 @@
                                                       "!;charset=utf-8,*$()'" };
 
 /// Names that a front does not use for any object.
-static std::vector<std::string> const kUnusableNames{ "!5 5", "!6/6", "!\"=\n\x7f", "z\t", std::string(300, 'n') };
+static std::vector<std::string> const kUnusableNames{
+  "!5 5", "!6/6", "!\"=\n\x7f", "z\t", "..", std::string(300, 'n')
+};
 
 static ObjectList
 ListAll(PlatformWorld& aWorld, StoreClient& aClient, ObjectKind aKind = ObjectKind::Endpoint)
@@ -75,6 +77,13 @@
     ExpectSoundEndpointsBeside(name);
 }
 
+// A page on which no name was usable was taken for the end of the list, and the objects behind it for removed.
+TEST(PlatformList, ContinuesAfterANameThatIsNotUsable)
+{
+  for (auto const& name : kUnusableNames)
+    ExpectSoundEndpointsBeside(name);
+}
+
 // While such an entry stood, fronts that started knew no endpoint and served nothing.
 TEST(PlatformList, LetsAFrontServeBesideANameWithReservedCharacters)
 {
