--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -1,4 +1,5 @@
 #include "PlatformWorld.h"
+#include <cstdlib>
 
 namespace Hornbeam::Testing {
 
@@ -6,15 +7,22 @@
 using nlohmann::json;
 
 /// Each world of a process uses its own range of ports. Test processes share the ranges and therefore run one at a
-/// time.
+/// time, unless HORNBEAM_TEST_FIRST_PORT gives them other ranges.
 static unsigned portsAllocated = 0;
-static constexpr unsigned kFirstPort = 21000;
+static constexpr unsigned kDefaultFirstPort = 21000;
 static constexpr unsigned kPortsPerFront = 6;
 
+static unsigned
+FirstPort()
+{
+  auto const* const port = std::getenv("HORNBEAM_TEST_FIRST_PORT");
+  return port == nullptr ? kDefaultFirstPort : unsigned(std::stoul(port));
+}
+
 PlatformWorld::PlatformWorld(unsigned aFronts)
   : stopped(aFronts, false)
 {
-  this->basePort = kFirstPort + portsAllocated;
+  this->basePort = FirstPort() + portsAllocated;
   portsAllocated += 60;
   this->nextPort = this->basePort + aFronts * kPortsPerFront;
   this->store = std::make_unique<StandInStore>(this->loop.UvLoop(), this->clock, this->NextAddress());
