platform: Do not judge an entry by the fault of the one before it

Cause: fronts that read the list anew to learn which versions serve passed one error text to the decoder for all entries. The other readers use a text for each entry.

Before: PlatformVersion.JoinsNoVersionsBesideAnEntryOfAnotherWriter gets 200 from v1 for a stream that may have begun at v2.

--- a/Libraries/LibGateway/SoftwareVersionReader.cpp
+++ b/Libraries/LibGateway/SoftwareVersionReader.cpp
@@ -69,11 +69,12 @@
   if (!read || (this->restored && this->clock.Now() - *this->restored < kRewriteTime))
     return std::nullopt;
   ReadVersions versions;
-  std::string error;
-  for (auto const& object : endpoints->objects)
+  for (auto const& object : endpoints->objects) {
     // An entry that cannot be read names no endpoint to use; the state cache logs it.
+    std::string error;
     if (auto const entry = Platform::DecodeEndpoint(object, error))
       versions.present[entry->service].insert(entry->softwareVersion);
+  }
   if (!seenLately->object)
     return versions;
   versions.seenLately = Platform::DecodeSoftwareVersions(*seenLately->object);
--- a/Tests/Platform/PlatformVersionTests.cpp
+++ b/Tests/Platform/PlatformVersionTests.cpp
@@ -271,6 +271,21 @@
   EXPECT_EQ(VersionThatRan(versionWorld, "again-begun-elsewhere"), "");
 }
 
+// One entry of another writer made all entries behind it unreadable, so that the second version was not found.
+TEST(PlatformVersion, JoinsNoVersionsBesideAnEntryOfAnotherWriter)
+{
+  VersionWorld versionWorld({ "v1", "v1" }, 2);
+  auto& world = versionWorld.world;
+  EXPECT_TRUE(world.RunUntil([&] { return world.store->Has("stream-origins", "software-versions"); }));
+  world.store->Put("servers", "a-odd", { { "service", 5 } });
+  world.store->lostAnswer = LostAnswer::Whole;
+  versionWorld.AddEndpoint("v2");
+  world.RunFor(20ms);
+  auto const response = TakeUp(versionWorld, 0, "begun-elsewhere", "2");
+  EXPECT_EQ(response.status, 503U);
+  EXPECT_EQ(VersionThatRan(versionWorld, "again-begun-elsewhere"), "");
+}
+
 // A front that the store turned away took streams up at the only version that it had heard of.
 TEST(PlatformVersion, RefusesTakeUpsAtTheOnlyKnownVersionWhileTheStoreIsAway)
 {
