--- a/Libraries/LibExchange/TcpStream.cpp
+++ b/Libraries/LibExchange/TcpStream.cpp
@@ -374,14 +374,26 @@
 TcpListener::Open(std::string const& aAddress)
 {
   auto const address = ParseAddress(aAddress);
-  if (!address)
-    return false;
+  auto const failure = address ? this->Listen(*address) : UV_EINVAL;
+  if (failure == 0)
+    return true;
+  PART_WARNING("listener") << "event=cannot-listen address=" << aAddress << " reason=\"" << uv_strerror(failure)
+                           << "\"";
+  this->Close();
+  return false;
+}
+
+int
+TcpListener::Listen(sockaddr_in const& aAddress)
+{
   this->handle = new uv_tcp_t;
-  if (uv_tcp_init(&this->loop, this->handle) != 0)
-    return false;
+  if (auto const failure = uv_tcp_init(&this->loop, this->handle); failure != 0) {
+    delete std::exchange(this->handle, nullptr);
+    return failure;
+  }
   this->handle->data = this;
-  if (uv_tcp_bind(this->handle, reinterpret_cast<sockaddr const*>(&*address), 0) != 0)
-    return false;
+  if (auto const failure = uv_tcp_bind(this->handle, reinterpret_cast<sockaddr const*>(&aAddress), 0); failure != 0)
+    return failure;
   auto const onConnection = [](uv_stream_t* aListener, int aStatus) {
     if (aStatus != 0)
       return;
@@ -389,7 +401,7 @@
     if (auto stream = TcpStream::Accept(*aListener, self.timeouts))
       RunGuarded("accept", [&] { self.accept(std::move(stream)); });
   };
-  return uv_listen(AsStream(this->handle), kListenBacklog, onConnection) == 0;
+  return uv_listen(AsStream(this->handle), kListenBacklog, onConnection);
 }
 
 void
--- a/Libraries/LibExchange/TcpStream.h
+++ b/Libraries/LibExchange/TcpStream.h
@@ -130,12 +130,15 @@
   TcpListener(TcpListener const&) = delete;
   TcpListener& operator=(TcpListener const&) = delete;
 
-  /// Returns false if the address is invalid or cannot be bound.
+  /// Returns false and logs the reason if the address is invalid or cannot be bound. It can be opened again then.
   bool Open(std::string const& aAddress);
 
   void Close();
 
 private:
+  /// Returns an error code of libuv, or zero.
+  int Listen(sockaddr_in const& aAddress);
+
   uv_loop_t& loop;
   StreamTimeouts timeouts;
   std::function<void(std::shared_ptr<TcpStream>)> accept;
--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -120,6 +120,9 @@
       return;
     }
     this->revision = aResponse.revision;
+    PART_LOG("store") << "event=listed kind=" << ToString(this->kind) << " objects=" << aResponse.objects.size()
+                      << " left_out=" << aResponse.leftOut << " pages=" << aResponse.pages << ' '
+                      << ToLogFields(aResponse.revision);
     this->OnResponse();
     this->events.onList(aResponse.objects, aResponse.revision);
     this->SetKnown(aResponse.revision);
