LibGateway: Wait for addresses that are taken when a front starts

The front now opens all of its addresses or none, tries again every 100 ms for 5 s, and accepts nothing before. The reason is logged. The fronts of the own interface (RunFront) still try once.

--- a/Libraries/LibExchange/Tunnel.h
+++ b/Libraries/LibExchange/Tunnel.h
@@ -95,6 +95,9 @@
   /// Returns false if the address cannot be bound.
   bool Open(std::string const& aAddress) { return this->listener.Open(aAddress); }
 
+  /// Stops listening; tunnels stay open.
+  void Close() { this->listener.Close(); }
+
   /// Accepts no more tunnels and closes those in which nothing is in progress. To be called repeatedly until all are
   /// closed.
   void ContinueStop();
--- a/Libraries/LibGateway/EndpointPathService.cpp
+++ b/Libraries/LibGateway/EndpointPathService.cpp
@@ -61,10 +61,7 @@
 bool
 EndpointPathService::Open()
 {
-  if (this->settings.tunnelAddress.empty() || this->tunnels.Open(this->settings.tunnelAddress))
-    return true;
-  LOG(ERROR) << "front: event=cannot-listen address=" << this->settings.tunnelAddress;
-  return false;
+  return this->settings.tunnelAddress.empty() || this->tunnels.Open(this->settings.tunnelAddress);
 }
 
 void
--- a/Libraries/LibGateway/EndpointPathService.h
+++ b/Libraries/LibGateway/EndpointPathService.h
@@ -14,6 +14,9 @@
   /// Serves other fronts, if the settings have an address for it. Returns false if it cannot be bound.
   bool Open();
 
+  /// Stops listening, so that Open() can be called again.
+  void Close() { this->tunnels.Close(); }
+
   void Start();
 
   /// Serves no further connections. To be called repeatedly while the front stops.
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -4,6 +4,7 @@
 namespace Hornbeam::Gateway {
 
 static constexpr Duration kStopCheckInterval = 50ms;
+static constexpr Duration kListenRetryDelay = 100ms;
 /// Requests for readiness, the directory and metrics need no body.
 static constexpr std::size_t kMaxInternalBodyBytes = 4096;
 /// A chunked body occupies up to twice its size, and is encoded once more for the endpoint.
@@ -59,16 +60,17 @@
 }
 
 HttpListener&
-GatewayFront::AddEntry(CallerGroup aGroup, ExchangeHandler aHandler)
+GatewayFront::AddEntry(CallerGroup aGroup, std::string aAddress, ExchangeHandler aHandler)
 {
   this->entries.push_back(
-    std::make_unique<HttpListener>(this->loop.UvLoop(), this->loop.RuntimeClock(), std::move(aHandler)));
-  auto& context = this->entries.back()->Context();
+    { std::make_unique<HttpListener>(this->loop.UvLoop(), this->loop.RuntimeClock(), std::move(aHandler)),
+      std::move(aAddress) });
+  auto& context = this->entries.back().listener->Context();
   context.memory = &this->callerMemory;
   context.group = aGroup;
   if (aGroup == CallerGroup::Internal)
     context.limits.message.bodyBytes = kMaxInternalBodyBytes;
-  return *this->entries.back();
+  return *this->entries.back().listener;
 }
 
 FrontPeerHandlers
@@ -102,34 +104,57 @@
   return handlers;
 }
 
-bool
-GatewayFront::Open()
+void
+GatewayFront::AddEntries()
 {
-  this->callers = &this->AddEntry(CallerGroup::Callers,
-                                  [this](std::shared_ptr<Exchange> aExchange) { this->proxy->Handle(aExchange); });
+  this->callers = &this->AddEntry(
+    CallerGroup::Callers, this->settings.callerAddress, [this](auto aExchange) { this->proxy->Handle(aExchange); });
   this->callers->Context().onRejected = [](unsigned aStatus, std::string_view aReason) {
     PART_LOG("callers") << "event=rejected status=" << aStatus << " reason=\"" << aReason << "\"";
   };
-  auto& readiness = this->AddEntry(CallerGroup::Internal, [this](std::shared_ptr<Exchange> aExchange) {
+  this->AddEntry(CallerGroup::Internal, this->settings.readinessAddress, [this](auto aExchange) {
     this->directory->HandleReadiness(aExchange);
   });
-  auto& directoryEntry = this->AddEntry(CallerGroup::Internal, [this](std::shared_ptr<Exchange> aExchange) {
+  this->AddEntry(CallerGroup::Internal, this->settings.directoryAddress, [this](auto aExchange) {
     this->directory->HandleDirectory(aExchange);
   });
-  auto& metricsEntry = this->AddEntry(
-    CallerGroup::Internal, [this](std::shared_ptr<Exchange> aExchange) { this->directory->HandleMetrics(aExchange); });
-  std::vector<std::pair<HttpListener*, std::string>> const addresses{
-    { this->callers, this->settings.callerAddress },
-    { &readiness, this->settings.readinessAddress },
-    { &directoryEntry, this->settings.directoryAddress },
-    { &metricsEntry, this->settings.metricsAddress }
-  };
-  for (auto const& [entry, address] : addresses)
-    if (!entry->Open(address)) {
-      LOG(ERROR) << "front: event=cannot-listen address=" << address;
+  this->AddEntry(CallerGroup::Internal, this->settings.metricsAddress, [this](auto aExchange) {
+    this->directory->HandleMetrics(aExchange);
+  });
+}
+
+bool
+GatewayFront::Open(Duration aRetryTime)
+{
+  if (this->entries.empty())
+    this->AddEntries();
+  auto& clock = this->loop.RuntimeClock();
+  auto const limit = clock.Now() + aRetryTime;
+  while (!this->ListenOnAll()) {
+    if (clock.Now() >= limit) {
+      LOG(ERROR) << "front: event=cannot-listen tried_ms=" << Milliseconds(aRetryTime);
       return false;
     }
-  return this->endpointPaths->Open() && this->ServePeers();
+    bool due = false;
+    clock.Schedule(kListenRetryDelay, [&due] { due = true; });
+    this->loop.RunUntil([&due] { return due; });
+  }
+  return true;
+}
+
+bool
+GatewayFront::ListenOnAll()
+{
+  bool const opened =
+    std::ranges::all_of(this->entries, [](auto const& aEntry) { return aEntry.listener->Open(aEntry.address); }) &&
+    this->endpointPaths->Open() && this->ServePeers();
+  if (opened)
+    return true;
+  // A front that is not started must not accept connections.
+  for (auto const& entry : this->entries)
+    entry.listener->Close();
+  this->endpointPaths->Close();
+  return false;
 }
 
 bool
@@ -212,7 +237,7 @@
   progress.hasForeignWork = !this->stageOwner->IsIdle() || !this->stages->IsIdle() || this->endpointPaths->IsBusy();
   progress.step = this->stopStep;
   for (auto const& entry : this->entries)
-    progress.connections += entry->Context().connections.size();
+    progress.connections += entry.listener->Context().connections.size();
   return progress;
 }
 
@@ -233,8 +258,8 @@
     this->proxy->EndRequests();
     // The event loop finishes its turn after the stop; it must not read another request.
     for (auto const& entry : this->entries) {
-      entry->BeginClosing();
-      entry->ResetConnections();
+      entry.listener->BeginClosing();
+      entry.listener->ResetConnections();
     }
     this->onStopped();
     return;
@@ -242,7 +267,7 @@
   if (step == StopStep::CloseConnections && advanced) {
     this->proxy->EndRequests();
     for (auto const& entry : this->entries)
-      entry->BeginClosing();
+      entry.listener->BeginClosing();
   }
   this->proxy->RefuseUnfinishable();
   clock.Schedule(kStopCheckInterval, [this] { this->ContinueStop(); });
--- a/Libraries/LibGateway/GatewayFront.h
+++ b/Libraries/LibGateway/GatewayFront.h
@@ -16,8 +16,9 @@
   GatewayFront(GatewayFront const&) = delete;
   GatewayFront& operator=(GatewayFront const&) = delete;
 
-  /// Listens on all addresses; logs an error and returns false if one cannot be bound.
-  bool Open();
+  /// Listens on all addresses, or on none if one cannot be bound. Runs the event loop and tries again for up to
+  /// aRetryTime: the former process at the addresses may still be ending. Logs an error and returns false after that.
+  bool Open(Duration aRetryTime = Duration::zero());
 
   void Start();
 
@@ -39,7 +40,15 @@
   void ContinueStop();
   StopProgress MakeStopProgress() const;
   void ApplyCallerLimits();
-  HttpListener& AddEntry(CallerGroup aGroup, ExchangeHandler aHandler);
+  void AddEntries();
+  HttpListener& AddEntry(CallerGroup aGroup, std::string aAddress, ExchangeHandler aHandler);
+  bool ListenOnAll();
+
+  struct Entry
+  {
+    std::unique_ptr<HttpListener> listener;
+    std::string address;
+  };
 
   GatewaySettings settings;
   EventLoop& loop;
@@ -64,7 +73,7 @@
   std::unique_ptr<ProxyService> proxy;
   std::unique_ptr<ExplainService> explain;
   std::unique_ptr<DirectoryService> directory;
-  std::vector<std::unique_ptr<HttpListener>> entries;
+  std::vector<Entry> entries;
   HttpListener* callers{ nullptr };
   /// The need of one request for which a warning was logged.
   std::size_t loggedNeed{ 0 };
--- a/Services/hornbeamfront/RunGateway.cpp
+++ b/Services/hornbeamfront/RunGateway.cpp
@@ -6,6 +6,9 @@
 
 using namespace Gateway;
 
+/// After a kill, the former process may hold its addresses while its memory is being freed.
+static constexpr Duration kListenRetryTime = 5s;
+
 static kj::Promise<void>
 AwaitReload(EventLoop& aLoop, GatewayFront& aFront, std::string const& aFile)
 {
@@ -30,7 +33,7 @@
   Clock clock(ClockMode::Running);
   EventLoop loop(clock);
   GatewayFront front(aSettings, loop, [&] { loop.Stop(); });
-  if (!front.Open()) {
+  if (!front.Open(kListenRetryTime)) {
     FlushLog();
     return kExitCannotListen;
   }
