LibGateway: Serve with a kind that only a seed knows

Cause: what a seed told made up for missing lists only if it brought endpoints and fronts that were both not listed yet. One kind that failed was taken for the state of the whole store. A front answers such questions in full only once it knows all kinds itself, so that fronts which start together do not vouch for each other; before, it told its table and more.

Before: PlatformOneKind.TakesAKindThatCannotBeListedFromASeedAtAStart fails for each of four kinds with each of four statuses, 16 of 16 (no request served within 2 s). A front that cannot watch a kind still does not register, so it is not in the directory while that lasts.

--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -86,8 +86,11 @@
   handlers.status = [this] { return this->presence->Status(); };
   handlers.cachedObjects = [this] {
     std::vector<CachedObject> objects;
+    // Who asks takes endpoints and fronts for the sign that this front knows all kinds.
+    bool const knowsAll = this->stateCache->IsLoaded();
     for (auto& [kind, document] : this->stateCache->CachedObjects())
-      objects.push_back({ unsigned(kind), std::move(document) });
+      if (knowsAll || kind == Platform::ObjectKind::ServingTable)
+        objects.push_back({ unsigned(kind), std::move(document) });
     return objects;
   };
   handlers.follow = [this](FollowRequest aRequest, FollowCallback aDone) {
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -235,7 +235,7 @@
   FrontSet fronts;
   std::map<std::string, StoredCrash> crashes;
   RolloutOrders rollouts;
-  /// Set once endpoints and fronts have been fetched from a seed.
+  /// Set once a seed that knows endpoints and fronts has told what it knows.
   bool fetchedFromSeed{ false };
   /// Until then, the entry of a missing endpoint may merely have expired while the store was unavailable.
   MonotonicTime reregistrationEnd{};
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -233,7 +233,7 @@
     return this->Respond(*aExchange, 400, json::object());
   auto const& [kind, name, isStatus, query] = *target;
   if (!this->unknownKind.empty() && kind == this->unknownKind)
-    return this->Respond(*aExchange, 404, json::object());
+    return this->Respond(*aExchange, this->unknownKindStatus, json::object());
   if (request.method == "PUT" && isStatus)
     return this->HandleStatusWrite(*aExchange, kind, name);
   if (request.method != "GET")
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -80,8 +80,9 @@
   /// The number of next writes that are applied but whose response is lost.
   unsigned responsesToLose{ 0 };
   std::size_t pageSize{ 50 };
-  /// A kind whose calls the store refuses with 404; empty for none.
+  /// A kind whose calls the store refuses with unknownKindStatus; empty for none.
   std::string unknownKind;
+  unsigned unknownKindStatus{ 404 };
   /// Replaces the text "@raw@" in answers, for values that other writers may store and this stand-in cannot hold.
   std::string rawValue;
   std::uint64_t calls{ 0 };
