LibGateway: Watch on after events that name no usable object

Cause: such events were dropped before they were counted. A watch with dropped events only looked like one that had timed out, and was sent again at once from the same revision, which brought the same events.

Events that are left out now count, so that the revision advances.

--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -207,16 +207,22 @@
     this->List();
     return;
   }
-  if (aResponse.events.empty()) {
+  if (aResponse.events.empty() && aResponse.leftOut == 0) {
     // The revision stays: the store may have dropped changes that this watch did not receive, and then says so.
-    this->Watch();
+    this->WatchAfter(std::max<Duration>(this->watchSentAt + kEventBatchDelay - this->clock.Now(), Duration::zero()));
     return;
   }
   auto const from = this->revision;
   this->revision = std::max(this->revision, aResponse.revision);
   this->events.onEvents(aResponse.events, from, this->revision);
   this->SetKnown(this->revision);
-  this->clock.Schedule(kEventBatchDelay, [this, call = this->currentCall] {
+  this->WatchAfter(kEventBatchDelay);
+}
+
+void
+ObjectWatch::WatchAfter(Duration aDelay)
+{
+  this->clock.Schedule(aDelay, [this, call = this->currentCall] {
     if (this->IsCurrentCall(call))
       this->Watch();
   });
--- a/Libraries/LibGateway/ObjectWatch.h
+++ b/Libraries/LibGateway/ObjectWatch.h
@@ -85,6 +85,7 @@
   bool IsCurrentCall(std::uint64_t aCall) const { return aCall == this->currentCall; }
   void List();
   void Watch();
+  void WatchAfter(Duration aDelay);
   void OnEvents(Platform::ObjectEvents aResponse);
   void SetKnown(StorePosition aRevision);
   void SetReachability(StoreReachability aReachability);
--- a/Tests/Platform/PlatformListTests.cpp
+++ b/Tests/Platform/PlatformListTests.cpp
@@ -127,4 +127,35 @@
   EXPECT_TRUE(world.store->Has("fronts", "a"));
 }
 
+// An event about an object without a usable name did not count as one: the watch was sent again at once, without end.
+TEST(PlatformList, WatchesOnAfterAnEventOfANameThatIsNotUsable)
+{
+  PlainWorld plain;
+  auto& world = plain.world;
+  for (std::string const kind : { "config", "servers", "evacuations", "fronts", "endpoint-crashes" }) {
+    SCOPED_TRACE(kind);
+    world.store->Put(kind, "a b", { { "note", 1 } });
+    world.RunFor(600ms);
+    auto const before = world.store->calls;
+    world.RunFor(1s);
+    EXPECT_LE(world.store->calls - before, 10U);
+  }
+  world.PutTable(2);
+  EXPECT_TRUE(HappensWithin(
+    world, [&] { return VersionAt(world, 0) == 2; }, kApplyBound));
+}
+
+// A store that answers watches at once, and without events, was asked as often as it answered.
+TEST(PlatformList, DoesNotRepeatWatchesWithoutPause)
+{
+  PlainWorld plain;
+  auto& world = plain.world;
+  world.store->answersWatchesAtOnce = true;
+  world.store->CutWatches();
+  world.RunFor(1s);
+  auto const before = world.store->calls;
+  world.RunFor(1s);
+  EXPECT_LE(world.store->calls - before, 20U);
+}
+
 }
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -280,6 +280,8 @@
     return this->Respond(*aExchange, 410, { { "error", "unknown revision" } });
   if (this->TryCompleteWatch(watch))
     return;
+  if (this->answersWatchesAtOnce)
+    return this->Respond(*aExchange, 200, { { "events", json::array() }, { "as_of", aSince } });
   this->pendingWatches.push_back(watch);
   this->clock.Schedule(aWait, [this, aExchange, aSince] {
     auto const erased =
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -80,6 +80,8 @@
   /// The number of next writes that are applied but whose response is lost.
   unsigned responsesToLose{ 0 };
   std::size_t pageSize{ 50 };
+  /// Whether watches get an answer without events at once instead of waiting for one.
+  bool answersWatchesAtOnce{ false };
   /// A kind whose calls the store refuses with unknownKindStatus; empty for none.
   std::string unknownKind;
   unsigned unknownKindStatus{ 404 };
