Tests: Let another writer put odd entries into the soak's store

Real fronts, lists on pages of three, 40 entries of any names and wrong fields in all kinds that come and go, and all fronts killed at once while they stand.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -1,3 +1,4 @@
+#include "OddWriter.h"
 #include "PlannedCallers.h"
 #include "SoakCallers.h"
 #include "StreamCallers.h"
@@ -84,12 +85,24 @@
   return violations;
 }
 
+static void
+KillAllFronts(SoakWorld& aWorld)
+{
+  std::vector<SoakFault> kills;
+  for (unsigned front = 0; front < aWorld.settings.fronts; ++front)
+    kills.push_back({ SoakFaultKind::FrontKilled, 100ms, 0ms, front, 0 });
+  aWorld.Schedule(kills);
+}
+
 static std::vector<std::string>
 RunSeed(SoakSettings const& aSettings, Duration aGap)
 {
   std::filesystem::create_directories(aSettings.directory);
   SoakWorld world(aSettings);
   SoakCallers callers(world, aSettings.seed);
+  OddWriter oddWriter(world);
+  if (aSettings.oddEntries)
+    oddWriter.Start();
   world.Start();
   world.RunFor(kStartTime);
   std::vector<SoakFault> faults;
@@ -98,6 +111,8 @@
   world.Schedule(faults);
   callers.Load(aSettings.time + 3s, aGap);
   world.ClearFaults();
+  if (aSettings.oddEntries)
+    KillAllFronts(world);
   callers.Load(kSettleTime, aGap);
   auto violations = callers.CheckRecovery();
   std::ranges::move(callers.CheckGuarantees(), std::back_inserter(violations));
@@ -131,6 +146,10 @@
   application.add_flag("--planned", planned, "Only terminate fronts, in series and beside other planned work");
   application.add_flag(
     "--streams", streams, "Break streams off, with releases of other software versions, and take them up again");
+  application.add_flag(
+    "--odd-entries",
+    settings.oddEntries,
+    "Let another writer put odd entries into the store, and kill all fronts at once after the faults");
   application.add_option("--first-port", settings.firstPort, "First port; further ones are allocated upwards");
   CLI11_PARSE(application, aCount, aArguments);
   google::InitGoogleLogging(aArguments[0]);
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -28,6 +28,8 @@
   unsigned fronts{ 3 };
   Duration time{ 10s };
   unsigned firstPort{ 24000 };
+  /// Whether another writer puts odd entries into the store. Only in runs of random faults, and without faults.
+  bool oddEntries{ false };
   std::string program;
   std::string directory;
 };
