platform: Leave out events of the store that are no objects

An event that is not a JSON object made the reader of a watch throw. The exception was logged, the watch was never sent again, and its kind stood still at that front until another failure made it list.

After: the event beside them counts, and an answer without an array of events is unknown.

--- a/Tests/Platform/PlatformListTests.cpp
+++ b/Tests/Platform/PlatformListTests.cpp
@@ -158,4 +158,36 @@
   EXPECT_LE(world.store->calls - before, 20U);
 }
 
+// An event that is no object ended the watch: the exception was logged, and nothing was asked again.
+TEST(PlatformList, LeavesOutEventsThatAreNoObjects)
+{
+  PlatformWorld world(0);
+  std::string body;
+  HttpListener listener(world.loop.UvLoop(), world.clock, [&body](std::shared_ptr<Exchange> const& aExchange) {
+    aExchange->Respond({ 200, { { "Store-Era", "1" } } }, body);
+  });
+  auto const address = world.NextAddress();
+  ASSERT_TRUE(listener.Open(address));
+  StoreClient client(world.callers, address);
+  auto const watch = [&](std::string const& aEvents) {
+    body = R"({"as_of":7,"events":)" + aEvents + "}";
+    auto const result = std::make_shared<std::optional<Platform::ObjectEvents>>();
+    client.Watch(ObjectKind::Endpoint, MakePosition(1, 5), 1s, [result](Platform::ObjectEvents aEvents) {
+      *result = std::move(aEvents);
+    });
+    EXPECT_TRUE(world.RunUntil([&] { return result->has_value(); }, 2s));
+    return result->value_or(Platform::ObjectEvents{});
+  };
+  static constexpr char kSound[] = R"({"deleted":false,"object":{"metadata":{"name":"e","revision":6}}})";
+  for (std::string const odd :
+       { "5", "null", "[]", "\"x\"", "{}", R"({"object":5})", R"({"object":{"metadata":[]}})" }) {
+    auto const result = watch("[" + odd + "," + kSound + "]");
+    EXPECT_EQ(result.outcome, Platform::StoreOutcome::Done) << odd;
+    EXPECT_EQ(result.events.size(), 1U) << odd;
+    EXPECT_EQ(result.leftOut, 1U) << odd;
+  }
+  for (std::string const odd : { "5", "null", "{}", "\"x\"" })
+    EXPECT_EQ(watch(odd).outcome, Platform::StoreOutcome::Unknown) << odd;
+}
+
 }
