LibGateway: Say whether a seed knows all kinds

Beside such a build, requests would reach a data centre that is out of rotation (EVAC). A later, poorer answer also took back what a good one had brought.

knownObjects now tells its coverage: all kinds, or some. A new field, so that earlier builds ignore it; their own answers do not have it and count as before that change, only if they bring both endpoints and fronts that could not be listed. What a front tells earlier builds is as in every earlier landing again.

--- a/Libraries/LibGateway/FrontPeers.cpp
+++ b/Libraries/LibGateway/FrontPeers.cpp
@@ -191,12 +191,13 @@
 
   kj::Promise<void> knownObjects(KnownObjectsContext aContext) override
   {
-    auto const objects = this->Handlers().cachedObjects();
-    auto wire = aContext.getResults().initObjects(unsigned(objects.size()));
-    for (unsigned index = 0; index < objects.size(); ++index) {
-      wire[index].setKind(std::uint8_t(objects[index].kind));
-      wire[index].setDocument(objects[index].document);
+    auto const state = this->Handlers().cachedState();
+    auto wire = aContext.getResults().initObjects(unsigned(state.objects.size()));
+    for (unsigned index = 0; index < state.objects.size(); ++index) {
+      wire[index].setKind(std::uint8_t(state.objects[index].kind));
+      wire[index].setDocument(state.objects[index].document);
     }
+    aContext.getResults().setCoverage(std::uint8_t(state.coverage));
     return kj::READY_NOW;
   }
 
@@ -464,20 +465,19 @@
 }
 
 void
-FrontPeers::FetchCachedObjects(std::string const& aAddress,
-                               std::function<void(std::optional<std::vector<CachedObject>>)> aDone)
+FrontPeers::FetchCachedState(std::string const& aAddress, std::function<void(std::optional<CachedState>)> aDone)
 {
   ++this->calls;
   auto call = [](Wire::GatewayPeer::Client& aClient) {
     return aClient.knownObjectsRequest().send().then([](auto&& aResponse) {
-      std::vector<CachedObject> objects;
+      CachedState state;
       for (auto const object : aResponse.getObjects())
-        objects.push_back({ object.getKind(), object.getDocument().cStr() });
-      return objects;
+        state.objects.push_back({ object.getKind(), object.getDocument().cStr() });
+      state.coverage = static_cast<CacheCoverage>(aResponse.getCoverage());
+      return state;
     });
   };
-  this->implementation->connections.Run<std::vector<CachedObject>>(
-    aAddress, kFetchTimeout, kj::mv(call), std::move(aDone));
+  this->implementation->connections.Run<CachedState>(aAddress, kFetchTimeout, kj::mv(call), std::move(aDone));
 }
 
 void
--- a/Libraries/LibGateway/FrontPeers.h
+++ b/Libraries/LibGateway/FrontPeers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CachedState.h"
 #include <LibCore/LibCore.h>
 #include <LibRelay/LibRelay.h>
 #include <LibServing/LibServing.h>
@@ -14,13 +15,6 @@
   StageJob job;
 };
 
-/// A cached object of the store as a JSON document.
-struct CachedObject
-{
-  unsigned kind{ 0 };
-  std::string document;
-};
-
 /// What a front tells those that probe it.
 struct PeerStatus
 {
@@ -91,7 +85,7 @@
   std::function<CancelAction(RemoteStageJob, StageCallback)> runStage;
   std::function<void(std::string const& aService, std::vector<std::string> const& aHandles)> releaseResults;
   std::function<PeerStatus()> status;
-  std::function<std::vector<CachedObject>()> cachedObjects;
+  std::function<CachedState()> cachedState;
   /// Calls back exactly once unless cancelled; the returned action cancels the poll.
   std::function<CancelAction(FollowRequest, FollowCallback)> follow;
   std::function<void(std::vector<StreamRecord> const&)> recordStreams;
@@ -134,8 +128,7 @@
   /// aDone receives nothing if the peer does not respond in time.
   void Ping(std::string const& aAddress, std::function<void(std::optional<PeerStatus>)> aDone);
 
-  void FetchCachedObjects(std::string const& aAddress,
-                          std::function<void(std::optional<std::vector<CachedObject>>)> aDone);
+  void FetchCachedState(std::string const& aAddress, std::function<void(std::optional<CachedState>)> aDone);
 
   /// Polls a relay. aDone receives nothing if the relay does not respond shortly after the request's wait.
   void Follow(std::string const& aAddress,
--- a/Libraries/LibGateway/Gateway.capnp
+++ b/Libraries/LibGateway/Gateway.capnp
@@ -135,7 +135,8 @@
   releaseResults @1 (service :Text, handles :List(Text)) -> ();
   # tableVersion is that of the table in force; storeEra how often the store was restored, as far as the front knows.
   ping @2 () -> (incarnation :Int64, tableVersion :UInt64, storeEra :UInt64);
-  knownObjects @3 () -> (objects :List(KnownObject));
+  # coverage is 1 if the front knows all kinds, 2 if it knows some; earlier builds do not tell.
+  knownObjects @3 () -> (objects :List(KnownObject), coverage :UInt8);
   # Not served any more: revisions without the era of the store.
   follow @4 (revisions :List(UInt64), waitUs :Int64, noticeOnly :Bool)
       -> (updates :List(RelayedUpdate), ageUs :Int64, watching :Bool, revisions :List(UInt64));
--- a/Libraries/LibGateway/Gateway.capnp.c++
+++ b/Libraries/LibGateway/Gateway.capnp.c++
@@ -1993,17 +1993,17 @@
   0, 0, nullptr, nullptr, nullptr, { &s_fae0b32c254adcc0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<38> b_8c65bed6a9e1ea3f = {
+static const ::capnp::_::AlignedData<54> b_8c65bed6a9e1ea3f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      63, 234, 225, 169, 214, 190, 101, 140,
-     26,   0,   0,   0,   1,   0,   0,   0,
+     26,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 122,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,  63,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      71,  97, 116, 101, 119,  97, 121,  46,
@@ -2012,14 +2012,21 @@
     114,  46, 107, 110, 111, 119, 110,  79,
      98, 106, 101,  99, 116, 115,  36,  82,
     101, 115, 117, 108, 116, 115,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  66,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     64,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     60,   0,   0,   0,   3,   0,   1,   0,
+     72,   0,   0,   0,   2,   0,   1,   0,
     111,  98, 106, 101,  99, 116, 115,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2030,6 +2037,15 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 118, 101, 114,  97, 103, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -2038,11 +2054,11 @@
 static const ::capnp::_::RawSchema* const d_8c65bed6a9e1ea3f[] = {
   &s_eb7f429b426794df,
 };
-static const uint16_t m_8c65bed6a9e1ea3f[] = {0};
-static const uint16_t i_8c65bed6a9e1ea3f[] = {0};
+static const uint16_t m_8c65bed6a9e1ea3f[] = {1, 0};
+static const uint16_t i_8c65bed6a9e1ea3f[] = {0, 1};
 const ::capnp::_::RawSchema s_8c65bed6a9e1ea3f = {
-  0x8c65bed6a9e1ea3f, b_8c65bed6a9e1ea3f.words, 38, d_8c65bed6a9e1ea3f, m_8c65bed6a9e1ea3f,
-  1, 1, i_8c65bed6a9e1ea3f, nullptr, nullptr, { &s_8c65bed6a9e1ea3f, nullptr, nullptr, 0, 0, nullptr }
+  0x8c65bed6a9e1ea3f, b_8c65bed6a9e1ea3f.words, 54, d_8c65bed6a9e1ea3f, m_8c65bed6a9e1ea3f,
+  1, 2, i_8c65bed6a9e1ea3f, nullptr, nullptr, { &s_8c65bed6a9e1ea3f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<69> b_b019ef12e5d94f06 = {
--- a/Libraries/LibGateway/Gateway.capnp.h
+++ b/Libraries/LibGateway/Gateway.capnp.h
@@ -416,7 +416,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c65bed6a9e1ea3f, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8c65bed6a9e1ea3f, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2707,6 +2707,8 @@
   inline bool hasObjects() const;
   inline  ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
 
+  inline  ::uint8_t getCoverage() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2742,6 +2744,9 @@
   inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Hornbeam::Wire::KnownObject,  ::capnp::Kind::STRUCT>> disownObjects();
 
+  inline  ::uint8_t getCoverage();
+  inline void setCoverage( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5665,6 +5670,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t GatewayPeer::KnownObjectsResults::Reader::getCoverage() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t GatewayPeer::KnownObjectsResults::Builder::getCoverage() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GatewayPeer::KnownObjectsResults::Builder::setCoverage( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GatewayPeer::FollowParams::Reader::hasRevisions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibGateway/GatewayFront.cpp
+++ b/Libraries/LibGateway/GatewayFront.cpp
@@ -84,14 +84,12 @@
     this->stageOwner->Release(aService, aHandles);
   };
   handlers.status = [this] { return this->presence->Status(); };
-  handlers.cachedObjects = [this] {
-    std::vector<CachedObject> objects;
-    // Who asks takes endpoints and fronts for the sign that this front knows all kinds.
-    bool const knowsAll = this->stateCache->IsLoaded();
+  handlers.cachedState = [this] {
+    CachedState state;
     for (auto& [kind, document] : this->stateCache->CachedObjects())
-      if (knowsAll || kind == Platform::ObjectKind::ServingTable)
-        objects.push_back({ unsigned(kind), std::move(document) });
-    return objects;
+      state.objects.push_back({ unsigned(kind), std::move(document) });
+    state.coverage = this->stateCache->IsLoaded() ? CacheCoverage::AllKinds : CacheCoverage::SomeKinds;
+    return state;
   };
   handlers.follow = [this](FollowRequest aRequest, FollowCallback aDone) {
     return this->relay->Serve(std::move(aRequest), std::move(aDone));
--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -192,15 +192,14 @@
 {
   // A table that is refused here is not fetched again.
   this->probeStates[aFront.name].fetchedTable = aVersion;
-  this->peers.FetchCachedObjects(
-    aFront.peerAddress, [this, aFront, aVersion](std::optional<std::vector<CachedObject>> aObjects) {
-      PART_LOG("presence") << "event=newer-table-fetched address=" << aFront.peerAddress << " version=" << aVersion
-                           << " answered=" << aObjects.has_value();
-      if (aObjects)
-        this->stateCache.ApplyNewerTable(ToDocuments(std::move(*aObjects)));
-      else
-        this->probeStates[aFront.name].fetchedTable = 0;
-    });
+  this->peers.FetchCachedState(aFront.peerAddress, [this, aFront, aVersion](std::optional<CachedState> aState) {
+    PART_LOG("presence") << "event=newer-table-fetched address=" << aFront.peerAddress << " version=" << aVersion
+                         << " answered=" << aState.has_value();
+    if (aState)
+      this->stateCache.ApplyNewerTable(ToDocuments(std::move(aState->objects)));
+    else
+      this->probeStates[aFront.name].fetchedTable = 0;
+  });
 }
 
 PeerStatus
@@ -256,11 +255,12 @@
   this->clock.Schedule(kPeerFetchDelay, [this] { this->FetchFromPeers(); });
   if (seed == this->settings.peerAddress)
     return;
-  this->peers.FetchCachedObjects(seed, [this, seed](std::optional<std::vector<CachedObject>> aObjects) {
-    if (!aObjects || this->stateCache.IsInitialized())
+  this->peers.FetchCachedState(seed, [this, seed](std::optional<CachedState> aState) {
+    if (!aState || this->stateCache.IsInitialized())
       return;
-    PART_LOG("presence") << "event=state-fetched-from-peer address=" << seed << " objects=" << aObjects->size();
-    this->stateCache.ApplyFromSeed(ToDocuments(std::move(*aObjects)));
+    PART_LOG("presence") << "event=state-fetched-from-peer address=" << seed << " objects=" << aState->objects.size()
+                         << " coverage=" << unsigned(aState->coverage);
+    this->stateCache.ApplyFromSeed(ToDocuments(std::move(aState->objects)), aState->coverage);
   });
 }
 
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -568,11 +568,10 @@
 }
 
 void
-StateCache::ApplyFromSeed(std::vector<std::pair<ObjectKind, std::string>> const& aObjects)
+StateCache::ApplyFromSeed(std::vector<std::pair<ObjectKind, std::string>> const& aObjects, CacheCoverage aCoverage)
 {
-  std::set<ObjectKind> kindsOfSeed;
+  std::set<ObjectKind> kinds;
   for (auto const& [kind, document] : aObjects) {
-    kindsOfSeed.insert(kind);
     auto const log = this->logs.find(kind);
     if (log == this->logs.end() || log->second.revision != 0)
       continue;
@@ -582,10 +581,11 @@
     // The log's revision stays zero, so that the first list or relayed update corrects these objects.
     log->second.entries[object->name] = { { object->name, object->revision, document }, 0 };
     this->OnChanged(kind, *object, ChangeSource::PeerCache);
+    kinds.insert(kind);
   }
-  // A seed that knows endpoints and fronts knows all kinds, so that its answer makes up for those that this front could
-  // not list; the others came from the store.
-  this->fetchedFromSeed = kindsOfSeed.contains(ObjectKind::Endpoint) && kindsOfSeed.contains(ObjectKind::Front);
+  bool const bringsMost = kinds.contains(ObjectKind::Endpoint) && kinds.contains(ObjectKind::Front);
+  if (aCoverage == CacheCoverage::AllKinds || (aCoverage == CacheCoverage::NotTold && bringsMost))
+    this->fetchedFromSeed = true;
   this->NotifyListeners();
 }
 
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CachedState.h"
 #include "GatewaySettings.h"
 #include "ObjectWatch.h"
 #include "StoreBackOff.h"
@@ -119,7 +120,9 @@
   std::vector<std::pair<ObjectKind, std::string>> CachedObjects() const;
 
   /// Applies the cached objects of a seed. Kinds that have been listed are ignored: the store takes precedence.
-  void ApplyFromSeed(std::vector<std::pair<ObjectKind, std::string>> const& aObjects);
+  /// If the seed knows all kinds, its answer makes up for those that this front could not list.
+  void ApplyFromSeed(std::vector<std::pair<ObjectKind, std::string>> const& aObjects,
+                     CacheCoverage aCoverage = CacheCoverage::NotTold);
 
   /// Applies the table of another front's cached objects, if it is newer than the one in force.
   void ApplyNewerTable(std::vector<std::pair<ObjectKind, std::string>> const& aObjects);
@@ -235,7 +238,7 @@
   FrontSet fronts;
   std::map<std::string, StoredCrash> crashes;
   RolloutOrders rollouts;
-  /// Set once a seed that knows endpoints and fronts has told what it knows.
+  /// Set once a seed that knows all kinds has told what it knows.
   bool fetchedFromSeed{ false };
   /// Until then, the entry of a missing endpoint may merely have expired while the store was unavailable.
   MonotonicTime reregistrationEnd{};
--- a/Tests/LibGateway/FrontPeersTests.cpp
+++ b/Tests/LibGateway/FrontPeersTests.cpp
@@ -14,7 +14,7 @@
   handlers.runStage = [](RemoteStageJob, StageCallback) { return [] {}; };
   handlers.releaseResults = [](std::string const&, std::vector<std::string> const&) {};
   handlers.status = [] { return PeerStatus{ 7 }; };
-  handlers.cachedObjects = [] { return std::vector<CachedObject>(); };
+  handlers.cachedState = [] { return CachedState(); };
   handlers.follow = [](FollowRequest, FollowCallback) { return [] {}; };
   return handlers;
 }
--- a/Tests/LibGateway/OlderPeerTests.cpp
+++ b/Tests/LibGateway/OlderPeerTests.cpp
@@ -83,9 +83,9 @@
 {
   WaitingFront front;
   bool answered = false;
-  front.peers.FetchCachedObjects(kAddress, [&](auto const& aObjects) {
+  front.peers.FetchCachedState(kAddress, [&](auto const& aState) {
     answered = true;
-    EXPECT_FALSE(aObjects);
+    EXPECT_FALSE(aState);
   });
   front.RunFor(300ms);
   EXPECT_TRUE(answered);
--- a/Tests/Platform/PlatformOneKindTests.cpp
+++ b/Tests/Platform/PlatformOneKindTests.cpp
@@ -1,4 +1,5 @@
 #include "PlatformFixtures.h"
+#include "StandInFront.h"
 
 namespace Hornbeam::Testing {
 
@@ -55,6 +56,39 @@
     world, [&] { return world.Call(0, {}).status == 200 && world.Call(1, {}).status == 200; }, 5s));
 }
 
+// A seed of an earlier build tells what it has at any time, so that it cannot vouch for a kind that it may lack.
+TEST(PlatformOneKind, UsesNoEndpointOnTheWordOfASeedThatMayLackTheKind)
+{
+  PlatformWorld world(1);
+  auto const& endpoint = world.AddEndpoint(EndpointKind::Plain, "ledger");
+  world.PutTable(1);
+  world.store->Put("evacuations", "a", nlohmann::json::object());
+  world.store->unknownKind = "evacuations";
+  auto const address = world.NextAddress();
+  StandInFront seed(world.loop, address);
+  world.seeds = { address };
+  auto const document = [](std::string const& aName, nlohmann::json const& aSpec) {
+    return nlohmann::json{ { "metadata", { { "name", aName }, { "revision", 2 } } }, { "spec", aSpec } }.dump();
+  };
+  auto const entry = StandInEntry("ledger", endpoint.PublicAddress(), "ready", "a");
+  nlohmann::json const front{
+    { "caller_address", "127.0.0.1:1" }, { "peer_address", address }, { "data_center", "a" }, { "incarnation", 1 }
+  };
+  seed.state.cachedObjects = { { unsigned(Platform::ObjectKind::Endpoint), document(endpoint.Id(), entry) },
+                               { unsigned(Platform::ObjectKind::Front), document("seed", front) } };
+  world.StartFront(0);
+  for (auto const coverage : { CacheCoverage::NotTold, CacheCoverage::SomeKinds }) {
+    seed.state.coverage = coverage;
+    auto const fetches = seed.state.fetches;
+    EXPECT_TRUE(world.RunUntil([&] { return seed.state.fetches > fetches + 1; }, 5s));
+    EXPECT_EQ(world.Call(0, {}).status, 503U);
+  }
+  EXPECT_EQ(endpoint.seen.size(), 0U);
+  seed.state.coverage = CacheCoverage::AllKinds;
+  EXPECT_TRUE(HappensWithin(
+    world, [&] { return world.Call(0, {}).status == 200; }, kServeBound));
+}
+
 // The other kinds go on while the calls about one kind fail.
 TEST(PlatformOneKind, AppliesChangesOfOtherKindsWhileOneFails)
 {
--- a/Tests/Platform/StandInFront.cpp
+++ b/Tests/Platform/StandInFront.cpp
@@ -35,11 +35,15 @@
       --this->state.failingFetches;
       KJ_FAIL_REQUIRE("the objects are not available");
     }
-    if (this->state.tableDocument.empty())
-      return kj::READY_NOW;
-    auto objects = aContext.getResults().initObjects(1);
-    objects[0].setKind(std::uint8_t(Platform::ObjectKind::ServingTable));
-    objects[0].setDocument(this->state.tableDocument);
+    auto cached = this->state.cachedObjects;
+    if (!this->state.tableDocument.empty())
+      cached.push_back({ unsigned(Platform::ObjectKind::ServingTable), this->state.tableDocument });
+    auto objects = aContext.getResults().initObjects(unsigned(cached.size()));
+    for (unsigned index = 0; index < cached.size(); ++index) {
+      objects[index].setKind(std::uint8_t(cached[index].kind));
+      objects[index].setDocument(cached[index].document);
+    }
+    aContext.getResults().setCoverage(std::uint8_t(this->state.coverage));
     return kj::READY_NOW;
   }
 
--- a/Tests/Platform/StandInFront.h
+++ b/Tests/Platform/StandInFront.h
@@ -22,6 +22,9 @@
   std::vector<std::uint64_t> bases;
   /// The document of the table in the cached objects; none if empty.
   std::string tableDocument;
+  /// Further cached objects.
+  std::vector<Gateway::CachedObject> cachedObjects;
+  Gateway::CacheCoverage coverage{ Gateway::CacheCoverage::NotTold };
   /// How many of the next questions for cached objects fail.
   unsigned failingFetches{ 0 };
   unsigned fetches{ 0 };
