LibGateway: Pause between lists while watches fail

A front asked the store without pause while it answered lists and failed watches: with 410, each list was followed by a watch and the next list at once; with 400, 500 or 503, a list that succeeded made the watches of all other kinds list at once, and they each other. The success of one call was taken for the store's return.

A retry and a list after a gap in the history wait until 400 ms after the list before.

After: at most 55, which are two a kind in 400 ms and the checks; requests are served.

--- a/Libraries/LibGateway/ObjectWatch.cpp
+++ b/Libraries/LibGateway/ObjectWatch.cpp
@@ -12,6 +12,9 @@
 /// billed call. The delay must leave time to apply operators' changes and to stop using leaving endpoints within two
 /// seconds.
 static constexpr Duration kEventBatchDelay = 400ms;
+/// A list that succeeds makes the watches of other kinds retry. While lists succeed and watches fail, they would make
+/// each other list without pause.
+static constexpr Duration kMinListInterval = 400ms;
 
 ObjectWatch::ObjectWatch(StoreClient& aStore, Clock& aClock, ObjectKind aKind, ObjectWatchEvents aEvents)
   : store(aStore)
@@ -92,7 +95,21 @@
     return;
   // Lists instead of watching again: a watch that starts just before the store drops its event history would receive no
   // changes until it times out.
-  this->List();
+  this->ListAfterPause();
+}
+
+void
+ObjectWatch::ListAfterPause()
+{
+  auto const next = this->listSentAt + kMinListInterval;
+  if (this->clock.Now() >= next) {
+    this->List();
+    return;
+  }
+  if (this->retryTimer)
+    this->clock.Cancel(*this->retryTimer);
+  this->active = true;
+  this->retryTimer = this->clock.Schedule(next - this->clock.Now(), [this] { this->List(); });
 }
 
 void
@@ -107,6 +124,7 @@
 {
   this->active = true;
   this->listing = true;
+  this->listSentAt = this->clock.Now();
   this->waiting = false;
   if (this->retryTimer)
     this->clock.Cancel(*this->retryTimer);
@@ -196,7 +214,7 @@
       PART_LOG("store") << "event=history-gone kind=" << ToString(this->kind) << ' ' << ToLogFields(this->revision);
       // The store may drop its history again: a watch that is then waiting receives no changes until it ends.
       this->NoteDisconnect();
-      this->List();
+      this->ListAfterPause();
       return;
     default:
       this->OnFailure("watch", aResponse.outcome);
--- a/Libraries/LibGateway/ObjectWatch.h
+++ b/Libraries/LibGateway/ObjectWatch.h
@@ -84,6 +84,8 @@
 private:
   bool IsCurrentCall(std::uint64_t aCall) const { return aCall == this->currentCall; }
   void List();
+  /// Lists all objects, but not within a short time of the list before, however often calls fail or succeed.
+  void ListAfterPause();
   void Watch();
   void WatchAfter(Duration aDelay);
   void OnEvents(Platform::ObjectEvents aResponse);
@@ -99,6 +101,7 @@
   StoreReachability reachability{ StoreReachability::Unknown };
   MonotonicTime lastResponseTime{};
   MonotonicTime lastDisconnectTime{};
+  MonotonicTime listSentAt{};
   /// When the last long poll was sent.
   MonotonicTime watchSentAt{};
   /// Zero until the first list.
--- a/Tests/Platform/PlatformListTests.cpp
+++ b/Tests/Platform/PlatformListTests.cpp
@@ -190,4 +190,22 @@
     EXPECT_EQ(watch(odd).outcome, Platform::StoreOutcome::Unknown) << odd;
 }
 
+// While lists succeeded and watches failed, the watches of all kinds made each other list without pause.
+TEST(PlatformList, DoesNotRepeatListsWithoutPauseWhileWatchesFail)
+{
+  for (unsigned const status : { 400U, 410U, 500U, 503U }) {
+    SCOPED_TRACE(status);
+    PlainWorld plain;
+    auto& world = plain.world;
+    world.store->watchStatus = status;
+    world.store->CutWatches();
+    world.RunFor(1s);
+    auto const before = world.store->calls;
+    world.RunFor(2s);
+    // Five kinds, each listed and watched once in 400 ms, and one check a second.
+    EXPECT_LE(world.store->calls - before, 55U);
+    EXPECT_EQ(world.Call(0, {}).status, 200U);
+  }
+}
+
 }
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -275,6 +275,8 @@
                           std::uint64_t aSince,
                           Duration aWait)
 {
+  if (this->watchStatus != 0)
+    return this->Respond(*aExchange, this->watchStatus, json::object());
   PendingWatch const watch{ aExchange, aKind, aSince };
   if (aSince > this->state.revision)
     return this->Respond(*aExchange, 410, { { "error", "unknown revision" } });
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -82,6 +82,8 @@
   std::size_t pageSize{ 50 };
   /// Whether watches get an answer without events at once instead of waiting for one.
   bool answersWatchesAtOnce{ false };
+  /// The status with which all watches are refused; zero while they are not.
+  unsigned watchStatus{ 0 };
   /// A kind whose calls the store refuses with unknownKindStatus; empty for none.
   std::string unknownKind;
   unsigned unknownKindStatus{ 404 };
