--- a/Tests/Platform/PlatformListTests.cpp
+++ b/Tests/Platform/PlatformListTests.cpp
@@ -208,4 +208,26 @@
   }
 }
 
+// Some entries of the greatest size beside the endpoints made the list too large to be used.
+TEST(PlatformList, FindsAllEndpointsBesideLargeEntries)
+{
+  PlatformWorld world(0);
+  StoreClient client(world.callers, world.store->Address());
+  auto large = StandInEntry("ledger", "127.0.0.1:1", "ready", "a");
+  large["note"] = std::string(1 << 20, 'x');
+  for (int number = 0; number < 20; ++number)
+    world.store->Put("servers", "d" + std::to_string(number), large);
+  for (auto const* name : { "a1", "e1" })
+    world.store->Put("servers", name, StandInEntry("ledger", "127.0.0.1:1", "ready", "a"));
+  world.store->pageSize = 3;
+  auto const list = ListAll(world, client);
+  ASSERT_EQ(list.outcome, Platform::StoreOutcome::Done);
+  EXPECT_EQ(list.objects.size(), 22U);
+  std::set<std::string> sound;
+  for (auto const& object : list.objects)
+    if (std::string error; Platform::DecodeEndpoint(object, error))
+      sound.insert(object.name);
+  EXPECT_EQ(sound, (std::set<std::string>{ "a1", "e1" }));
+}
+
 }
