LibGateway: Write over a crash report that cannot be read

Operators saw a front write the same crash report many times per second, each write answered with a conflict, once another writer had replaced the report with something unreadable and the front had something to add.

The refused object's revision now takes the place of the former one, so the next write replaces the object. The former report stays known: dropping it would make the fronts forget the crash, and another writer could lift a quarantine. A conflict that tells no newer revision than the one the write named is repeated only after the delay of an unanswered write.

--- a/Libraries/LibGateway/CrashService.cpp
+++ b/Libraries/LibGateway/CrashService.cpp
@@ -8,7 +8,8 @@
 /// Limits the writes of a front that sees many crashes.
 static constexpr Duration kWriteInterval = 250ms;
 static constexpr std::size_t kMaxUnpublished = 16;
-/// A write that the store did not answer is repeated after one to two times this delay.
+/// A write that the store did not answer, or refused without telling a newer revision, is repeated after one to two
+/// times this delay.
 static constexpr Duration kRepeatDelay = 1s;
 /// Reports that a restored store lost are written again within this time by one front each, and by the others if they
 /// are still missing after that.
@@ -310,9 +311,13 @@
   auto const known = this->ledger.crashes.find(aProcess);
   if (known == this->ledger.crashes.end())
     return;
-  auto const done = [this, aProcess](Platform::WriteResult const& aResult) { this->OnWritten(aProcess, aResult); };
   auto const stored = this->stateCache.Crashes().find(aProcess);
-  if (stored == this->stateCache.Crashes().end()) {
+  bool const isStored = stored != this->stateCache.Crashes().end();
+  auto const revision = isStored ? stored->second.revision : 0;
+  auto const done = [this, aProcess, revision](Platform::WriteResult const& aResult) {
+    this->OnWritten(aProcess, revision, aResult);
+  };
+  if (!isStored) {
     this->store.Create(ObjectKind::EndpointCrash, aProcess, Platform::EncodeCrashReport(known->second.report), done);
     return;
   }
@@ -320,12 +325,11 @@
   if (!MergeReport(merged, known->second.report) ||
       (merged.candidates == stored->second.report.candidates && merged.cleared == stored->second.report.cleared))
     return;
-  this->store.Replace(
-    ObjectKind::EndpointCrash, aProcess, stored->second.revision, Platform::EncodeCrashReport(merged), done);
+  this->store.Replace(ObjectKind::EndpointCrash, aProcess, revision, Platform::EncodeCrashReport(merged), done);
 }
 
 void
-CrashService::OnWritten(std::string const& aProcess, Platform::WriteResult const& aResult)
+CrashService::OnWritten(std::string const& aProcess, StorePosition aRevision, Platform::WriteResult const& aResult)
 {
   PART_LOG("crashes") << "event=report-written process=" << aProcess << " outcome=" << ToString(aResult.outcome);
   if (aResult.outcome == Platform::StoreOutcome::Done || aResult.outcome == Platform::StoreOutcome::NotFound)
@@ -335,10 +339,13 @@
   if (aResult.outcome == Platform::StoreOutcome::Conflict && aResult.object) {
     this->stateCache.ApplyCrash(*aResult.object);
     // An object that is no report, from another writer, cannot be added to.
-    if (!this->stateCache.Crashes().contains(aProcess))
+    auto const stored = this->stateCache.Crashes().find(aProcess);
+    if (stored == this->stateCache.Crashes().end())
       return;
-    this->clock.Schedule(FromSeconds(Seconds(kConflictDelay) * jitter), [this, aProcess] { this->Write(aProcess); });
-    return;
+    if (stored->second.revision > aRevision) {
+      this->clock.Schedule(FromSeconds(Seconds(kConflictDelay) * jitter), [this, aProcess] { this->Write(aProcess); });
+      return;
+    }
   }
   this->clock.Schedule(FromSeconds(Seconds(kRepeatDelay) * jitter), [this, aProcess] { this->Publish(aProcess); });
 }
--- a/Libraries/LibGateway/CrashService.h
+++ b/Libraries/LibGateway/CrashService.h
@@ -58,7 +58,8 @@
   void Publish(std::string const& aProcess);
   void PublishNext();
   void Write(std::string const& aProcess);
-  void OnWritten(std::string const& aProcess, Platform::WriteResult const& aResult);
+  /// aRevision is the one on whose condition was written; zero if the report was to be created.
+  void OnWritten(std::string const& aProcess, StorePosition aRevision, Platform::WriteResult const& aResult);
 
   GatewaySettings const& settings;
   StateCache& stateCache;
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -547,6 +547,9 @@
   auto report = Platform::DecodeCrashReport(aObject, error);
   if (!report) {
     PART_WARNING("crashes") << "event=refused process=" << aObject.name << " fault=\"" << error << "\"";
+    // What is known of the crash still counts, and the next write replaces the object.
+    if (known != this->crashes.end())
+      known->second.revision = aObject.revision;
     return;
   }
   this->crashes[aObject.name] = { std::move(*report), aObject.revision };
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -306,8 +306,11 @@
     expected = std::stoull(revision->second);
   else if (body.is_object() && body["metadata"].contains("revision"))
     expected = body["metadata"]["revision"].get<std::uint64_t>();
-  if (request.method == "POST" ? exists : (exists && expected != 0 && existing->second.revision != expected))
+  bool const differs = exists && expected != 0 && existing->second.revision != expected;
+  if (exists && (request.method == "POST" || differs || kind == this->conflictingKind)) {
+    ++this->conflicts;
     return this->Respond(aExchange, 409, ToDocument(name, existing->second));
+  }
   if (request.method != "POST" && !exists)
     return this->Respond(aExchange, 404, json::object());
   if (request.method == "POST")
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -98,6 +98,10 @@
   unsigned statusWrites{ 0 };
   /// The number of objects removed through calls.
   unsigned removals{ 0 };
+  /// The number of writes answered with a conflict.
+  unsigned conflicts{ 0 };
+  /// A kind whose writes all meet a conflict, if the object exists, whatever revision they name; empty for none.
+  std::string conflictingKind;
 
 private:
   struct Object
