LibGateway: Replace an own entry that cannot be read

A front whose own entry had been made unreadable by another writer was in no directory as long as it ran: at its start it tried to create the entry every 500 ms and got a conflict each time; while it ran, it took itself for registered and left the unreadable entry in the store.

An entry that is refused is not among the known fronts, from which the front took the revision to write on. While the front ran, the refused entry left the former one known, which equals the entry that the front would write.

OwnRevision() now tells the revision of an own entry that cannot be read from the log of the store's objects, and a refused own entry is dropped from the known fronts unless the front has replaced it meanwhile. The front then registers as if the entry were missing, on the condition of that revision. A front that stops removes such an entry on the same condition.

--- a/Libraries/LibGateway/PresenceService.cpp
+++ b/Libraries/LibGateway/PresenceService.cpp
@@ -90,11 +90,11 @@
 void
 PresenceService::WriteEntry()
 {
-  auto const known = this->stateCache.Fronts().byName.find(this->settings.name);
+  auto const revision = this->stateCache.OwnRevision();
   auto const done = [this](Platform::WriteResult aResult) { this->OnRegistered(std::move(aResult)); };
   auto const value = Platform::EncodeFront(this->ownEntry);
-  if (known != this->stateCache.Fronts().byName.end())
-    this->store.Replace(ObjectKind::Front, this->settings.name, known->second.revision, value, done);
+  if (revision != 0)
+    this->store.Replace(ObjectKind::Front, this->settings.name, revision, value, done);
   else
     this->store.Create(ObjectKind::Front, this->settings.name, value, done);
 }
--- a/Libraries/LibGateway/StateCache.cpp
+++ b/Libraries/LibGateway/StateCache.cpp
@@ -279,13 +279,6 @@
         aVisit(kind, entry.object);
 }
 
-StorePosition
-StateCache::OwnRevision() const
-{
-  auto const found = this->fronts.byName.find(this->settings.name);
-  return found == this->fronts.byName.end() ? 0 : found->second.revision;
-}
-
 SelectionView
 StateCache::MakeSelectionView() const
 {
@@ -528,6 +521,7 @@
   auto const entry = Platform::DecodeFront(aObject, error);
   if (!entry) {
     PART_WARNING("fronts") << "event=refused name=" << aObject.name << " fault=\"" << error << "\"";
+    this->DropRefusedOwnEntry(aObject);
     return;
   }
   auto const known = this->fronts.byName.find(entry->name);
--- a/Libraries/LibGateway/StateCache.h
+++ b/Libraries/LibGateway/StateCache.h
@@ -112,7 +112,7 @@
   /// Adds a callback that runs after changes.
   void AddChangeListener(std::function<void()> aAction) { this->listeners.push_back(std::move(aAction)); }
 
-  /// Returns the revision of this front's own entry in the store; 0 if there is none.
+  /// Returns the revision of this front's own entry in the store, even if it cannot be read; 0 if there is none.
   StorePosition OwnRevision() const;
 
   /// Returns the cached objects as JSON documents of the store, for a peer that cannot reach the store.
@@ -190,6 +190,8 @@
   void MoveRevisions(ObjectKind aKind);
   /// The object as the store has it; nothing if it does not exist.
   std::optional<StoredObject> ObjectInLog(ObjectKind aKind, std::string const& aName) const;
+  /// Takes this front for not registered, as other fronts cannot read its entry.
+  void DropRefusedOwnEntry(StoredObject const& aObject);
   /// Takes what the store holds for true, once writers had time to write again.
   void SettleRestore();
   void SettleFronts();
--- a/Libraries/LibGateway/StateCacheRestore.cpp
+++ b/Libraries/LibGateway/StateCacheRestore.cpp
@@ -158,6 +158,28 @@
   return object;
 }
 
+StorePosition
+StateCache::OwnRevision() const
+{
+  auto const known = this->fronts.byName.find(this->settings.name);
+  if (known != this->fronts.byName.end())
+    return known->second.revision;
+  auto const object = this->ObjectInLog(ObjectKind::Front, this->settings.name);
+  std::string error;
+  // One that can be read is known, unless this front has removed it.
+  return object && !Platform::DecodeFront(*object, error) ? object->revision : 0;
+}
+
+void
+StateCache::DropRefusedOwnEntry(StoredObject const& aObject)
+{
+  auto const known = this->fronts.byName.find(this->settings.name);
+  // This front may have replaced it already.
+  if (aObject.name == this->settings.name && known != this->fronts.byName.end() &&
+      known->second.revision < aObject.revision)
+    this->fronts.byName.erase(known);
+}
+
 void
 StateCache::SettleRestore()
 {
--- a/Tests/Platform/PlatformForeignWriteTests.cpp
+++ b/Tests/Platform/PlatformForeignWriteTests.cpp
@@ -73,4 +73,59 @@
   EXPECT_LE(world.store->conflicts - before, 2 * kCrashed.size() * 4);
 }
 
+static nlohmann::json const kOddFront{ { "caller_address", 5 } };
+
+static bool
+KnowsFront(PlatformWorld& aWorld, unsigned aAt, std::string const& aName)
+{
+  return std::ranges::any_of(CachedStateOf(aWorld, aAt).value("fronts", nlohmann::json::array()),
+                             [&](auto const& aFront) { return aFront["name"] == aName; });
+}
+
+// A front that found its own entry unreadable at its start tried to create it for ever, and no directory named it.
+TEST(PlatformForeignWrite, ReplacesAnOwnEntryThatCannotBeReadAtTheStart)
+{
+  PlatformWorld world(2);
+  world.AddEndpoint(EndpointKind::Plain, "ledger");
+  world.store->Put("fronts", "front-0", kOddFront);
+  world.Start();
+  EXPECT_TRUE(HappensWithin(
+    world, [&] { return world.store->CountSpecs("fronts", kOddFront) == 0; }, 3s));
+  EXPECT_TRUE(HappensWithin(
+    world, [&] { return KnowsFront(world, 0, "front-0"); }, 1s));
+  EXPECT_TRUE(HappensWithin(
+    world, [&] { return KnowsFront(world, 1, "front-0"); }, 1s));
+  EXPECT_LE(world.store->conflicts, 1U);
+}
+
+// A front whose entry was made unreadable while it ran took itself for registered.
+TEST(PlatformForeignWrite, ReplacesAnOwnEntryThatBecomesUnreadable)
+{
+  PlainWorld plain(2);
+  auto& world = plain.world;
+  for (unsigned round = 0; round < 2; ++round) {
+    world.store->Put("fronts", "front-0", kOddFront);
+    EXPECT_TRUE(HappensWithin(
+      world, [&] { return world.store->CountSpecs("fronts", kOddFront) == 0; }, 3s));
+    EXPECT_TRUE(HappensWithin(
+      world, [&] { return KnowsFront(world, 0, "front-0"); }, 1s));
+  }
+  EXPECT_LE(world.store->conflicts, 1U);
+}
+
+// A front that stops while its entry is unreadable must not leave it in the store.
+TEST(PlatformForeignWrite, RemovesAnOwnEntryThatCannotBeRead)
+{
+  PlainWorld plain(2);
+  auto& world = plain.world;
+  world.store->conflictingKind = "fronts";
+  world.store->Put("fronts", "front-0", kOddFront);
+  world.RunFor(kWatchTime);
+  ASSERT_EQ(world.store->CountSpecs("fronts", kOddFront), 1U);
+  world.store->conflictingKind.clear();
+  world.fronts[0]->BeginDraining();
+  EXPECT_TRUE(HappensWithin(
+    world, [&] { return !world.store->Has("fronts", "front-0"); }, 3s));
+}
+
 }
