--- a/Tests/Soak/OddWriter.cpp
+++ b/Tests/Soak/OddWriter.cpp
@@ -23,7 +23,7 @@
   std::string name;
   for (auto parts = 1 + this->random() % 5; parts > 0; --parts)
     name += kParts[this->random() % std::size(kParts)];
-  // Others write the names of endpoints and fronts, which begin like these, with a number.
+  // No endpoint or front has a name that ends like this.
   return name + "~";
 }
 
