review: Show the stream with a part of its stage results by one crash

The silent endpoint crashes while the stages run again, instead of a stage that fails: one disruption instead of two. The former way stays as TROUBLE=stage.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,7 @@
-// A resumable stream whose endpoint is silent runs its stages again for another endpoint. One of them fails, so the
-// front goes back to the silent endpoint, and asks another one later with what it has of the stages' results.
+// A resumable stream whose endpoint is silent runs its stages again for another endpoint. The silent endpoint crashes
+// meanwhile, and the front asks another one with what it has of the stages' results by then.
+//
+// With TROUBLE=stage, a stage fails instead, and the endpoint stays silent.
 
 #include "../common-2/Harness.h"
 #include <algorithm>
@@ -8,14 +10,13 @@
 
 namespace {
 
+constexpr unsigned kModels = 6;
 constexpr unsigned kEvents = 12;
 constexpr unsigned kEventsBeforeSilence = 3;
 constexpr auto kEventInterval = 40ms;
-/// How long the endpoint is silent.
+/// How long the endpoint is silent if it does not crash.
 constexpr auto kSilence = 4500ms;
-/// Callers stay for four times the route's target latency without an event.
-constexpr auto kPatience = 7600ms;
-constexpr auto kStageCall = 40ms;
+constexpr auto kStageCall = 200ms;
 constexpr auto kHandleLifetime = 4000ms;
 /// Of the items of one call.
 constexpr unsigned kFailedItems = 4;
@@ -46,8 +47,14 @@
   unsigned lastResult{ 0 };
   /// The request whose endpoint falls silent, and whose last stage fails once after that.
   std::string troubled;
+  bool stageFails{ false };
   bool silentBegun{ false };
   bool stageFailed{ false };
+  /// The endpoint that is silent, and whether it has crashed.
+  std::string silent;
+  bool crashed{ false };
+  std::condition_variable changed;
+  std::map<std::string, Server*> models;
   std::vector<std::string> violations;
 
   bool Exists(std::string const& aHandle) const
@@ -104,6 +111,23 @@
   return text;
 }
 
+/// Ends the silent endpoint while a piece of the second stage in the row is made once more: the kernel closes its
+/// sockets.
+void
+CrashIfDue(World& aWorld, json const& aItem)
+{
+  std::unique_lock guard(aWorld.mutex);
+  bool const isDue = !aWorld.stageFails && aWorld.silentBegun && !aWorld.crashed && aItem["id"] == aWorld.troubled &&
+                     aItem["phase"] == 2;
+  if (!isDue)
+    return;
+  aWorld.crashed = true;
+  aWorld.models.at(aWorld.silent)->StopListening();
+  aWorld.changed.notify_all();
+  guard.unlock();
+  aWorld.record.Line("model endpoint " + aWorld.silent + " crashes");
+}
+
 bool
 RunStage(World& aWorld, Address const& aAddress, Connection& aConnection, Message const& aRequest)
 {
@@ -116,6 +140,7 @@
         found->second.freed = true;
     return aConnection.Write(EncodeAnswer(200, "", ""));
   }
+  CrashIfDue(aWorld, body["items"][0]);
   std::this_thread::sleep_for(kStageCall);
   auto items = json::array();
   std::string text;
@@ -133,7 +158,8 @@
         }
         CheckInputs(aWorld, inputs, requestId, { stage - 1 }, "a piece of stage " + std::to_string(stage));
       }
-      bool const fails = aWorld.silentBegun && !aWorld.stageFailed && requestId == aWorld.troubled && stage == 3;
+      bool const fails =
+        aWorld.stageFails && aWorld.silentBegun && !aWorld.stageFailed && requestId == aWorld.troubled && stage == 3;
       if (fails && failures < kFailedItems) {
         ++failures;
         items.push_back({ { "reason", "error" } });
@@ -162,14 +188,6 @@
   return "id: " + std::to_string(aNumber) + "\ndata: token " + std::to_string(aNumber) + "\n\n";
 }
 
-std::string
-Chunk(std::string const& aBytes)
-{
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", aBytes.size());
-  return size + aBytes + "\r\n";
-}
-
 bool
 RunModel(World& aWorld, std::string const& aName, Connection& aConnection, Message const& aRequest)
 {
@@ -193,22 +211,23 @@
                        text);
     silent = id == aWorld.troubled && !aWorld.silentBegun;
   }
+  // Neither a length nor chunks: the answer ends with its connection.
   aConnection.Write("HTTP/1.1 200 OK\r\n" + idField + "Hornbeamfront-Response-Signature: 3e1b." + aName +
-                    "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n");
   for (unsigned number = last + 1; number <= kEvents; ++number) {
     std::this_thread::sleep_for(kEventInterval);
-    if (!aConnection.Write(Chunk(EventOf(number))))
+    if (!aConnection.Write(EventOf(number)))
+      return false;
+    if (!silent || number != kEventsBeforeSilence)
+      continue;
+    aWorld.record.Line("model endpoint " + aName + " falls silent after event " + std::to_string(number));
+    std::unique_lock guard(aWorld.mutex);
+    aWorld.silentBegun = true;
+    aWorld.silent = aName;
+    if (aWorld.changed.wait_for(guard, kSilence, [&] { return aWorld.crashed; }))
       return false;
-    if (silent && number == kEventsBeforeSilence) {
-      aWorld.record.Line("model endpoint " + aName + " falls silent after event " + std::to_string(number));
-      {
-        std::lock_guard const guard(aWorld.mutex);
-        aWorld.silentBegun = true;
-      }
-      std::this_thread::sleep_for(kSilence);
-    }
   }
-  return aConnection.Write("0\r\n\r\n");
+  return false;
 }
 
 json
@@ -243,7 +262,7 @@
                    { { "slots", 1 },
                      { "queue", 2 },
                      { "batch", aBatch },
-                     { "call_ms", 40.0 },
+                     { "call_ms", 200.0 },
                      { "item_ms", 0.1 },
                      { "headroom_mb", aMegabytes },
                      { "handle_ttl_s", 4.0 },
@@ -335,7 +354,7 @@
       return RunModel(world, aId, aConnection, aRequest);
     };
   };
-  AddEndpoints(deployment, servers, "cellar-model", 23, 6, 128, asModel);
+  AddEndpoints(deployment, servers, "cellar-model", 23, kModels, 128, asModel);
   AddEndpoints(deployment, servers, "member-roll", 24, 5, 1, asStage);
   AddEndpoints(deployment, servers, "cask-inventory", 25, 5, 1, asStage);
   AddEndpoints(deployment, servers, "gate-pass", 26, 5, 1, asStage);
@@ -353,12 +372,18 @@
   if (HasTrouble()) {
     std::lock_guard const guard(world.mutex);
     world.troubled = id;
+    auto const* const kind = std::getenv("TROUBLE");
+    world.stageFails = kind != nullptr && std::string(kind) == "stage";
+    for (auto const& server : servers)
+      for (unsigned number = 1; number <= kModels; ++number)
+        if (server->address.ip == "127.0.23." + std::to_string(number))
+          world.models["i-cellar-model-" + std::to_string(number)] = server.get();
   }
   aRecord.Line("POST " + id + " is sent to " + deployment.fronts[0]->name);
   auto const answer = Call(deployment.CallersOf(0), RequestOf(id), 20s);
   aRecord.Line("the caller of " + id + " got " + Describe(answer));
   std::lock_guard const guard(world.mutex);
-  if (HasTrouble() && (!world.silentBegun || !world.stageFailed)) {
+  if (HasTrouble() && !world.crashed && !world.stageFailed) {
     aRecord.Line("the disruption did not come about");
     return kExitNotRun;
   }
--- a/review/common-2/Harness.h
+++ b/review/common-2/Harness.h
@@ -373,6 +373,9 @@
     std::thread([this] { this->Accept(); }).detach();
   }
 
+  /// From now on, new connections are refused, as after the end of a process.
+  void StopListening() { shutdown(this->descriptor, SHUT_RDWR); }
+
   Address const address;
 
 private:
