LibGateway: Log the inputs of each attempt

What callers saw: a stream (review/7) was whole by its form, but made from 2 of its 12 inputs. The front's log had decision=retry and then the outcome; nothing told what was sent, nor from where.

Three explanations fit it: the attempt was sent with what the cancelled stages had left; a stage was taken for complete with no results; a request in the list of those that wait was sent while its stages ran. decision=send now has the number of inputs, the stages that are complete and that run, and the restarts; decision=stay has the stages as well.

--- a/Libraries/LibGateway/ProxiedAttempts.cpp
+++ b/Libraries/LibGateway/ProxiedAttempts.cpp
@@ -128,6 +128,10 @@
   OnAttemptSent(this->timeline, now);
   OnRequestSent(this->proxy.stateCache.Endpoints(), aEndpoint, this->proxy.stateCache.Fronts().byName.size(), now);
   this->attempt.load = this->proxy.loads.OnAttemptSent(entry, this->metadata.tokenUsage);
+  if (this->stages)
+    PART_LOG("request") << "id=" << this->metadata.requestId << " decision=send endpoint=" << aEndpoint
+                        << " inputs=" << FinalInputs(*this->stages).size() << ' ' << StagesProgress(*this->stages)
+                        << " restarts=" << this->stageRestarts;
   this->attempt.call = this->proxy.connections.Send(std::move(outgoing), std::move(callEvents));
   this->ArmStallTimer();
 }
--- a/Libraries/LibGateway/ProxiedStall.cpp
+++ b/Libraries/LibGateway/ProxiedStall.cpp
@@ -77,14 +77,15 @@
   }
   if (this->attempt.endpoint != this->stalled->attempt.endpoint)
     this->triedEndpoints.push_back(this->attempt.endpoint);
+  PART_LOG("request") << "id=" << this->metadata.requestId << " decision=stay cause=" << aCause
+                      << " endpoint=" << this->stalled->attempt.endpoint << " attempts=" << this->endedAttempts
+                      << (this->stages ? ' ' + StagesProgress(*this->stages) : "");
   // Stages may have been restarted for the other endpoint.
   this->CancelStages();
   this->attempt = std::move(this->stalled->attempt);
   this->eventStream = std::move(this->stalled->eventStream);
   this->stalled.reset();
   this->attempting = true;
-  PART_LOG("request") << "id=" << this->metadata.requestId << " decision=stay cause=" << aCause
-                      << " endpoint=" << this->attempt.endpoint << " attempts=" << this->endedAttempts;
   this->ArmStallTimer();
   return true;
 }
--- a/Libraries/LibServing/RequestStages.cpp
+++ b/Libraries/LibServing/RequestStages.cpp
@@ -148,6 +148,15 @@
   return std::ranges::all_of(aStages.results, [](auto const& aResult) { return aResult.has_value(); });
 }
 
+std::string
+StagesProgress(RequestStages const& aStages)
+{
+  auto const complete = std::ranges::count_if(aStages.results, [](auto const& aResult) { return aResult.has_value(); });
+  auto const started = std::ranges::count(aStages.started, true);
+  return "stages_complete=" + std::to_string(complete) + "/" + std::to_string(aStages.rules.size()) +
+         " stages_running=" + std::to_string(started - complete);
+}
+
 std::vector<std::string>
 FinalInputs(RequestStages const& aStages)
 {
--- a/Libraries/LibServing/RequestStages.h
+++ b/Libraries/LibServing/RequestStages.h
@@ -47,6 +47,10 @@
 bool
 AllComplete(RequestStages const& aStages);
 
+/// Returns the numbers of complete and of running stages as fields of a log line.
+std::string
+StagesProgress(RequestStages const& aStages);
+
 /// Returns the inputs of the request itself, each once: the results of stages without a following stage.
 std::vector<std::string>
 FinalInputs(RequestStages const& aStages);
