LibGateway: Begin no stage for a request that went back to its endpoint

What callers saw: nothing; stage endpoints were called for results that nobody read. In the test, a stage of a stream whose endpoint was silent for 1.2 s was refused at once (its pool had no endpoint left). The request went back to the silent endpoint and gave up its stages, and the loop over the stages then began the next one: rank was called twice where once is enough. With results of stages that belong to no run, what a request holds depends on the order.

Cause: StartStages() took the list of stages before the first one could be refused, and asked only whether the request had ended. For the same reason a run that was given up inside RunStage() kept no way to be cancelled: its entry was gone, or belonged to a newer run, whose cancel action it replaced. Its result then came into the request as if of the present run. That second part was found by reading; no test shows it. A submission to a pool can end another job of the same request (two stages of one service), which is how it may happen.

The loop now asks before each stage whether the request still waits for stages. Each run has a number; a result of another run is released, and a run that is no longer known when RunStage() returns is cancelled.

--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -134,10 +134,12 @@
   auto const strongSelf = this->shared_from_this();
   if (this->RefuseIfQuarantined())
     return;
-  for (auto const stage : StartableStages(*this->stages)) {
-    if (this->ended)
-      return;
-    this->StartStage(stage);
+  // A stage that is refused at once ends the request, or sends it back to a silent endpoint.
+  while (!this->ended && !this->attempting) {
+    auto const startable = StartableStages(*this->stages);
+    if (startable.empty())
+      break;
+    this->StartStage(startable.front());
   }
   if (!this->ended && AllComplete(*this->stages) && !this->attempting)
     this->TryEndpoint();
@@ -173,7 +175,6 @@
   auto const now = this->proxy.clock.Now();
   if (plan.items[aStage] == 0) {
     CompleteStage(plan, aStage, {});
-    this->StartStages();
     return;
   }
   RemoteStageJob job;
@@ -190,23 +191,30 @@
   job.job.inputs = InputsOf(plan, aStage);
   job.job.dataCenter = this->PreferredDataCenter(aStage, job.job.inputs);
   job.job.crossDataCenterBytes = BytesTransferred(plan, aStage);
-  auto const done = this->Callback(
-    [aStage](ProxiedRequest& aRequest, StageResult aResult) { aRequest.OnStageResult(aStage, std::move(aResult)); });
+  auto const run = ++this->lastStageRun;
+  auto const done = this->Callback([aStage, run](ProxiedRequest& aRequest, StageResult aResult) {
+    aRequest.OnStageResult(aStage, run, std::move(aResult));
+  });
   OnStageStarted(this->timeline, aStage, now);
-  // The callback may run before RunStage() returns.
-  this->pendingStages[aStage] = nullptr;
+  this->pendingStages[aStage] = { run, nullptr };
   auto cancel = this->proxy.stages.RunStage(std::move(job), done);
+  // The run may have ended, or its request may have given it up, before RunStage() returned.
   auto const pending = this->pendingStages.find(aStage);
-  if (pending != this->pendingStages.end())
-    pending->second = std::move(cancel);
+  if (pending != this->pendingStages.end() && pending->second.number == run)
+    pending->second.cancel = std::move(cancel);
+  else
+    cancel();
 }
 
 void
-ProxiedRequest::OnStageResult(unsigned aStage, StageResult aResult)
+ProxiedRequest::OnStageResult(unsigned aStage, std::uint64_t aRun, StageResult aResult)
 {
-  if (this->ended)
+  auto const pending = this->pendingStages.find(aStage);
+  if (this->ended || pending == this->pendingStages.end() || pending->second.number != aRun) {
+    this->proxy.stages.Release(this->route.stages[aStage].service, aResult.handles);
     return;
-  this->pendingStages.erase(aStage);
+  }
+  this->pendingStages.erase(pending);
   OnStageEnded(this->timeline, aStage, aResult.computing, aResult.owner, this->proxy.clock.Now());
   switch (aResult.end) {
     case StageEnd::Completed:
@@ -231,9 +239,9 @@
 {
   auto const pending = std::move(this->pendingStages);
   this->pendingStages.clear();
-  for (auto const& [stage, cancel] : pending)
-    if (cancel)
-      cancel();
+  for (auto const& [stage, run] : pending)
+    if (run.cancel)
+      run.cancel();
 }
 
 void
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -67,6 +67,14 @@
   EventStream eventStream;
 };
 
+/// One run of a stage, until its result comes or it is cancelled.
+struct StageRun
+{
+  /// Counts the runs of all stages of the request; results of others than the known ones are released.
+  std::uint64_t number{ 0 };
+  CancelAction cancel;
+};
+
 /// A caller's request: runs its stages, then sends it to endpoints until an attempt succeeds or it may not be retried.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
 {
@@ -140,7 +148,7 @@
   std::string PreferredDataCenter(unsigned aStage, std::vector<std::string> const& aInputs) const;
   /// The estimated time that the request needs after a stage.
   Duration TimeNeededAfter(unsigned aStage) const;
-  void OnStageResult(unsigned aStage, StageResult aResult);
+  void OnStageResult(unsigned aStage, std::uint64_t aRun, StageResult aResult);
   void RestartStages(std::string_view aCause);
   void ReleaseResults();
   void CancelStages();
@@ -251,7 +259,8 @@
   TimerId stallTimer{ 0 };
 
   std::optional<RequestStages> stages;
-  std::map<unsigned, CancelAction> pendingStages;
+  std::map<unsigned, StageRun> pendingStages;
+  std::uint64_t lastStageRun{ 0 };
   unsigned stageRestarts{ 0 };
   bool resultsReleased{ false };
   std::string preferredEndpoint;
--- /dev/null
+++ b/Tests/Platform/PlatformStageInputsTests.cpp
@@ -0,0 +1,192 @@
+#include "PlatformFixtures.h"
+#include "RawEndpoint.h"
+
+// Requests whose stages run again for another endpoint while a silent one goes on, ends or fails.
+
+namespace Hornbeam::Testing {
+
+using namespace Gateway;
+using Ending = RawAnswer::Ending;
+
+namespace {
+
+constexpr unsigned kRankPort = 20970;
+constexpr unsigned kFirstModelPort = 20971;
+/// Pieces of the stages encode and rank; the model endpoint reads the results of both.
+constexpr char kPieces[] = "2,3";
+constexpr unsigned kAllInputs = 5;
+constexpr unsigned kEvents = 5;
+/// The time of rank's calls, if no test says otherwise. Those of encode are shorter.
+constexpr Duration kRankTime = 150ms;
+
+std::string
+Events(unsigned aFirst, unsigned aLast)
+{
+  std::string events;
+  for (unsigned number = aFirst; number <= aLast; ++number)
+    events += "id: " + std::to_string(number) + "\ndata: t" + std::to_string(number) + "\n\n";
+  return events;
+}
+
+std::string
+StreamHead(RequestMessage const& aRequest)
+{
+  return RawHead(aRequest, "Content-Type: text/event-stream\r\n");
+}
+
+/// The rest of a stream, after the event that the request names as the last one.
+RawAnswer
+RestOfStream(RequestMessage const& aRequest)
+{
+  auto const last = FieldValue(aRequest.fields, "Last-Event-Id");
+  auto const first = last.empty() ? 1 : unsigned(std::stoul(last)) + 1;
+  return { StreamHead(aRequest) + Events(first, kEvents), Ending::Close };
+}
+
+CallerRequest
+StagedRequest(Duration aTimeout = 6s)
+{
+  auto request = ModelRequest("/staged/x");
+  request.extraFields[2].second = kPieces;
+  request.clientTimeout = aTimeout;
+  return request;
+}
+
+/// One front and a route with two stages that no other stage follows. The first model endpoint that gets the request
+/// answers as `first` says, the next ones as `others` says.
+struct StagedWorld
+{
+  explicit StagedWorld(unsigned aModels)
+    : rank(this->world, "rank", kRankPort)
+  {
+    this->encode = &this->world.AddEndpoint(EndpointKind::Stage, "encode");
+    this->rank.answerOf = [this](RequestMessage const& aRequest, std::size_t) { return this->RunRank(aRequest); };
+    for (unsigned index = 0; index < aModels; ++index) {
+      this->models.push_back(std::make_unique<RawEndpoint>(this->world, "model", kFirstModelPort + index));
+      this->models.back()->answerOf = [this, index](RequestMessage const& aRequest, std::size_t) {
+        return this->RunModel(*this->models[index], aRequest);
+      };
+    }
+    auto table = StandInTable(1, 10s);
+    for (auto& route : table["route_table"])
+      if (route["path_prefix"] == "/staged/") {
+        route["phases"][1]["after"] = nlohmann::json::array();
+        route["target_latency_ms"] = 100;
+        route["max_attempts"] = 4;
+      }
+    this->world.store->Put("config", "main", table);
+    this->world.Start();
+    EXPECT_TRUE(this->world.RunUntil([&] { return this->world.store->Has("fronts", "front-0"); }));
+    this->world.RunFor(50ms);
+  }
+
+  /// Answers calls of rank after rankTime; the results of a call count from rankCalls.
+  RawAnswer RunRank(RequestMessage const& aRequest)
+  {
+    if (aRequest.target == "/stage-free")
+      return { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}" };
+    auto const call = this->rankCalls++;
+    auto items = nlohmann::json::array();
+    for (std::size_t item = 0; item < nlohmann::json::parse(aRequest.body)["items"].size(); ++item)
+      items.push_back(
+        this->rankFails && this->rankFails(call)
+          ? nlohmann::json{ { "reason", "error" } }
+          : nlohmann::json{ { "handle_id", "127.0.0.1:20970/" + std::to_string(call) + "-" + std::to_string(item) } });
+    auto const body = nlohmann::json{ { "items", items } }.dump();
+    auto const answer = RawHead(aRequest, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+    this->world.clock.Schedule(this->rankTime, [this, answer] { this->rank.Send(answer); });
+    if (this->onRankCall)
+      this->onRankCall(call);
+    return {};
+  }
+
+  RawAnswer RunModel(RawEndpoint& aEndpoint, RequestMessage const& aRequest)
+  {
+    if (!aRequest.target.starts_with("/staged/"))
+      return this->warmUp(aEndpoint, aRequest);
+    this->inputs.push_back(FieldValue(aRequest.fields, "Hornbeamfront-Inputs"));
+    if (this->inputs.size() > 1)
+      return this->others(aRequest);
+    this->silent = &aEndpoint;
+    this->silentHead = StreamHead(aRequest);
+    return this->first(aRequest);
+  }
+
+  /// Runs an action soon after rank was asked for the results of the request once more. Encode is done by then, rank
+  /// is not.
+  void WhileRankRunsAgain(std::function<void()> const& aAction)
+  {
+    this->onRankCall = [this, aAction](unsigned aCall) {
+      if (aCall == 1)
+        this->world.clock.Schedule(kRankTime / 2, aAction);
+    };
+  }
+
+  /// Expects that each endpoint that got the request got the results of all pieces, each once.
+  void ExpectAllInputs(std::size_t aAttempts) const
+  {
+    EXPECT_EQ(this->inputs.size(), aAttempts);
+    for (auto const& list : this->inputs) {
+      std::set<std::string> distinct;
+      std::size_t count = 0;
+      std::istringstream handles(list);
+      for (std::string handle; std::getline(handles, handle, ','); ++count)
+        distinct.insert(handle);
+      EXPECT_EQ(count, kAllInputs) << list;
+      EXPECT_EQ(distinct.size(), count) << list;
+    }
+  }
+
+  void ExpectWholeStream(CallerResponse const& aResponse) const
+  {
+    EXPECT_EQ(aResponse.status, 200U) << aResponse.body;
+    EXPECT_EQ(aResponse.end, CallEnd::Complete);
+    EXPECT_EQ(aResponse.body, Events(1, kEvents));
+  }
+
+  PlatformWorld world{ 1 };
+  RawEndpoint rank;
+  StandInEndpoint* encode{ nullptr };
+  std::vector<std::unique_ptr<RawEndpoint>> models;
+  std::function<RawAnswer(RequestMessage const&)> first;
+  std::function<RawAnswer(RequestMessage const&)> others{ RestOfStream };
+  /// Answers requests of the route without stages.
+  std::function<RawAnswer(RawEndpoint&, RequestMessage const&)> warmUp;
+  std::function<bool(unsigned)> rankFails;
+  std::function<void(unsigned)> onRankCall;
+  Duration rankTime{ kRankTime };
+  unsigned rankCalls{ 0 };
+  /// The endpoint that got the request first, and the head of its answer.
+  RawEndpoint* silent{ nullptr };
+  std::string silentHead;
+  /// The inputs that came with each attempt of the request.
+  std::vector<std::string> inputs;
+};
+
+RawAnswer
+ThreeEventsThenSilence(RequestMessage const& aRequest)
+{
+  return { StreamHead(aRequest) + Events(1, 3) };
+}
+
+}
+
+// After a stage was refused at once and the request had gone back to its silent endpoint, its other stages were begun.
+TEST(PlatformStageInputs, BeginsNoStageAfterOneThatIsRefusedAtOnce)
+{
+  StagedWorld staged(2);
+  staged.first = [&](RequestMessage const& aRequest) {
+    // Encode cannot be done by the deadline any more.
+    staged.world.store->Remove("servers", staged.encode->Id());
+    staged.world.clock.Schedule(1500ms, [&] {
+      staged.silent->Send(Events(4, kEvents));
+      staged.silent->EndConnections(Ending::Close);
+    });
+    return ThreeEventsThenSilence(aRequest);
+  };
+  staged.ExpectWholeStream(staged.world.Call(0, StagedRequest(2400ms)));
+  EXPECT_EQ(staged.rankCalls, 1U);
+  staged.ExpectAllInputs(1);
+}
+
+}
--- a/Tests/Platform/RawEndpoint.cpp
+++ b/Tests/Platform/RawEndpoint.cpp
@@ -19,10 +19,24 @@
   aWorld.store->Put("servers", "i-raw-" + std::to_string(aPort), StandInEntry(aService, address, "ready", "a"));
 }
 
-RawEndpoint::~RawEndpoint()
+void
+RawEndpoint::Send(std::string const& aBytes)
 {
   for (auto const& connection : this->connections)
-    this->End(connection, RawAnswer::Ending::Reset);
+    if (connection->open)
+      connection->stream->Write(aBytes);
+}
+
+void
+RawEndpoint::EndConnections(RawAnswer::Ending aEnding)
+{
+  for (auto const& connection : this->connections)
+    this->End(connection, aEnding);
+}
+
+RawEndpoint::~RawEndpoint()
+{
+  this->EndConnections(RawAnswer::Ending::Reset);
   this->listener.Close();
   this->world.RunFor(5ms);
 }
--- a/Tests/Platform/RawEndpoint.h
+++ b/Tests/Platform/RawEndpoint.h
@@ -36,6 +36,10 @@
   /// Refuses new connections, as after the end of the process.
   void StopListening() { this->listener.Close(); }
 
+  /// Sends bytes on all connections that are open.
+  void Send(std::string const& aBytes);
+  void EndConnections(RawAnswer::Ending aEnding);
+
   /// Returns the answer to a request by its number, starting at 0.
   std::function<RawAnswer(Gateway::RequestMessage const&, std::size_t)> answerOf;
   std::vector<Gateway::RequestMessage> seen;
