LibGateway: Reject a stage result that lacks results of items

Cause: the front that submitted a job took any list of handles for complete.

Such a job now ends as failed: the results that came are released, event=incomplete-result names the owner, and the request is refused at once, as not run. A result of another number than asked for is the answer of a faulty owner; a repeat would bring the same.

--- a/Libraries/LibGateway/StageService.cpp
+++ b/Libraries/LibGateway/StageService.cpp
@@ -67,6 +67,7 @@
   auto const finish = [this, aPending, name = owner ? owner->name : this->settings.name](StageResult aResult) {
     aResult.owner = name;
     RecordBacklog(this->backlogs, aPending->job.service, aResult.backlog, this->clock.Now());
+    this->RejectIncompleteResult(*aPending, aResult);
     aPending->End(std::move(aResult));
   };
   if (!owner || owner->name == this->settings.name) {
@@ -89,6 +90,20 @@
   aPending->cancel = this->peers.RunStage(owner->peerAddress, aPending->job, onResult);
 }
 
+void
+StageService::RejectIncompleteResult(PendingJob const& aPending, StageResult& aResult)
+{
+  auto const& job = aPending.job.job;
+  if (aResult.end != StageEnd::Completed || aResult.handles.size() == job.items)
+    return;
+  PART_WARNING("stages") << "event=incomplete-result service=" << aPending.job.service << " front=" << aResult.owner
+                         << " request=" << job.requestId << " results=" << aResult.handles.size()
+                         << " expected=" << job.items;
+  this->Release(aPending.job.service, aResult.handles);
+  aResult.handles.clear();
+  aResult.end = StageEnd::Failed;
+}
+
 void
 StageService::Resend(std::shared_ptr<PendingJob> const& aPending, std::string const& aFront, OwnerFault aFault)
 {
--- a/Libraries/LibGateway/StageService.h
+++ b/Libraries/LibGateway/StageService.h
@@ -31,6 +31,8 @@
   };
 
   void Send(std::shared_ptr<PendingJob> const& aPending);
+  /// Makes a completed job a failed one unless it has a result for each of its items.
+  void RejectIncompleteResult(PendingJob const& aPending, StageResult& aResult);
   void Resend(std::shared_ptr<PendingJob> const& aPending, std::string const& aFront, OwnerFault aFault);
 
   GatewaySettings const& settings;
--- a/Tests/Platform/PlatformStageInputsTests.cpp
+++ b/Tests/Platform/PlatformStageInputsTests.cpp
@@ -1,5 +1,6 @@
 #include "PlatformFixtures.h"
 #include "RawEndpoint.h"
+#include "StandInFront.h"
 
 // Requests whose stages run again for another endpoint while a silent one goes on, ends or fails.
 
@@ -270,4 +271,38 @@
   staged.ExpectAllInputs(1);
 }
 
+// The owner of a stage returned fewer results than the stage has pieces; the job counted as complete, and the stages
+// were run again and again.
+TEST(PlatformStageInputs, RefusesARequestWhoseStageReturnsTooFewResults)
+{
+  StagedWorld staged(1);
+  auto const address = staged.world.NextAddress();
+  StandInFront owner(staged.world.loop, address);
+  unsigned jobs = 0;
+  owner.state.runStage = [&](unsigned aItems) {
+    ++jobs;
+    std::vector<std::string> handles;
+    for (unsigned item = 1; item < aItems; ++item)
+      handles.push_back("127.0.0.1:20970/" + std::to_string(aItems) + "-" + std::to_string(item));
+    return handles;
+  };
+  // With so many cores, it owns all stages.
+  staged.world.store->Put("fronts",
+                          "owner",
+                          { { "caller_address", address },
+                            { "peer_address", address },
+                            { "data_center", "a" },
+                            { "incarnation", 1 },
+                            { "cores", 64 },
+                            { "region", "r" } });
+  staged.world.RunFor(1s);
+  staged.first = RestOfStream;
+  auto const response = staged.world.Call(0, StagedRequest());
+  EXPECT_EQ(response.status, 503U) << response.body;
+  EXPECT_LT(response.duration, 1s);
+  EXPECT_LE(jobs, 2U);
+  EXPECT_TRUE(staged.inputs.empty());
+  EXPECT_TRUE(staged.world.RunUntil([&] { return !owner.state.releasedResults.empty(); }, 1s));
+}
+
 }
--- a/Tests/Platform/StandInFront.cpp
+++ b/Tests/Platform/StandInFront.cpp
@@ -47,6 +47,25 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> makeStage(MakeStageContext aContext) override
+  {
+    KJ_REQUIRE(bool(this->state.runStage), "stages are not served");
+    auto result = aContext.getResults().initResult();
+    result.setEnd(Wire::StageEnd::MADE);
+    auto const handles = this->state.runStage(aContext.getParams().getOrder().getPieces());
+    auto wireHandles = result.initHandles(unsigned(handles.size()));
+    for (unsigned index = 0; index < handles.size(); ++index)
+      wireHandles.set(index, handles[index]);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> releaseResults(ReleaseResultsContext aContext) override
+  {
+    for (auto const handle : aContext.getParams().getHandles())
+      this->state.releasedResults.emplace_back(handle.cStr());
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> followStore(FollowStoreContext aContext) override
   {
     auto const wait = std::max<Duration>(kMinWait, Duration(aContext.getParams().getWaitUs()));
--- a/Tests/Platform/StandInFront.h
+++ b/Tests/Platform/StandInFront.h
@@ -3,6 +3,7 @@
 #include <LibGateway/FrontPeers.h>
 #include <LibGateway/Gateway.capnp.h>
 #include <LibRpc/LibRpc.h>
+#include <functional>
 
 namespace Hornbeam::Testing {
 
@@ -28,6 +29,9 @@
   /// How many of the next questions for cached objects fail.
   unsigned failingFetches{ 0 };
   unsigned fetches{ 0 };
+  /// Returns the handles that answer a job, by its number of items. Without it, jobs are not served.
+  std::function<std::vector<std::string>(unsigned aItems)> runStage;
+  std::vector<std::string> releasedResults;
 };
 
 /// A stand-in for another front, of which only the calls between fronts exist.
