Tests: Try random orders of faults around stages, count inputs in the soak

Each attempt must bring all results of its own request, each once, and no result may stay held.

The soak now counts the inputs of each request with stages and of each item.

The tests take their ports from the world, so that two copies of them can run at once.

--- a/Tests/Platform/PlatformStageInputsTests.cpp
+++ b/Tests/Platform/PlatformStageInputsTests.cpp
@@ -1,6 +1,7 @@
 #include "PlatformFixtures.h"
 #include "RawEndpoint.h"
 #include "StandInFront.h"
+#include <random>
 
 // Requests whose stages run again for another endpoint while a silent one goes on, ends or fails.
 
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr unsigned kRankPort = 20970;
-constexpr unsigned kFirstModelPort = 20971;
 /// Pieces of the stages encode and rank; the model endpoint reads the results of both.
 constexpr char kPieces[] = "2,3";
 constexpr unsigned kAllInputs = 5;
@@ -29,6 +28,12 @@
   return events;
 }
 
+unsigned
+PortOf(std::string const& aAddress)
+{
+  return unsigned(std::stoul(aAddress.substr(aAddress.rfind(':') + 1)));
+}
+
 std::string
 StreamHead(RequestMessage const& aRequest)
 {
@@ -67,12 +72,13 @@
 struct StagedWorld
 {
   explicit StagedWorld(unsigned aModels)
-    : rank(this->world, "rank", kRankPort)
+    : rank(this->world, "rank", PortOf(this->rankAddress))
   {
     this->encode = &this->world.AddEndpoint(EndpointKind::Stage, "encode");
+    this->encode->includesRequestIds = true;
     this->rank.answerOf = [this](RequestMessage const& aRequest, std::size_t) { return this->RunRank(aRequest); };
     for (unsigned index = 0; index < aModels; ++index) {
-      this->models.push_back(std::make_unique<RawEndpoint>(this->world, "model", kFirstModelPort + index));
+      this->models.push_back(std::make_unique<RawEndpoint>(this->world, "model", PortOf(this->world.NextAddress())));
       this->models.back()->answerOf = [this, index](RequestMessage const& aRequest, std::size_t) {
         return this->RunModel(*this->models[index], aRequest);
       };
@@ -90,31 +96,35 @@
     this->world.RunFor(50ms);
   }
 
-  /// Answers calls of rank after rankTime; the results of a call count from rankCalls.
+  /// Answers a call of rank after rankTime.
   RawAnswer RunRank(RequestMessage const& aRequest)
   {
     if (aRequest.target == "/stage-free")
       return { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}" };
     auto const call = this->rankCalls++;
     auto items = nlohmann::json::array();
-    for (std::size_t item = 0; item < nlohmann::json::parse(aRequest.body)["items"].size(); ++item)
-      items.push_back(
-        this->rankFails && this->rankFails(call)
-          ? nlohmann::json{ { "reason", "error" } }
-          : nlohmann::json{ { "handle_id", "127.0.0.1:20970/" + std::to_string(call) + "-" + std::to_string(item) } });
+    auto const job = nlohmann::json::parse(aRequest.body);
+    for (auto const& item : job["items"])
+      items.push_back(this->rankFails && this->rankFails(call)
+                        ? nlohmann::json{ { "reason", "error" } }
+                        : nlohmann::json{ { "handle_id",
+                                            this->rankAddress + "/" + std::to_string(++this->results) + "-" +
+                                              item["id"].get<std::string>() } });
     auto const body = nlohmann::json{ { "items", items } }.dump();
     auto const answer = RawHead(aRequest, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
-    this->world.clock.Schedule(this->rankTime, [this, answer] { this->rank.Send(answer); });
+    RawAnswer delayed;
+    delayed.late.push_back({ this->rankTime, answer });
     if (this->onRankCall)
       this->onRankCall(call);
-    return {};
+    return delayed;
   }
 
   RawAnswer RunModel(RawEndpoint& aEndpoint, RequestMessage const& aRequest)
   {
     if (!aRequest.target.starts_with("/staged/"))
       return this->warmUp(aEndpoint, aRequest);
-    this->inputs.push_back(FieldValue(aRequest.fields, "Hornbeamfront-Inputs"));
+    this->inputs.emplace_back(FieldValue(aRequest.fields, "Hornbeamfront-Request-Id"),
+                              FieldValue(aRequest.fields, "Hornbeamfront-Inputs"));
     if (this->inputs.size() > 1)
       return this->others(aRequest);
     this->silent = &aEndpoint;
@@ -132,18 +142,20 @@
     };
   }
 
-  /// Expects that each endpoint that got the request got the results of all pieces, each once.
+  /// Expects that each endpoint that got a request got the results of all its pieces, each once.
   void ExpectAllInputs(std::size_t aAttempts) const
   {
     EXPECT_EQ(this->inputs.size(), aAttempts);
-    for (auto const& list : this->inputs) {
+    for (auto const& [id, list] : this->inputs) {
       std::set<std::string> distinct;
       std::size_t count = 0;
       std::istringstream handles(list);
-      for (std::string handle; std::getline(handles, handle, ','); ++count)
+      for (std::string handle; std::getline(handles, handle, ','); ++count) {
         distinct.insert(handle);
-      EXPECT_EQ(count, kAllInputs) << list;
-      EXPECT_EQ(distinct.size(), count) << list;
+        EXPECT_TRUE(handle.ends_with("-" + id)) << id << ": " << list;
+      }
+      EXPECT_EQ(count, kAllInputs) << id << ": " << list;
+      EXPECT_EQ(distinct.size(), count) << id << ": " << list;
     }
   }
 
@@ -155,6 +167,7 @@
   }
 
   PlatformWorld world{ 1 };
+  std::string rankAddress{ this->world.NextAddress() };
   RawEndpoint rank;
   StandInEndpoint* encode{ nullptr };
   std::vector<std::unique_ptr<RawEndpoint>> models;
@@ -166,11 +179,12 @@
   std::function<void(unsigned)> onRankCall;
   Duration rankTime{ kRankTime };
   unsigned rankCalls{ 0 };
+  unsigned results{ 0 };
   /// The endpoint that got the request first, and the head of its answer.
   RawEndpoint* silent{ nullptr };
   std::string silentHead;
-  /// The inputs that came with each attempt of the request.
-  std::vector<std::string> inputs;
+  /// The request id and the inputs of each attempt.
+  std::vector<std::pair<std::string, std::string>> inputs;
 };
 
 RawAnswer
@@ -283,7 +297,7 @@
     ++jobs;
     std::vector<std::string> handles;
     for (unsigned item = 1; item < aItems; ++item)
-      handles.push_back("127.0.0.1:20970/" + std::to_string(aItems) + "-" + std::to_string(item));
+      handles.push_back(staged.rankAddress + "/" + std::to_string(aItems) + "-" + std::to_string(item));
     return handles;
   };
   // With so many cores, it owns all stages.
@@ -305,4 +319,81 @@
   EXPECT_TRUE(staged.world.RunUntil([&] { return !owner.state.releasedResults.empty(); }, 1s));
 }
 
+namespace {
+
+/// Draws how a model endpoint treats a request.
+RawAnswer
+DrawAnswer(std::minstd_rand& aRandom, RequestMessage const& aRequest)
+{
+  auto const time = [&](Duration aFrom, Duration aTo) { return aFrom + Duration(aRandom() % (aTo - aFrom).count()); };
+  auto answer = RestOfStream(aRequest);
+  switch (aRandom() % 10) {
+    case 0:
+      return Refusal(aRequest, "409 Conflict");
+    case 1:
+      return Refusal(aRequest, "503 Busy");
+    case 2: {
+      // Silence, a head, and a reset before the first byte.
+      auto const headAfter = time(800ms, 2200ms);
+      return { "", Ending::Reset, headAfter + 20ms, "", 1ms, { { headAfter, StreamHead(aRequest) } } };
+    }
+    case 3:
+      return { "", Ending::Reset, time(800ms, 2200ms) };
+    case 4:
+    case 5: {
+      // A stream that pauses, and goes on or is reset.
+      auto const endOfEvent = answer.bytes.find("\n\n");
+      if (endOfEvent == std::string::npos)
+        return answer;
+      auto const firstEvent = endOfEvent + 2;
+      auto const goesOnAfter = time(1200ms, 1800ms);
+      bool const goesOn = aRandom() % 2 == 0;
+      answer.late.push_back({ goesOnAfter, goesOn ? answer.bytes.substr(firstEvent) : "" });
+      answer.bytes.resize(firstEvent);
+      answer.ending = goesOn ? Ending::Close : Ending::Reset;
+      answer.endAfter = goesOnAfter + 20ms;
+      return answer;
+    }
+    default:
+      return answer;
+  }
+}
+
+}
+
+// Requests were sent with a part of their inputs, or with none, in orders of faults that no other test names: pauses,
+// lost results, stages that fail, and answers that begin late and are reset.
+TEST(PlatformStageInputs, SendsAllResultsInAnyOrderOfFaults)
+{
+  auto const* const text = std::getenv("HORNBEAM_TEST_SEED");
+  auto const seed = unsigned(text == nullptr ? 1 : std::atoi(text));
+  std::minstd_rand random(seed);
+  StagedWorld staged(6);
+  staged.first = staged.others = [&](RequestMessage const& aRequest) { return DrawAnswer(random, aRequest); };
+  staged.rankFails = [&](unsigned) { return random() % 10 == 0; };
+  // Short enough for all requests to run their stages several times.
+  staged.rankTime = 50ms;
+  std::vector<std::shared_ptr<CallerResponse>> responses;
+  for (unsigned number = 0; number < 60; ++number) {
+    auto request = StagedRequest(5s);
+    request.id = "r" + std::to_string(number);
+    request.body = "body of " + request.id;
+    request.extraFields[0].second = "p" + request.id + ":10,q" + request.id + ":5";
+    responses.push_back(staged.world.Send(0, request));
+    staged.world.RunFor(Duration(random() % 200'000));
+  }
+  EXPECT_TRUE(staged.world.RunUntil(
+    [&] { return std::ranges::all_of(responses, [](auto const& aResponse) { return aResponse->ended; }); }, 8s));
+  std::size_t whole = 0;
+  for (auto const& response : responses)
+    if (response->status == 200 && response->end == CallEnd::Complete) {
+      ++whole;
+      EXPECT_EQ(response->body, Events(1, kEvents));
+    }
+  RecordProperty("whole", int(whole));
+  EXPECT_GT(whole, 0U) << "seed " << seed;
+  staged.ExpectAllInputs(staged.inputs.size());
+  EXPECT_TRUE(staged.world.RunUntil([&] { return staged.encode->heldResults.empty(); }, 1s));
+}
+
 }
--- a/Tests/Platform/RawEndpoint.cpp
+++ b/Tests/Platform/RawEndpoint.cpp
@@ -71,6 +71,11 @@
   auto const answer = this->answerOf(this->seen.back(), number);
   this->sent += answer.bytes.size();
   aConnection->stream->Write(answer.bytes);
+  for (auto const& late : answer.late)
+    this->world.clock.Schedule(late.after, [aConnection, bytes = late.bytes] {
+      if (aConnection->open)
+        aConnection->stream->Write(bytes);
+    });
   if (!answer.repeated.empty())
     this->Repeat(aConnection, answer.repeated, answer.repeatEvery);
   if (answer.ending == RawAnswer::Ending::Keep)
--- a/Tests/Platform/RawEndpoint.h
+++ b/Tests/Platform/RawEndpoint.h
@@ -14,6 +14,13 @@
     Keep,
   };
 
+  /// Bytes that are sent some time after the others.
+  struct LateBytes
+  {
+    Duration after{ 0 };
+    std::string bytes;
+  };
+
   std::string bytes;
   Ending ending{ Ending::Keep };
   /// The time from the bytes to the end of the connection.
@@ -21,6 +28,7 @@
   /// Sent again and again until the front closes the connection, if not empty.
   std::string repeated{};
   Duration repeatEvery{ 1ms };
+  std::vector<LateBytes> late{};
 };
 
 /// An endpoint that answers with arbitrary bytes and ends its connections in any way.
--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -1,6 +1,7 @@
 #include "SoakCallers.h"
 #include <Platform/CallerRequest.h>
 #include <iostream>
+#include <set>
 #include <sstream>
 
 namespace Hornbeam::Testing {
@@ -18,6 +19,9 @@
 static constexpr unsigned kEvents = 5;
 /// Time within which every front that reaches the store must have applied a new table.
 static constexpr Duration kMaxApplyTime = 2s;
+/// Items of the stages of the requests that have some.
+static constexpr std::size_t kEncodeItems = 2;
+static constexpr std::size_t kRankItems = 3;
 
 SoakCallers::SoakCallers(SoakWorld& aWorld, unsigned aSeed)
   : world(aWorld)
@@ -48,7 +52,8 @@
                                   { "Hornbeamfront-Token-Usage", "35,9" } };
   }
   if (aKind == SoakRequestKind::Staged) {
-    callerRequest.extraFields.emplace_back("Hornbeamfront-Chunks", "2,3");
+    callerRequest.extraFields.emplace_back("Hornbeamfront-Chunks",
+                                           std::to_string(kEncodeItems) + "," + std::to_string(kRankItems));
     callerRequest.extraFields.emplace_back("Hornbeamfront-Chunk-Key", "chunk-" + request->id);
   }
   CallEvents events;
@@ -175,6 +180,14 @@
         for (auto const& input : item.value("inputs", nlohmann::json::array()))
           handles.push_back(input.get<std::string>());
       }
+      // Requests with stages read the results of the last one, and each of its items those of the first one.
+      bool const readsResults = endpoint.service == "rank" || seen.target.starts_with("/staged/");
+      auto const expected = endpoint.service == "rank" ? kEncodeItems : kRankItems;
+      std::set<std::string> const distinct(handles.begin(), handles.end());
+      if (readsResults && (handles.size() != expected || distinct.size() != expected))
+        violations.push_back(seen.id + " was given " + std::to_string(handles.size()) + " inputs, " +
+                             std::to_string(distinct.size()) + " of them distinct, where it has " +
+                             std::to_string(expected) + ": " + endpoint.standIn->Id());
       for (auto const& handle : handles)
         if (!handle.ends_with("-" + seen.id))
           violations.push_back(seen.id + " was given an input of another request: " + handle);
