--- a/Libraries/LibGateway/ProxiedRequest.cpp
+++ b/Libraries/LibGateway/ProxiedRequest.cpp
@@ -253,7 +253,7 @@
 void
 ProxiedRequest::ObtainInputs(std::string_view aCause)
 {
-  // Stages that run send the request once they are complete.
+  // The last stage to complete calls TryEndpoint().
   if (!this->stages || !this->pendingStages.empty())
     return;
   if (HasUntriedEndpoint(this->proxy.stateCache.MakeSelectionView(), this->MakeQuery()))
--- a/Libraries/LibGateway/ProxiedRequest.h
+++ b/Libraries/LibGateway/ProxiedRequest.h
@@ -67,10 +67,10 @@
   EventStream eventStream;
 };
 
-/// One run of a stage, until its result comes or it is cancelled.
+/// A run of a stage that has neither ended nor been cancelled.
 struct StageRun
 {
-  /// Counts the runs of all stages of the request; results of others than the known ones are released.
+  /// Counts the runs of all stages of the request, so that the result of a run that was given up is recognized.
   std::uint64_t number{ 0 };
   CancelAction cancel;
 };
@@ -151,7 +151,7 @@
   void OnStageResult(unsigned aStage, std::uint64_t aRun, StageResult aResult);
   /// Whether all results are held that an attempt needs as inputs. Always true on a route without stages.
   bool HoldsInputs() const;
-  /// Runs the stages for another attempt unless they run already; the request is sent once they are complete.
+  /// Runs the stages again for another attempt, unless they are running. The request is sent once they are complete.
   void ObtainInputs(std::string_view aCause);
   void RestartStages(std::string_view aCause);
   /// Releases all results and cancels the stages that run.
--- a/Libraries/LibGateway/ProxiedStall.cpp
+++ b/Libraries/LibGateway/ProxiedStall.cpp
@@ -80,7 +80,8 @@
   PART_LOG("request") << "id=" << this->metadata.requestId << " decision=stay cause=" << aCause
                       << " endpoint=" << this->stalled->attempt.endpoint << " attempts=" << this->endedAttempts
                       << (this->stages ? ' ' + StagesProgress(*this->stages) : "");
-  // Stages may have been restarted for the other endpoint; only the results of all of them are of use to a next one.
+  // Stages may have been restarted for the other endpoint. The next attempt needs the results of all of them, so a part
+  // would only occupy memory.
   if (!this->HoldsInputs())
     this->ReleaseResults();
   this->attempt = std::move(this->stalled->attempt);
