Tests: Reserve as many ports as a world of fronts uses

A world of ten fronts used the 60 ports reserved for it and those of the next world; a test that followed it in the same process ended with cannot-listen (address already in use).

--- a/Tests/Platform/PlatformWorld.cpp
+++ b/Tests/Platform/PlatformWorld.cpp
@@ -11,6 +11,9 @@
 static unsigned portsAllocated = 0;
 static constexpr unsigned kDefaultFirstPort = 21000;
 static constexpr unsigned kPortsPerFront = 6;
+/// The ports of a world: at least so many, and so many besides those of its fronts, for the store and the endpoints.
+static constexpr unsigned kMinPorts = 60;
+static constexpr unsigned kPortsOfOthers = 40;
 
 static unsigned
 FirstPort()
@@ -23,7 +26,7 @@
   : stopped(aFronts, false)
 {
   this->basePort = FirstPort() + portsAllocated;
-  portsAllocated += 60;
+  portsAllocated += std::max(kMinPorts, aFronts * kPortsPerFront + kPortsOfOthers);
   this->nextPort = this->basePort + aFronts * kPortsPerFront;
   this->store = std::make_unique<StandInStore>(this->loop.UvLoop(), this->clock, this->NextAddress());
 }
